--- /dev/null
+++ b/internal/spread/spread_test.go
@@ -0,0 +1,152 @@
+package spread_test
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/shallotpier/shallotpier/internal/spread"
+	"github.com/shallotpier/shallotpier/pkg/id"
+)
+
+func world(sites, blocks int, seed uint64) [][]spread.Site {
+	r := rand.New(rand.NewPCG(seed, 1))
+	nearest := make([][]spread.Site, blocks)
+	for b := range nearest {
+		for range 3 {
+			nearest[b] = append(nearest[b], spread.Site(r.IntN(sites)))
+		}
+	}
+	return nearest
+}
+
+func TestReplicaApply(t *testing.T) {
+	nearest := world(10, 50, 1)
+	origin := spread.NewReplica(10, nearest)
+	first := spread.Epoch{Number: 1, Changes: []spread.Change{{Version: 1, Kind: spread.SetLeaving, Site: 3}}}
+	origin.Advance(first.Changes)
+	first.Digest = origin.Digest()
+	second := spread.Epoch{Number: 2, Changes: []spread.Change{{Version: 2, Kind: spread.SetBlock, Block: 7, Sites: []spread.Site{1, 2}}}}
+	origin.Advance(second.Changes)
+	second.Digest = origin.Digest()
+	wrong := first
+	wrong.Digest++
+
+	tests := map[string]struct {
+		epochs []spread.Epoch
+		want   error
+		at     uint64
+	}{
+		"in order":          {epochs: []spread.Epoch{first, second}, at: 2},
+		"repeated":          {epochs: []spread.Epoch{first, first}, want: spread.ErrOld, at: 1},
+		"one missing":       {epochs: []spread.Epoch{second}, want: spread.ErrGap},
+		"other digest":      {epochs: []spread.Epoch{wrong}, want: spread.ErrDiverged, at: 1},
+		"older after newer": {epochs: []spread.Epoch{first, second, first}, want: spread.ErrOld, at: 2},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			r := spread.NewReplica(10, nearest)
+			var err error
+			for _, e := range tt.epochs {
+				err = r.Apply(&e)
+			}
+			is.True(errors.Is(err, tt.want))
+			is.Equal(r.Epoch(), tt.at)
+			for b := range nearest {
+				for _, s := range r.Row(spread.Block(b)) {
+					is.True(tt.at == 0 || s != 3 || len(r.Row(spread.Block(b))) == 1) // a leaving site is not offered
+				}
+			}
+		})
+	}
+}
+
+func TestEpochCheckRefuses(t *testing.T) {
+	tests := map[string]spread.Epoch{
+		"no number":         {},
+		"unknown kind":      {Number: 1, Changes: []spread.Change{{Kind: "x"}}},
+		"site too high":     {Number: 1, Changes: []spread.Change{{Kind: spread.SetWeight, Site: 10}}},
+		"weight too high":   {Number: 1, Changes: []spread.Change{{Kind: spread.SetWeight, Weight: spread.MaxWeight + 1}}},
+		"block too high":    {Number: 1, Changes: []spread.Change{{Kind: spread.SetBlock, Block: 50, Sites: []spread.Site{1}}}},
+		"block has no site": {Number: 1, Changes: []spread.Change{{Kind: spread.SetBlock, Block: 1}}},
+	}
+	for name, e := range tests {
+		t.Run(name, func(t *testing.T) {
+			is.New(t).True(e.Check(10, 50) != nil)
+		})
+	}
+}
+
+// A digest that is kept up to date must equal one computed anew, whatever the
+// changes were.
+func TestReplicaDigestIsThatOfARebuild(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		nearest := world(8, 20, 3)
+		kept := spread.NewReplica(8, nearest)
+		var all []spread.Change
+		for range rapid.IntRange(1, 10).Draw(t, "epochs") {
+			c := spread.Change{
+				Kind:   rapid.SampledFrom([]spread.Kind{spread.SetWeight, spread.SetLeaving, spread.SetBlock}).Draw(t, "kind"),
+				Site:   spread.Site(rapid.IntRange(0, 7).Draw(t, "site")),
+				Weight: uint16(rapid.IntRange(0, 2).Draw(t, "weight")),
+				Block:  spread.Block(rapid.IntRange(0, 19).Draw(t, "block")),
+				Sites:  []spread.Site{spread.Site(rapid.IntRange(0, 7).Draw(t, "to"))},
+			}
+			all = append(all, c)
+			kept.Advance([]spread.Change{c})
+		}
+		once := spread.NewReplica(8, nearest)
+		once.Advance(all)
+		if kept.Digest() != once.Digest() {
+			t.Fatalf("digest %x after single changes, %x after all at once", kept.Digest(), once.Digest())
+		}
+	})
+}
+
+func TestTreeReachesEveryMemberOnce(t *testing.T) {
+	for _, n := range []int{1, 2, 7, 165, 700} {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			is := is.New(t)
+			tree := spread.Tree{Relays: 2, Fanout: 8}
+			var members []id.Instance
+			for i := range n {
+				members = append(members, id.Instance(fmt.Sprintf("entry-%d", i)))
+			}
+			ordered := tree.Order(members)
+			got := map[id.Instance]int{}
+			for _, m := range ordered {
+				if tree.IsRelay(ordered, m) {
+					got[m]++
+				}
+				for _, c := range tree.Children(ordered, m) {
+					got[c]++
+				}
+			}
+			is.Equal(len(got), n)
+			for _, times := range got {
+				is.Equal(times, 1)
+			}
+		})
+	}
+}
+
+func TestTreeDepth(t *testing.T) {
+	tests := map[string]struct{ members, want int }{
+		"relays alone":            {members: 2, want: 0},
+		"today's seven":           {members: 7, want: 1},
+		"a zone at the target":    {members: 165, want: 3},
+		"all of a large region":   {members: 700, want: 3},
+		"one more than two hops":  {members: 147, want: 3},
+		"as many as two hops fit": {members: 146, want: 2},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is.New(t).Equal(spread.Tree{Relays: 2, Fanout: 8}.Depth(tt.members), tt.want)
+		})
+	}
+}
