--- /dev/null
+++ b/internal/store/httpstore/client.go
@@ -0,0 +1,214 @@
+package httpstore
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/shallotpier/shallotpier/internal/store"
+)
+
+const (
+	defaultTimeout = 2 * time.Second
+	defaultWait    = 30 * time.Second
+	maxListBytes   = 64 << 20
+)
+
+type (
+	// Client is the platform's object store. It is safe for concurrent use.
+	Client struct {
+		// Base is the store's URL without a trailing slash.
+		Base string
+		// HTTP makes the calls; nil means http.DefaultClient.
+		HTTP *http.Client
+		// Timeout bounds a call, and a watch's answer after its wait; 0 means
+		// 2 s.
+		Timeout time.Duration
+		// Wait is how long a watch waits at the store; 0 means 30 s.
+		Wait time.Duration
+	}
+
+	answer struct {
+		status int
+		tag    string
+		body   []byte
+	}
+)
+
+var _ store.Store = (*Client)(nil)
+
+// Get returns the object under key, or ErrNotFound.
+func (c *Client) Get(ctx context.Context, key string) (store.Object, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout())
+	defer cancel()
+	a, _, err := c.call(ctx, http.MethodGet, objectPath(key), nil, nil, store.MaxValue)
+	if err != nil {
+		return store.Object{}, unavailable(err)
+	}
+	return a.object(key)
+}
+
+// Put writes the value if the condition holds and returns its version.
+func (c *Client) Put(ctx context.Context, key string, value []byte, cond store.Condition) (store.Version, error) {
+	a, err := c.write(ctx, http.MethodPut, key, value, cond)
+	if err != nil {
+		return 0, err
+	}
+	v, err := parseTag(a.tag)
+	if err != nil {
+		return 0, eris.Wrap(store.ErrAmbiguous, err.Error())
+	}
+	return v, nil
+}
+
+// Delete removes the object if the condition holds.
+func (c *Client) Delete(ctx context.Context, key string, cond store.Condition) error {
+	_, err := c.write(ctx, http.MethodDelete, key, nil, cond)
+	return err
+}
+
+// List returns all objects whose key starts with prefix, by key.
+func (c *Client) List(ctx context.Context, prefix string) ([]store.Object, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout())
+	defer cancel()
+	path := "/objects?prefix=" + url.QueryEscape(prefix)
+	a, _, err := c.call(ctx, http.MethodGet, path, nil, nil, maxListBytes)
+	switch {
+	case err != nil:
+		return nil, unavailable(err)
+	case a.status != http.StatusOK:
+		return nil, unavailable(a.unexpected())
+	}
+	var all []store.Object
+	if err := json.Unmarshal(a.body, &all); err != nil {
+		return nil, unavailable(err)
+	}
+	return all, nil
+}
+
+// Watch returns the object as soon as its version is not seen, and
+// ErrUnavailable when the store ends the wait unchanged.
+func (c *Client) Watch(ctx context.Context, key string, seen store.Version) (store.Object, error) {
+	wait := c.Wait
+	if wait == 0 {
+		wait = defaultWait
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait+c.timeout())
+	defer cancel()
+	path := fmt.Sprintf("%s?watch=%d&wait=%s", objectPath(key), seen, strconv.FormatFloat(wait.Seconds(), 'f', -1, 64))
+	a, _, err := c.call(ctx, http.MethodGet, path, nil, nil, store.MaxValue)
+	if err != nil {
+		return store.Object{}, unavailable(err)
+	}
+	return a.object(key)
+}
+
+func (c *Client) write(ctx context.Context, method, key string, value []byte, cond store.Condition) (answer, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout())
+	defer cancel()
+	header := http.Header{}
+	switch v, set := cond.Required(); {
+	case set && v == 0:
+		header.Set("If-None-Match", "*")
+	case set:
+		header.Set("If-Match", strconv.Quote(strconv.FormatUint(uint64(v), 10)))
+	}
+	a, connected, err := c.call(ctx, method, objectPath(key), header, value, store.MaxValue)
+	switch {
+	case err != nil && !connected:
+		return a, unavailable(err)
+	case err != nil:
+		return a, eris.Wrap(store.ErrAmbiguous, err.Error())
+	}
+	switch a.status {
+	case http.StatusOK, http.StatusCreated, http.StatusNoContent:
+		return a, nil
+	case http.StatusPreconditionFailed:
+		return a, store.ErrConflict
+	case http.StatusNotFound:
+		return a, store.ErrNotFound
+	case http.StatusTooManyRequests:
+		return a, unavailable(a.unexpected())
+	case http.StatusBadRequest, http.StatusRequestEntityTooLarge:
+		return a, a.unexpected()
+	default:
+		return a, eris.Wrap(store.ErrAmbiguous, a.unexpected().Error())
+	}
+}
+
+// call returns whether a connection was there to carry the request, also when
+// it failed.
+func (c *Client) call(ctx context.Context, method, path string, header http.Header, value []byte, limit int64) (answer, bool, error) {
+	var connected atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+	})
+	req, err := http.NewRequestWithContext(ctx, method, c.Base+path, bytes.NewReader(value))
+	if err != nil {
+		return answer{}, false, err
+	}
+	for k, v := range header {
+		req.Header[k] = v
+	}
+	client := c.HTTP
+	if client == nil {
+		client = http.DefaultClient
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		return answer{}, connected.Load(), err
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(http.MaxBytesReader(nil, resp.Body, limit))
+	if err != nil {
+		return answer{}, true, err
+	}
+	return answer{status: resp.StatusCode, tag: resp.Header.Get("ETag"), body: body}, true, nil
+}
+
+func (c *Client) timeout() time.Duration {
+	if c.Timeout == 0 {
+		return defaultTimeout
+	}
+	return c.Timeout
+}
+
+func (a answer) object(key string) (store.Object, error) {
+	switch a.status {
+	case http.StatusOK:
+		v, err := parseTag(a.tag)
+		if err != nil {
+			return store.Object{}, unavailable(err)
+		}
+		return store.Object{Key: key, Version: v, Value: a.body}, nil
+	case http.StatusNotFound:
+		return store.Object{}, store.ErrNotFound
+	default:
+		return store.Object{}, unavailable(a.unexpected())
+	}
+}
+
+func (a answer) unexpected() error { return eris.Errorf("store answered with status %d", a.status) }
+
+func unavailable(err error) error { return eris.Wrap(store.ErrUnavailable, err.Error()) }
+
+func parseTag(text string) (store.Version, error) {
+	n, err := strconv.ParseUint(strings.Trim(text, `"`), 10, 64)
+	if err != nil || n == 0 {
+		return 0, eris.Errorf("ETag %q is not a version", text)
+	}
+	return store.Version(n), nil
+}
+
+func objectPath(key string) string { return "/objects/" + (&url.URL{Path: key}).EscapedPath() }
