slots: permits within a fixed part of each server's slots

Cause: the request path needs an Admitter that keeps the sum over all entries within each backend server's slots before shares can move.

Outcome.Running keeps a slot in use.

--- /dev/null
+++ b/internal/admission/pool/pool.go
@@ -0,0 +1,220 @@
+package pool
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/shallotpier/shallotpier/internal/admission"
+	"github.com/shallotpier/shallotpier/internal/slots/gate"
+	"github.com/shallotpier/shallotpier/pkg/id"
+	"github.com/shallotpier/shallotpier/pkg/result"
+	"github.com/shallotpier/shallotpier/pkg/service"
+)
+
+const (
+	minRetryAfter = time.Second
+	meanWeight    = 16
+)
+
+type (
+	// Key names a backend server.
+	Key struct {
+		// Service is the service it belongs to.
+		Service id.Service
+		// Server is its name within the service.
+		Server id.Server
+	}
+
+	// Pool hands out the slots of one entry. Its exported fields are set
+	// before its first use. It is safe for concurrent use and must not be
+	// copied.
+	Pool struct {
+		// Order returns the servers that may run a request, the best first.
+		Order func(*admission.Request) []*service.Server
+		// MaxWaiting bounds the requests that wait for one service.
+		MaxWaiting int
+		// Starved, if set, is told that a request has begun to wait; further
+		// slots may then come by Offer.
+		Starved func(*admission.Request)
+
+		once  sync.Once
+		start time.Time
+		mu    sync.Mutex
+		table atomic.Pointer[table]
+	}
+
+	table struct {
+		gates  map[Key]*gate.Gate
+		queues map[id.Service]*queue
+	}
+)
+
+// Now returns the time on the clock of the pool's gates.
+func (p *Pool) Now() int64 { return p.At(time.Now()) }
+
+// At returns a time on the clock of the pool's gates.
+func (p *Pool) At(t time.Time) int64 {
+	p.once.Do(func() { p.start = time.Now().Add(-time.Second) })
+	return int64(t.Sub(p.start))
+}
+
+// Set returns the gate of a server and adds it if it is new.
+func (p *Pool) Set(key Key) *gate.Gate {
+	if g := p.Gate(key); g != nil {
+		return g
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	next := table{gates: map[Key]*gate.Gate{}, queues: map[id.Service]*queue{}}
+	if old := p.table.Load(); old != nil {
+		if g := old.gates[key]; g != nil {
+			return g
+		}
+		maps.Copy(next.gates, old.gates)
+		maps.Copy(next.queues, old.queues)
+	}
+	g := new(gate.Gate)
+	next.gates[key] = g
+	if next.queues[key.Service] == nil {
+		next.queues[key.Service] = new(queue)
+	}
+	p.table.Store(&next)
+	return g
+}
+
+// Gate returns the gate of a server, nil if there is none.
+func (p *Pool) Gate(key Key) *gate.Gate {
+	t := p.table.Load()
+	if t == nil {
+		return nil
+	}
+	return t.gates[key]
+}
+
+// Waiting returns how many requests wait for a service.
+func (p *Pool) Waiting(svc id.Service) int {
+	q := p.queue(svc)
+	if q == nil {
+		return 0
+	}
+	return int(q.waiting.Load())
+}
+
+// Offer hands free slots of a server to waiting requests. It is called after
+// a gate's limit has risen.
+func (p *Pool) Offer(key Key) {
+	q, g := p.queue(key.Service), p.Gate(key)
+	if q != nil && g != nil {
+		q.offer(p, key.Server, g)
+	}
+}
+
+// Admit implements admission.Admitter.
+func (p *Pool) Admit(ctx context.Context, req *admission.Request) (admission.Permit, error) {
+	now := time.Now()
+	if !now.Before(req.Deadline) {
+		return nil, &admission.RefusedError{Code: result.DeadlinePassed, RetryAfter: minRetryAfter}
+	}
+	q, servers := p.queue(req.Service.Service), p.Order(req)
+	if q == nil || !anyUsable(servers, req.Tried) {
+		return nil, &admission.RefusedError{Code: result.NoServer, RetryAfter: minRetryAfter}
+	}
+	if q.waiting.Load() == 0 {
+		if s, g := p.take(req, servers, p.At(now)); s != nil {
+			return &permit{pool: p, queue: q, gate: g, server: s, since: now}, nil
+		}
+	}
+	return p.wait(ctx, req, q, servers)
+}
+
+func (p *Pool) take(req *admission.Request, servers []*service.Server, now int64) (*service.Server, *gate.Gate) {
+	t := p.table.Load()
+	for _, s := range servers {
+		if !usable(s, req.Tried) {
+			continue
+		}
+		g := t.gates[Key{Service: req.Service.Service, Server: s.Name}]
+		if g != nil && g.Acquire(now) {
+			return s, g
+		}
+	}
+	return nil, nil
+}
+
+func (p *Pool) wait(ctx context.Context, req *admission.Request, q *queue, servers []*service.Server) (admission.Permit, error) {
+	limit := req.Deadline.Add(-q.hold())
+	if wait, ok := p.expect(req, q, servers); !ok || time.Now().Add(wait).After(limit) {
+		return nil, refusal(wait)
+	}
+	w := &waiter{req: req, servers: servers, ready: make(chan *permit, 1)}
+	if !q.join(p, w) {
+		return nil, refusal(q.hold())
+	}
+	if p.Starved != nil {
+		p.Starved(req)
+	}
+	timer := time.NewTimer(time.Until(limit))
+	defer timer.Stop()
+	select {
+	case got := <-w.ready:
+		return got, nil
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	if !q.leave(w) {
+		return <-w.ready, nil
+	}
+	return nil, refusal(q.hold())
+}
+
+// expect returns how long a request is likely to wait. It is false if the
+// request has no slot to wait for.
+func (p *Pool) expect(req *admission.Request, q *queue, servers []*service.Server) (time.Duration, bool) {
+	limit, candidates := 0, 0
+	for _, s := range servers {
+		if !usable(s, req.Tried) {
+			continue
+		}
+		if g := p.Gate(Key{Service: req.Service.Service, Server: s.Name}); g != nil {
+			n, _ := g.Load()
+			limit += n
+			candidates++
+		}
+	}
+	if p.Starved != nil {
+		limit = max(limit, candidates)
+	}
+	if limit == 0 {
+		return 0, false
+	}
+	return q.hold() * time.Duration(q.waiting.Load()) / time.Duration(limit), true
+}
+
+func (p *Pool) queue(svc id.Service) *queue {
+	t := p.table.Load()
+	if t == nil {
+		return nil
+	}
+	return t.queues[svc]
+}
+
+func refusal(wait time.Duration) error {
+	return &admission.RefusedError{Code: result.NoCapacity, RetryAfter: max(wait, minRetryAfter)}
+}
+
+func usable(s *service.Server, tried []id.Server) bool {
+	return !s.Leaving && !slices.Contains(tried, s.Name)
+}
+
+func anyUsable(servers []*service.Server, tried []id.Server) bool {
+	for _, s := range servers {
+		if usable(s, tried) {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/admission/pool/queue.go
@@ -0,0 +1,133 @@
+package pool
+
+import (
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/shallotpier/shallotpier/internal/admission"
+	"github.com/shallotpier/shallotpier/internal/slots/gate"
+	"github.com/shallotpier/shallotpier/pkg/id"
+	"github.com/shallotpier/shallotpier/pkg/service"
+)
+
+type (
+	// queue holds the requests that wait for one service.
+	queue struct {
+		waiting atomic.Int32
+		mean    atomic.Int64
+
+		mu      sync.Mutex
+		waiters []*waiter
+	}
+
+	waiter struct {
+		req     *admission.Request
+		servers []*service.Server
+		ready   chan *permit
+	}
+
+	permit struct {
+		pool   *Pool
+		queue  *queue
+		gate   *gate.Gate
+		server *service.Server
+		since  time.Time
+		done   atomic.Bool
+	}
+)
+
+// join adds a waiter, or serves it if a slot has come free since it looked.
+// It is false if the queue is full.
+func (q *queue) join(p *Pool, w *waiter) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if len(q.waiters) >= p.MaxWaiting {
+		return false
+	}
+	q.waiters = append(q.waiters, w)
+	q.waiting.Add(1)
+	if s, g := p.take(w.req, w.servers, p.Now()); s != nil {
+		q.remove(len(q.waiters) - 1)
+		w.ready <- &permit{pool: p, queue: q, gate: g, server: s, since: time.Now()}
+	}
+	return true
+}
+
+// leave takes a waiter out. It is false if the waiter has been served.
+func (q *queue) leave(w *waiter) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	i := slices.Index(q.waiters, w)
+	if i < 0 {
+		return false
+	}
+	q.remove(i)
+	return true
+}
+
+// offer hands free slots of a server to the waiters that may use them.
+func (q *queue) offer(p *Pool, server id.Server, g *gate.Gate) {
+	if q.waiting.Load() == 0 {
+		return
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for i := 0; i < len(q.waiters); {
+		w := q.waiters[i]
+		s := w.find(server)
+		if s == nil {
+			i++
+			continue
+		}
+		if !g.Acquire(p.Now()) {
+			return
+		}
+		q.remove(i)
+		w.ready <- &permit{pool: p, queue: q, gate: g, server: s, since: time.Now()}
+	}
+}
+
+func (q *queue) remove(i int) {
+	q.waiters = slices.Delete(q.waiters, i, i+1)
+	q.waiting.Add(-1)
+}
+
+// hold returns the mean time that a slot is held.
+func (q *queue) hold() time.Duration { return time.Duration(q.mean.Load()) }
+
+func (q *queue) observe(held time.Duration) {
+	mean := q.mean.Load()
+	q.mean.Store(mean + (int64(held)-mean)/meanWeight)
+}
+
+func (w *waiter) find(server id.Server) *service.Server {
+	for _, s := range w.servers {
+		if s.Name == server && usable(s, w.req.Tried) {
+			return s
+		}
+	}
+	return nil
+}
+
+// Server implements admission.Permit.
+func (p *permit) Server() *service.Server { return p.server }
+
+// Release implements admission.Permit.
+func (p *permit) Release(out admission.Outcome) {
+	if !p.done.CompareAndSwap(false, true) {
+		return
+	}
+	if wait := time.Until(out.Running); !out.Running.IsZero() && wait > 0 {
+		time.AfterFunc(wait, p.free)
+		return
+	}
+	p.free()
+}
+
+func (p *permit) free() {
+	p.queue.observe(time.Since(p.since))
+	p.gate.Release()
+	p.queue.offer(p.pool, p.server.Name, p.gate)
+}
--- /dev/null
+++ b/internal/slots/gate/gate.go
@@ -0,0 +1,88 @@
+package gate
+
+import (
+	"math"
+	"sync/atomic"
+)
+
+// Forever is the end of a Gate whose slots don't run out.
+const Forever int64 = math.MaxInt64
+
+const (
+	usedBits = 32
+	usedMask = 1<<usedBits - 1
+	oneLimit = 1 << usedBits
+)
+
+// Gate counts the granted and the used slots of one backend server. The zero
+// Gate has none. It is safe for concurrent use.
+type Gate struct {
+	state  atomic.Uint64
+	end    atomic.Int64
+	closed atomic.Bool
+}
+
+// Acquire takes a slot if one is free, the gate is open and now is before its
+// end.
+func (g *Gate) Acquire(now int64) bool {
+	if now >= g.end.Load() || g.closed.Load() {
+		return false
+	}
+	for {
+		old := g.state.Load()
+		if old&usedMask >= old>>usedBits {
+			return false
+		}
+		if g.state.CompareAndSwap(old, old+1) {
+			return true
+		}
+	}
+}
+
+// Release gives back a slot that Acquire took.
+func (g *Gate) Release() { g.state.Add(^uint64(0)) }
+
+// Raise adds n slots to the limit.
+func (g *Gate) Raise(n int) { g.state.Add(uint64(n) * oneLimit) }
+
+// Lower takes up to n idle slots out of the limit and returns how many it
+// took.
+func (g *Gate) Lower(n int) int {
+	for {
+		old := g.state.Load()
+		idle := int(old>>usedBits) - int(old&usedMask)
+		take := min(n, idle)
+		if take <= 0 {
+			return 0
+		}
+		if g.state.CompareAndSwap(old, old-uint64(take)*oneLimit) {
+			return take
+		}
+	}
+}
+
+// SetLimit sets the limit, which may be below the number of slots in use.
+func (g *Gate) SetLimit(limit int) {
+	for {
+		old := g.state.Load()
+		if g.state.CompareAndSwap(old, uint64(limit)<<usedBits|old&usedMask) {
+			return
+		}
+	}
+}
+
+// Load returns the limit and the number of slots in use.
+func (g *Gate) Load() (limit, used int) {
+	s := g.state.Load()
+	return int(s >> usedBits), int(s & usedMask)
+}
+
+// SetEnd sets the time from which no slot can be taken.
+func (g *Gate) SetEnd(end int64) { g.end.Store(end) }
+
+// End returns the time from which no slot can be taken.
+func (g *Gate) End() int64 { return g.end.Load() }
+
+// SetClosed closes the gate, or opens it again; no slot can be taken through a
+// closed gate.
+func (g *Gate) SetClosed(closed bool) { g.closed.Store(closed) }
--- /dev/null
+++ b/internal/slots/split/split.go
@@ -0,0 +1,23 @@
+package split
+
+import (
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/shallotpier/shallotpier/pkg/id"
+)
+
+// Share returns the part of total that the entry at index, counted from 0 in a
+// list of entries, may use of the server. It is 0 for an index outside the
+// list.
+func Share(server id.Server, total, entries, index int) int {
+	if index < 0 || index >= entries || total <= 0 {
+		return 0
+	}
+	first := int(xxhash.Sum64String(string(server)) % uint64(entries))
+	place := (index - first + entries) % entries
+	share := total / entries
+	if place < total%entries {
+		share++
+	}
+	return share
+}
