--- /dev/null
+++ b/internal/peer/rpc/node.go
@@ -0,0 +1,227 @@
+package rpc
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/shallotpier/shallotpier/internal/peer"
+	"github.com/shallotpier/shallotpier/pkg/id"
+)
+
+const (
+	defaultTimeout = time.Second
+	minBackoff     = 100 * time.Millisecond
+	maxBackoff     = 2 * time.Second
+)
+
+type (
+	// Node is this entry's end of the talk between entries. Its fields must
+	// not change after the first call. It is safe for concurrent use.
+	Node struct {
+		// Self names this process.
+		Self peer.Sender
+		// Dial connects to a peer.
+		Dial func(ctx context.Context, to id.Instance) (net.Conn, error)
+		// Timeout bounds a dial with its hello, and a call whose context has
+		// no deadline; 0 means 1 s.
+		Timeout time.Duration
+		// HandlerTimeout bounds a handler; 0 means 10 s.
+		HandlerTimeout time.Duration
+
+		mu       sync.Mutex
+		handlers map[string]peer.Handler
+		peers    map[id.Instance]*remote
+		served   map[net.Conn]struct{}
+		closed   bool
+	}
+
+	// remote is what a node keeps of a peer.
+	remote struct {
+		mu      sync.Mutex
+		link    *link
+		dialing chan struct{}
+		backoff time.Duration
+		notYet  time.Time
+		err     error
+	}
+)
+
+var _ peer.Caller = (*Node)(nil)
+
+// Register lets handler answer the method. A later handler for the method
+// replaces it.
+func (n *Node) Register(method string, handler peer.Handler) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.handlers == nil {
+		n.handlers = map[string]peer.Handler{}
+	}
+	n.handlers[method] = handler
+}
+
+// Call sends a request to a peer and decodes its answer into result. An error
+// that the peer's handler returned is a *jsonrpc2.Error.
+func (n *Node) Call(ctx context.Context, to id.Instance, method string, params, result any) error {
+	if _, ok := ctx.Deadline(); !ok {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, n.timeout())
+		defer cancel()
+	}
+	l, err := n.connect(ctx, to)
+	if err != nil {
+		return eris.Wrapf(err, "connect to %s", to)
+	}
+	answer, err := l.call(ctx, method, params)
+	if err != nil {
+		return eris.Wrapf(err, "call %s at %s", method, to)
+	}
+	if result == nil {
+		return nil
+	}
+	return eris.Wrapf(json.Unmarshal(answer, result), "answer to %s from %s", method, to)
+}
+
+// Drop closes the connection to a peer, so that the next call dials anew at
+// once.
+func (n *Node) Drop(to id.Instance) {
+	r := n.remote(to)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.notYet, r.backoff = time.Time{}, 0
+	if r.link != nil {
+		_ = r.link.conn.Close()
+		r.link = nil
+	}
+}
+
+// Close closes all connections. The node must not be used after it.
+func (n *Node) Close() {
+	n.mu.Lock()
+	n.closed = true
+	peers := n.peers
+	n.peers = nil
+	for c := range n.served {
+		_ = c.Close()
+	}
+	n.mu.Unlock()
+	for _, r := range peers {
+		r.mu.Lock()
+		if r.link != nil {
+			_ = r.link.conn.Close()
+		}
+		r.mu.Unlock()
+	}
+}
+
+func (n *Node) remote(to id.Instance) *remote {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	r, ok := n.peers[to]
+	if !ok {
+		if n.peers == nil {
+			n.peers = map[id.Instance]*remote{}
+		}
+		r = new(remote)
+		n.peers[to] = r
+	}
+	return r
+}
+
+// connect returns the peer's connection, dialling if there is none. Callers
+// share one dial.
+func (n *Node) connect(ctx context.Context, to id.Instance) (*link, error) {
+	r := n.remote(to)
+	r.mu.Lock()
+	if r.link != nil && !r.link.dead() {
+		defer r.mu.Unlock()
+		return r.link, nil
+	}
+	if r.dialing == nil {
+		if wait := time.Until(r.notYet); wait > 0 {
+			defer r.mu.Unlock()
+			return nil, eris.Wrapf(r.err, "not tried again for %s", wait)
+		}
+		r.dialing = make(chan struct{})
+		go n.dial(r, to)
+	}
+	dialing := r.dialing
+	r.mu.Unlock()
+	select {
+	case <-dialing:
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.link == nil {
+		return nil, r.err
+	}
+	return r.link, nil
+}
+
+func (n *Node) dial(r *remote, to id.Instance) {
+	ctx, cancel := context.WithTimeout(context.Background(), n.timeout())
+	defer cancel()
+	l, err := n.greet(ctx, to)
+	n.mu.Lock()
+	closed := n.closed
+	n.mu.Unlock()
+	if closed && l != nil {
+		_ = l.conn.Close()
+		l, err = nil, eris.New("node is closed")
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.link, r.err = l, err
+	close(r.dialing)
+	r.dialing = nil
+	if err == nil {
+		r.backoff = 0
+		return
+	}
+	r.backoff = min(max(2*r.backoff, minBackoff), maxBackoff)
+	r.notYet = time.Now().Add(jitter(r.backoff))
+}
+
+func (n *Node) greet(ctx context.Context, to id.Instance) (*link, error) {
+	c, err := n.Dial(ctx, to)
+	if err != nil {
+		return nil, err
+	}
+	l := new(link)
+	l.conn, l.meter = newConn(c, noRequests{})
+	answer, err := l.call(ctx, helloMethod, hello{From: n.Self})
+	if err != nil {
+		_ = l.conn.Close()
+		return nil, eris.Wrap(err, "hello")
+	}
+	var h hello
+	if err := json.Unmarshal(answer, &h); err != nil {
+		_ = l.conn.Close()
+		return nil, eris.Wrap(err, "hello")
+	}
+	if h.From.Instance != to {
+		_ = l.conn.Close()
+		return nil, eris.Errorf("reached %s instead of %s", h.From.Instance, to)
+	}
+	l.peer = h.From
+	return l, nil
+}
+
+func (n *Node) timeout() time.Duration {
+	if n.Timeout == 0 {
+		return defaultTimeout
+	}
+	return n.Timeout
+}
+
+// jitter returns between half of d and d.
+func jitter(d time.Duration) time.Duration {
+	return d/2 + time.Duration(rand.Int64N(int64(d/2)+1))
+}
