backend: send one request to one backend server and classify the outcome

Cause: callers are told whether a request ran, so the sending side has to know whether any byte left, and must never pass on another request's answer.

Change: internal/backend sends over net/http transports whose connections count what they took. Codes 2023 and 3005 are new.

The test of spoiled answers runs 2,400 requests over 16 workers and compares each body's id.

--- /dev/null
+++ b/internal/backend/body.go
@@ -0,0 +1,68 @@
+package backend
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"sync/atomic"
+	"time"
+)
+
+type (
+	// requestBody passes the caller's body on and keeps the error that it
+	// ended with. Without a source it is empty.
+	requestBody struct {
+		src     io.ReadCloser
+		conn    *atomic.Pointer[conn]
+		err     atomic.Pointer[error]
+		waiting atomic.Bool
+	}
+
+	// answerBody turns the errors of an answer's body into SendErrors.
+	answerBody struct {
+		answer *Answer
+		resp   *http.Response
+	}
+)
+
+// Read reads from the caller.
+func (b *requestBody) Read(p []byte) (int, error) {
+	if b.src == nil {
+		return 0, io.EOF
+	}
+	b.waiting.Store(true)
+	n, err := b.src.Read(p)
+	if c := b.conn.Load(); c != nil {
+		c.moved.Store(time.Now().UnixNano())
+	}
+	b.waiting.Store(false)
+	if err != nil && !errors.Is(err, io.EOF) {
+		b.err.Store(&err)
+	}
+	return n, err
+}
+
+// Close leaves the caller's body open, for its server to close.
+func (b *requestBody) Close() error { return nil }
+
+// failed returns the error that reading from the caller ended with.
+func (b *requestBody) failed() error {
+	if err := b.err.Load(); err != nil {
+		return *err
+	}
+	return nil
+}
+
+// Read reads the answer.
+func (b *answerBody) Read(p []byte) (int, error) {
+	n, err := b.resp.Body.Read(p)
+	switch {
+	case err == nil:
+		return n, nil
+	case errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF):
+		b.answer.Trailer = b.resp.Trailer
+		return n, io.EOF
+	default:
+		return n, b.answer.send.fail(err)
+	}
+}
--- /dev/null
+++ b/internal/backend/client_test.go
@@ -0,0 +1,233 @@
+package backend_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/shallotpier/shallotpier/internal/backend"
+	standin "github.com/shallotpier/shallotpier/internal/standin/backend"
+	"github.com/shallotpier/shallotpier/internal/standin/pipe"
+	"github.com/shallotpier/shallotpier/pkg/result"
+	"github.com/shallotpier/shallotpier/pkg/service"
+)
+
+func listen(t *testing.T, s *standin.Server) *service.Server {
+	t.Helper()
+	addr, err := s.Listen("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { s.Close() })
+	return &service.Server{Name: "one", Address: addr, Slots: 6, Connections: 400}
+}
+
+func request(method, path, id, body string) *http.Request {
+	var r io.Reader
+	if body != "" {
+		r = strings.NewReader(body)
+	}
+	req, _ := http.NewRequest(method, "http://service"+path, r)
+	req.GetBody = nil
+	req.Header.Set(result.HeaderRequestID, id)
+	return req
+}
+
+func codeOf(err error) result.Code {
+	var e *backend.SendError
+	if errors.As(err, &e) {
+		return e.Code
+	}
+	return 0
+}
+
+// TestSpoiledAnswersOverInterleavedRequests looks for an answer that is passed
+// on whole but belongs to another request, and for a cut one that looks whole.
+func TestSpoiledAnswersOverInterleavedRequests(t *testing.T) {
+	is := is.New(t)
+	var mu sync.Mutex
+	rng := rand.New(rand.NewPCG(1, 2))
+	kinds := map[string]standin.Answer{}
+	srv := &standin.Server{Name: "one"}
+	srv.SetFaults(standin.Faults{Spoil: func(r *http.Request) standin.Answer {
+		mu.Lock()
+		defer mu.Unlock()
+		kind := standin.Answer(max(rng.IntN(12)-6, 0))
+		kinds[r.Header.Get(result.HeaderRequestID)] = kind
+		return kind
+	}})
+	c := &backend.Client{}
+	target := listen(t, srv)
+	defer c.CloseIdle()
+	const workers, each = 16, 150
+	whole := make([]int, workers)
+	var wg sync.WaitGroup
+	for w := range workers {
+		wg.Go(func() {
+			for i := range each {
+				id := fmt.Sprintf("%d-%d", w, i)
+				body, err := get(c, target, id)
+				mu.Lock()
+				kind, ran := kinds[id]
+				mu.Unlock()
+				switch {
+				case err == nil && body == id+" one 0\n":
+					whole[w]++
+				case err == nil:
+					t.Errorf("%s: foreign or short answer %q", id, body)
+				case ran && codeOf(err).Ran() != result.Unknown:
+					t.Errorf("%s ran but code is %d", id, codeOf(err))
+				}
+				if err == nil && (kind == standin.Cut || kind == standin.Unframed || kind == standin.Foreign) {
+					t.Errorf("%s: spoiled answer %d looked whole", id, kind)
+				}
+			}
+		})
+	}
+	wg.Wait()
+	sum := 0
+	for _, n := range whole {
+		sum += n
+	}
+	is.True(sum > workers*each/3) // whole answers are passed on
+}
+
+func get(c *backend.Client, target *service.Server, id string) (string, error) {
+	ans, err := c.Send(context.Background(), &backend.Request{Server: target, HTTP: request("GET", "/a", id, ""), ID: "send-" + id})
+	if err != nil {
+		return "", err
+	}
+	defer ans.Close()
+	body, err := io.ReadAll(ans.Body)
+	return string(body), err
+}
+
+func TestSendOutcomes(t *testing.T) {
+	tests := map[string]struct {
+		faults standin.Faults
+		closed bool
+		sleep  time.Duration
+		code   result.Code
+		ran    int
+	}{
+		"whole":       {ran: 1},
+		"no listener": {closed: true, code: result.ConnectFailed},
+		"shed":        {faults: standin.Faults{Shed: true}, code: result.ShedByServer},
+		"crash":       {faults: standin.Faults{Crash: func(*http.Request) bool { return true }}, code: result.AnswerCut},
+		"late":        {sleep: time.Minute, code: result.AnswerLate, ran: 1},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				var n pipe.Network
+				addr := netip.MustParseAddrPort("10.0.0.1:80")
+				srv := &standin.Server{Name: "one", Service: map[string]time.Duration{"/": tt.sleep}}
+				srv.SetFaults(tt.faults)
+				if !tt.closed {
+					l, err := n.Listen(addr)
+					is.NoErr(err)
+					srv.Serve(l)
+				}
+				c := &backend.Client{Dial: n.Dial}
+				ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+				ans, err := c.Send(ctx, &backend.Request{
+					Server: &service.Server{Address: addr, Slots: 1, Connections: 4}, HTTP: request("POST", "/a", "r1", "body"), ID: "s1",
+				})
+				is.Equal(codeOf(err), tt.code)
+				if err == nil {
+					body, err := io.ReadAll(ans.Body)
+					is.NoErr(err)
+					is.Equal(string(body), "r1 one 4\n")
+					ans.Close()
+				}
+				is.Equal(srv.Record().Ran["r1"], tt.ran)
+				cancel()
+				c.CloseIdle()
+				srv.Close()
+				synctest.Wait()
+			})
+		})
+	}
+}
+
+// slowBody sends a byte at a time with pauses, as over a weak signal.
+type slowBody struct {
+	left  int
+	pause time.Duration
+}
+
+func (b *slowBody) Read(p []byte) (int, error) {
+	if b.left == 0 {
+		return 0, io.EOF
+	}
+	time.Sleep(b.pause)
+	n := min(len(p), 1024, b.left)
+	b.left -= n
+	return n, nil
+}
+
+func TestSilence(t *testing.T) {
+	tests := map[string]struct {
+		method   string
+		body     io.Reader
+		silent   bool
+		patience time.Duration
+		code     result.Code
+		took     time.Duration
+	}{
+		"slow upload lives":            {method: "POST", body: &slowBody{left: 30 * 1024, pause: 20 * time.Second}},
+		"slow upload outlasts reads":   {method: "POST", body: &slowBody{left: 5 * 1024, pause: 20 * time.Second}, patience: 2 * time.Second},
+		"read on a silent connection":  {method: "GET", silent: true, patience: 2 * time.Second, code: result.ConnectionSilent, took: 2 * time.Second},
+		"write on a silent connection": {method: "POST", body: &slowBody{left: 256 * 1024, pause: time.Millisecond}, silent: true, code: result.ConnectionSilent, took: 30 * time.Second},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				var n pipe.Network
+				addr := netip.MustParseAddrPort("10.0.0.1:80")
+				srv := &standin.Server{Name: "one"}
+				l, err := n.Listen(addr)
+				is.NoErr(err)
+				srv.Serve(l)
+				if tt.silent {
+					srv.SetFaults(standin.Faults{Crash: func(*http.Request) bool { srv.Silence(1); time.Sleep(time.Hour); return false }})
+				}
+				c := &backend.Client{Dial: n.Dial}
+				req := request(tt.method, "/a", "r1", "")
+				if tt.body != nil {
+					req.Body, req.ContentLength = io.NopCloser(tt.body), -1
+				}
+				ctx, cancel := context.WithTimeout(t.Context(), time.Hour)
+				started := time.Now()
+				ans, err := c.Send(ctx, &backend.Request{Server: &service.Server{Address: addr, Slots: 1, Connections: 4}, HTTP: req, ID: "s1", Patience: tt.patience})
+				is.Equal(codeOf(err), tt.code)
+				if tt.took > 0 {
+					took := time.Since(started)
+					is.True(took >= tt.took && took < tt.took+2*time.Second)
+				}
+				if err == nil {
+					_, err = io.ReadAll(ans.Body)
+					is.NoErr(err)
+					ans.Close()
+				}
+				cancel()
+				c.CloseIdle()
+				srv.Close()
+				time.Sleep(2 * time.Hour)
+			})
+		})
+	}
+}
--- a/pkg/result/codes.go
+++ b/pkg/result/codes.go
@@ -46,6 +46,8 @@
 	TicketInvalid Code = 2021
 	// TicketMismatch means that the ticket was used for another request.
 	TicketMismatch Code = 2022
+	// CallerLeft means that the caller went away before anything was sent.
+	CallerLeft Code = 2023
 
 	// AnswerCut means that the connection ended before the whole answer.
 	AnswerCut Code = 3000
@@ -58,6 +60,9 @@
 	// TicketElsewhere means that the ticket belongs to an entry that can't be
 	// asked.
 	TicketElsewhere Code = 3004
+	// BodyOverLimit means that an unannounced body turned out to be over the
+	// class's limit while it was passed on.
+	BodyOverLimit Code = 3005
 )
 
 // Codes of settings and service files.
@@ -106,6 +111,7 @@
 		{TicketMissing, "ticketMissing", http.StatusPreconditionRequired, No, "a once-only request came without a ticket", "get a ticket and send it along", "nothing"},
 		{TicketInvalid, "ticketInvalid", http.StatusPreconditionFailed, No, "the ticket is malformed, forged, or expired unused", "get a new ticket", "nothing"},
 		{TicketMismatch, "ticketMismatch", http.StatusConflict, No, "the ticket was used for a request with another method, path or body", "get a new ticket", "nothing"},
+		{CallerLeft, "callerLeft", http.StatusServiceUnavailable, No, "the caller went away before any byte was sent", "send again", "nothing"},
 	}
 }
 
@@ -116,6 +122,7 @@
 		{CallerGone, "callerGone", http.StatusBadGateway, Unknown, "the caller went away after bytes had been sent", "others than reads: look up the outcome", "nothing"},
 		{ConnectionSilent, "connectionSilent", http.StatusBadGateway, Unknown, "the connection to the backend server stopped moving", "reads: send again; others: look up the outcome", "look at the network between the zones"},
 		{TicketElsewhere, "ticketElsewhere", http.StatusBadGateway, Unknown, "the ticket belongs to an entry that can't be asked", "send again to that entry, or look up the outcome", "see whether that entry is lost"},
+		{BodyOverLimit, "bodyOverLimit", http.StatusRequestEntityTooLarge, Unknown, "an unannounced body went over the class's limit while it was passed on", "send less; others than reads: look up the outcome", "raise bodyLimit if it is too small"},
 	}
 }
 
--- a/pkg/result/result.go
+++ b/pkg/result/result.go
@@ -26,6 +26,10 @@
 	// HeaderRequestID holds the request's id, kept from caller to backend
 	// server.
 	HeaderRequestID = "Shallotpier-Request-Id"
+	// HeaderSend holds the id of one send of a request to a backend server.
+	// A backend server that repeats it in its answer gets its connections
+	// used again.
+	HeaderSend = "Shallotpier-Send"
 	// HeaderKey holds the caller's own idempotency key, if it has one.
 	HeaderKey = "Idempotency-Key"
 	// HeaderShed is set to "1" by a backend server that refused a request
