--- a/pkg/deployment/deployment.go
+++ b/pkg/deployment/deployment.go
@@ -77,8 +77,7 @@
 		return nil, err
 	}
 	if p := d.Check(); p != nil {
-		p.File = name
-		return nil, p
+		return nil, p.Locate(name, data)
 	}
 	return d, nil
 }
@@ -139,21 +138,24 @@
 		return problem(result.MissingValue, "regions", "a value is required")
 	}
 	regions, zones := map[id.Region]bool{}, map[id.Zone]bool{}
-	for _, r := range d.Regions {
+	for i, r := range d.Regions {
 		if r.Name == "" || len(r.Zones) == 0 {
-			return problem(result.MissingValue, "regions", "each needs a name and zones")
+			return problem(result.MissingValue, "regions", "each needs a name and zones").At(i)
 		}
 		if regions[r.Name] {
-			return problem(result.ImpossibleValue, "regions.name", fmt.Sprintf("%q is named twice", r.Name))
+			return problem(result.ImpossibleValue, "regions.name", fmt.Sprintf("%q is named twice", r.Name)).At(i)
 		}
 		regions[r.Name] = true
 		for _, z := range r.Zones {
 			if zones[z] {
-				return problem(result.ImpossibleValue, "regions.zones", fmt.Sprintf("%q is named twice", z))
+				return problem(result.ImpossibleValue, "regions.zones", fmt.Sprintf("%q is named twice", z)).At(i)
 			}
 			zones[z] = true
 		}
 	}
+	if d.StoreRegion != "" && !regions[d.StoreRegion] {
+		return problem(result.ImpossibleValue, "storeRegion", fmt.Sprintf("%q is no region", d.StoreRegion))
+	}
 	return nil
 }
 
@@ -162,14 +164,14 @@
 	for _, r := range d.Regions {
 		known[r.Name] = true
 	}
-	for _, l := range d.Links {
+	for i, l := range d.Links {
 		switch {
 		case !known[l.Between[0]] || !known[l.Between[1]] || l.Between[0] == l.Between[1]:
-			return problem(result.ImpossibleValue, "links.between", "must name two known regions")
+			return problem(result.ImpossibleValue, "links.between", "must name two known regions").At(i)
 		case l.Capacity <= 0:
-			return problem(result.ImpossibleValue, "links.capacity", "must be above 0")
+			return problem(result.ImpossibleValue, "links.capacity", "must be above 0").At(i)
 		case !(l.Share > 0 && l.Share <= 1):
-			return problem(result.ImpossibleValue, "links.share", "must be above 0 and at most 1")
+			return problem(result.ImpossibleValue, "links.share", "must be above 0 and at most 1").At(i)
 		}
 	}
 	return nil
@@ -180,12 +182,12 @@
 		return problem(result.MissingValue, "entries", "a value is required")
 	}
 	seen := map[id.Instance]bool{}
-	for _, e := range d.Entries {
+	for i, e := range d.Entries {
 		if _, ok := d.Region(e.Zone); !ok {
-			return problem(result.ImpossibleValue, "entries.zone", fmt.Sprintf("%q is in no region", e.Zone))
+			return problem(result.ImpossibleValue, "entries.zone", fmt.Sprintf("%q is in no region", e.Zone)).At(i)
 		}
 		if e.Name == "" || seen[e.Name] {
-			return problem(result.ImpossibleValue, "entries.name", fmt.Sprintf("%q is absent or named twice", e.Name))
+			return problem(result.ImpossibleValue, "entries.name", fmt.Sprintf("%q is absent or named twice", e.Name)).At(i)
 		}
 		seen[e.Name] = true
 	}
--- a/pkg/service/check.go
+++ b/pkg/service/check.go
@@ -53,22 +53,30 @@
 		return missing("regions")
 	}
 	seen := map[id.Region]bool{}
-	for _, r := range f.Regions {
-		switch {
-		case r.Name == "":
-			return missing("regions.name")
-		case seen[r.Name]:
-			return impossible("regions.name", "%q is named twice", r.Name)
-		case r.Weight < 0:
-			return impossible("regions.weight", "must be 0 or above")
-		case !(r.HeadroomFloor >= 0 && r.HeadroomFloor < 1):
-			return impossible("regions.headroomFloor", "must be 0 or above and below 1")
+	for i, r := range f.Regions {
+		if p := r.check(); p != nil {
+			return p.At(i)
+		}
+		if seen[r.Name] {
+			return impossible("regions.name", "%q is named twice", r.Name).At(i)
 		}
 		seen[r.Name] = true
 	}
 	return nil
 }
 
+func (r *Region) check() *FileError {
+	switch {
+	case r.Name == "":
+		return missing("regions.name")
+	case r.Weight < 0:
+		return impossible("regions.weight", "must be 0 or above")
+	case !(r.HeadroomFloor >= 0 && r.HeadroomFloor < 1):
+		return impossible("regions.headroomFloor", "must be 0 or above and below 1")
+	}
+	return nil
+}
+
 func (f *File) checkClasses() *FileError {
 	if len(f.Classes) == 0 {
 		return missing("classes")
@@ -77,10 +85,10 @@
 	for i := range f.Classes {
 		c := &f.Classes[i]
 		if p := c.check(); p != nil {
-			return p
+			return p.At(i)
 		}
 		if seen[c.Name] {
-			return impossible("classes.name", "%q is named twice", c.Name)
+			return impossible("classes.name", "%q is named twice", c.Name).At(i)
 		}
 		seen[c.Name] = true
 	}
@@ -113,10 +121,10 @@
 	for i := range f.Servers {
 		s := &f.Servers[i]
 		if p := s.check(); p != nil {
-			return p
+			return p.At(i)
 		}
 		if seen[s.Name] {
-			return impossible("servers.name", "%q is named twice", s.Name)
+			return impossible("servers.name", "%q is named twice", s.Name).At(i)
 		}
 		seen[s.Name] = true
 	}
@@ -146,3 +154,9 @@
 func impossible(key, format string, args ...any) *FileError {
 	return &FileError{Key: key, Code: result.ImpossibleValue, Text: fmt.Sprintf(format, args...)}
 }
+
+// At sets the position in the list that the problem stands in and returns it.
+func (p *FileError) At(item int) *FileError {
+	p.Item = item
+	return p
+}
--- /dev/null
+++ b/pkg/service/locate.go
@@ -0,0 +1,73 @@
+package service
+
+import (
+	"strings"
+
+	"github.com/pelletier/go-toml/v2/unstable"
+)
+
+// Locate fills in the file's name and the line: that of the key, of the table
+// that should hold it, or the first. It returns the problem.
+func (p *FileError) Locate(name string, data []byte) *FileError {
+	p.File = name
+	l := locator{key: p.Key, item: p.Item, seen: -1}
+	parser := unstable.Parser{}
+	parser.Reset(data)
+	for parser.NextExpression() {
+		l.visit(&parser, parser.Expression())
+	}
+	p.Line = max(l.line, 1)
+	return p
+}
+
+// locator finds the line of a dotted key. The line of the longest part of it
+// that stands in the file counts.
+type locator struct {
+	key    string
+	item   int
+	seen   int    // items of the key's list seen, less one
+	prefix string // dotted name of the current table with a final dot
+	line   int
+	length int
+}
+
+func (l *locator) visit(p *unstable.Parser, n *unstable.Node) {
+	name, first := dottedKey(n)
+	if first == nil {
+		return
+	}
+	line := p.Shape(first.Raw).Start.Line
+	switch n.Kind {
+	case unstable.ArrayTable:
+		if strings.HasPrefix(l.key+".", name+".") {
+			l.seen++
+		}
+		l.prefix = name + "."
+	case unstable.Table:
+		l.prefix = name + "."
+	default:
+		name = l.prefix + name
+	}
+	inList := l.seen >= 0 && strings.HasPrefix(l.key, l.prefix)
+	if inList && l.seen != l.item {
+		return
+	}
+	if strings.HasPrefix(l.key+".", name+".") && len(name) > l.length {
+		l.line, l.length = line, len(name)
+	}
+}
+
+func dottedKey(n *unstable.Node) (string, *unstable.Node) {
+	var (
+		parts []string
+		first *unstable.Node
+	)
+	for it := n.Key(); it.Next(); {
+		part := it.Node()
+		if first == nil {
+			first = part
+		}
+		parts = append(parts, string(part.Data))
+	}
+	return strings.Join(parts, "."), first
+}
--- a/pkg/service/parse.go
+++ b/pkg/service/parse.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"reflect"
 
 	"github.com/pelletier/go-toml/v2"
 
@@ -18,6 +19,9 @@
 	Line int
 	// Key is the dotted key, such as "classes.deadline".
 	Key string
+	// Item is the position, from 0, in the list that the key's first part
+	// names.
+	Item int
 	// Code is the numbered result code.
 	Code result.Code
 	// Text says what is wrong.
@@ -43,15 +47,19 @@
 		return nil, err
 	}
 	if p := file.Check(); p != nil {
-		p.File = name
-		return nil, p
+		return nil, p.Locate(name, data)
 	}
 	return file, nil
 }
 
-// Decode decodes TOML strictly into dst, which it doesn't check further. The
-// error is a *FileError that names file, line and key.
+// Decode decodes TOML strictly into dst, a pointer to a struct whose fields all
+// have toml tags. Keys must be known, in their exact case, and values with a
+// text form must be strings of that form. It checks dst no further. The error
+// is a *FileError that names file, line and key.
 func Decode(name string, data []byte, dst any) error {
+	if p := checkStrict(name, data, reflect.TypeOf(dst).Elem()); p != nil {
+		return p
+	}
 	dec := toml.NewDecoder(bytes.NewReader(data))
 	dec.DisallowUnknownFields()
 	err := dec.Decode(dst)
@@ -69,6 +77,10 @@
 		return &FileError{File: name, Line: line, Key: dotted(first.Key()), Code: result.UnknownKey, Text: "the key is not known"}
 	}
 	var decode *toml.DecodeError
+	if errors.As(err, &decode) && len(decode.Key()) == 0 {
+		line, _ := decode.Position()
+		return &FileError{File: name, Line: line, Code: result.UnreadableFile, Text: decode.Error()}
+	}
 	if errors.As(err, &decode) {
 		line, _ := decode.Position()
 		return &FileError{File: name, Line: line, Key: dotted(decode.Key()), Code: result.WrongType, Text: decode.Error()}
