httpserver, logs: go-zero's rest behind one listener type, its log lines in slog

Cause: every listener of the daemon and the stand-ins needs port 0, an error where rest panics, header and idle times, a connection limit and a shutdown of its own, and go-zero logs to its own stream.

Change: httpserver.Server wraps rest with a router that hands over every path as sent, with no middleware on. logs.Adopt sends go-zero's lines to slog.

Conclusion: tests show a request that outlives the shutdown's begin, a taken address, a closed connection over the limit, and one log line an event.

--- /dev/null
+++ b/internal/httpserver/server.go
@@ -0,0 +1,152 @@
+package httpserver
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/zeromicro/go-zero/core/service"
+	"github.com/zeromicro/go-zero/rest"
+	"github.com/zeromicro/go-zero/rest/httpx"
+)
+
+const (
+	defaultHeaderTime = 10 * time.Second
+	defaultIdleTime   = 2 * time.Minute
+)
+
+type (
+	// Server is one HTTP listener. Its fields must not be changed after Start.
+	Server struct {
+		// Address is where to listen; Start sets the port if it is 0.
+		Address netip.AddrPort
+		// Handler answers the requests.
+		Handler http.Handler
+		// HeaderTime is how long a client may take over a request's header;
+		// 0 means 10 s.
+		HeaderTime time.Duration
+		// IdleTime is how long a connection is kept without a request; 0 means
+		// 2 minutes.
+		IdleTime time.Duration
+		// Connections is the greatest number of open connections; further ones
+		// are closed at once. 0 means no limit.
+		Connections int
+		// ConnContext may change the context of a connection's requests.
+		ConnContext func(ctx context.Context, c net.Conn) context.Context
+
+		server *http.Server
+		open   atomic.Int64
+		mu     sync.Mutex
+		over   map[net.Conn]bool
+	}
+
+	// router hands every request to one handler. rest's own router would
+	// change the path.
+	router struct{ http.Handler }
+)
+
+// Start listens and serves in the background. It returns when connections are
+// accepted, or the error that prevents it.
+func (s *Server) Start() error {
+	conf := rest.RestConf{Host: s.Address.Addr().String(), Port: int(s.Address.Port())}
+	conf.Mode = service.PreMode // no process-wide load shedding and reports
+	engine, err := rest.NewServer(conf, rest.WithRouter(router{s.Handler}))
+	if err != nil {
+		return eris.Wrap(err, "set up rest")
+	}
+	listening := make(chan net.Addr, 1)
+	failed := make(chan error, 1)
+	go s.serve(engine, listening, failed)
+	select {
+	case err := <-failed:
+		return eris.Wrapf(err, "listen on %s", s.Address)
+	case addr := <-listening:
+		s.Address = addr.(*net.TCPAddr).AddrPort() //nolint:forcetypeassert // rest listens on TCP alone
+		return nil
+	}
+}
+
+// Shutdown closes the listener and waits until the running requests have
+// ended, or until ctx ends.
+func (s *Server) Shutdown(ctx context.Context) error {
+	return eris.Wrap(s.server.Shutdown(ctx), "shut down")
+}
+
+// Close closes the listener and all connections, running requests included.
+func (s *Server) Close() error { return eris.Wrap(s.server.Close(), "close") }
+
+func (s *Server) serve(engine *rest.Server, listening chan<- net.Addr, failed chan<- error) {
+	defer func() {
+		// rest panics when it can't listen.
+		if p := recover(); p != nil {
+			err, ok := p.(error)
+			if !ok {
+				err = eris.Errorf("%v", p)
+			}
+			failed <- err
+		}
+	}()
+	engine.StartWithOpts(func(server *http.Server) {
+		s.configure(server)
+		server.BaseContext = func(l net.Listener) context.Context {
+			listening <- l.Addr()
+			return context.Background()
+		}
+	})
+}
+
+func (s *Server) configure(server *http.Server) {
+	server.ReadHeaderTimeout = s.HeaderTime
+	if s.HeaderTime == 0 {
+		server.ReadHeaderTimeout = defaultHeaderTime
+	}
+	server.IdleTimeout = s.IdleTime
+	if s.IdleTime == 0 {
+		server.IdleTimeout = defaultIdleTime
+	}
+	server.ConnContext = s.ConnContext
+	if s.Connections > 0 {
+		s.over = map[net.Conn]bool{}
+		server.ConnState = s.count
+	}
+	s.server = server
+}
+
+// count closes connections over the limit. One that was closed for that is
+// not counted when it ends.
+func (s *Server) count(c net.Conn, state http.ConnState) {
+	switch state {
+	case http.StateNew:
+		if s.open.Add(1) > int64(s.Connections) {
+			s.open.Add(-1)
+			s.mu.Lock()
+			s.over[c] = true
+			s.mu.Unlock()
+			c.Close()
+		}
+	case http.StateClosed, http.StateHijacked:
+		s.mu.Lock()
+		over := s.over[c]
+		delete(s.over, c)
+		s.mu.Unlock()
+		if !over {
+			s.open.Add(-1)
+		}
+	}
+}
+
+var _ httpx.Router = router{}
+
+// Handle does nothing: the handler does its own routing.
+func (router) Handle(string, string, http.Handler) error { return nil }
+
+// SetNotFoundHandler does nothing: the handler answers every path.
+func (router) SetNotFoundHandler(http.Handler) {}
+
+// SetNotAllowedHandler does nothing: the handler answers every method.
+func (router) SetNotAllowedHandler(http.Handler) {}
--- /dev/null
+++ b/internal/httpserver/server_test.go
@@ -0,0 +1,100 @@
+package httpserver_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/shallotpier/shallotpier/internal/httpserver"
+)
+
+func loopback() netip.AddrPort { return netip.MustParseAddrPort("127.0.0.1:0") }
+
+func TestShutdownLetsRequestsEnd(t *testing.T) {
+	is := is.New(t)
+	begun, finish := make(chan bool), make(chan bool)
+	s := httpserver.Server{Address: loopback(), Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		close(begun)
+		<-finish
+		io.WriteString(w, r.URL.EscapedPath())
+	})}
+	is.NoErr(s.Start())
+	other := httpserver.Server{Address: loopback(), Handler: http.NotFoundHandler()}
+	is.NoErr(other.Start())
+
+	answer := make(chan string)
+	go func() {
+		resp, err := http.Get("http://" + s.Address.String() + "/a%2Fb//c")
+		if err != nil {
+			answer <- err.Error()
+			return
+		}
+		body, _ := io.ReadAll(resp.Body)
+		answer <- string(body)
+	}()
+	<-begun
+	stopped := make(chan error)
+	go func() { stopped <- s.Shutdown(context.Background()) }()
+	select {
+	case <-stopped:
+		t.Fatal("shut down while a request ran")
+	case <-time.After(20 * time.Millisecond):
+	}
+	close(finish)
+	is.Equal(<-answer, "/a%2Fb//c") // the path arrives as sent
+	is.NoErr(<-stopped)
+
+	resp, err := http.Get("http://" + other.Address.String())
+	is.NoErr(err) // the other server goes on
+	is.Equal(resp.StatusCode, http.StatusNotFound)
+	is.NoErr(other.Close())
+}
+
+func TestStartReturnsAnErrorForATakenAddress(t *testing.T) {
+	is := is.New(t)
+	s := httpserver.Server{Address: loopback(), Handler: http.NotFoundHandler()}
+	is.NoErr(s.Start())
+	defer s.Close()
+	second := httpserver.Server{Address: s.Address, Handler: http.NotFoundHandler()}
+	is.True(second.Start() != nil)
+}
+
+func TestConnectionsAreLimited(t *testing.T) {
+	is := is.New(t)
+	s := httpserver.Server{Address: loopback(), Connections: 1, Handler: http.NotFoundHandler()}
+	is.NoErr(s.Start())
+	defer s.Close()
+	first := dial(is, s.Address)
+	is.NoErr(ask(first))
+	second := dial(is, s.Address)
+	is.True(ask(second) != nil) // over the limit
+	is.NoErr(ask(first))
+	first.Close()
+	for {
+		third := dial(is, s.Address)
+		if ask(third) == nil {
+			break // the first one's place is free again
+		}
+	}
+}
+
+func dial(is *is.I, address netip.AddrPort) net.Conn {
+	c, err := net.Dial("tcp", address.String())
+	is.NoErr(err)
+	return c
+}
+
+func ask(c net.Conn) error {
+	if _, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: a\r\n\r\n"); err != nil {
+		return err
+	}
+	buf := make([]byte, 1024)
+	_, err := c.Read(buf)
+	return err
+}
--- /dev/null
+++ b/internal/logs/logs_test.go
@@ -0,0 +1,32 @@
+package logs_test
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+	"github.com/zeromicro/go-zero/core/logx"
+
+	"github.com/shallotpier/shallotpier/internal/logs"
+	"github.com/shallotpier/shallotpier/internal/settings"
+)
+
+func TestAdoptBringsGoZerosLinesIn(t *testing.T) {
+	is := is.New(t)
+	var out bytes.Buffer
+	is.NoErr(logs.Adopt(logs.New(&out, settings.Log{Level: settings.Info, Format: settings.KeyValue})))
+	logx.Infow("route\nadded", logx.Field("path", "/a"))
+	logx.Debug("not shown")
+	is.Equal(strings.Count(out.String(), "\n"), 1) // one line an event
+	for _, want := range []string{`level=INFO`, `msg="route\nadded"`, "library=goZero", "path=/a"} {
+		is.True(strings.Contains(out.String(), want))
+	}
+}
+
+func TestNewWritesJSON(t *testing.T) {
+	is := is.New(t)
+	var out bytes.Buffer
+	logs.New(&out, settings.Log{Level: settings.Warn, Format: settings.JSON}).Warn("late", "ageMs", 4)
+	is.True(strings.Contains(out.String(), `"msg":"late","ageMs":4`))
+}
