--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -75,6 +75,8 @@
 			return missing("operators.role").At(i)
 		case o.Hash == Hash{}:
 			return missing("operators.hash").At(i)
+		case o.Hash == HashToken(""):
+			return impossible("operators.hash", "is the hash of an empty token").At(i)
 		}
 		seen[o.Name] = true
 	}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -15,6 +15,11 @@
 	"github.com/shallotpier/shallotpier/pkg/service"
 )
 
+const (
+	exampleHash = "e1be40df9b4ca7535eada67ee415bc0f7e870b5550e47073fd66e47820679eba"
+	emptyHash   = "e3b0c44298fc1c149afbf4c8996fb92427ae41e4649b934ca495991b7852b855"
+)
+
 func TestLoadExamples(t *testing.T) {
 	for _, deployment := range []string{"beridze", "dansk"} {
 		for i := 1; i <= 7; i++ {
@@ -44,6 +49,7 @@
 		"wrong type":          {old: `"info"`, new: "3", line: 21, key: "log.level", code: result.WrongType},
 		"unknown level":       {old: `"info"`, new: `"loud"`, line: 21, key: "log.level", code: result.WrongType},
 		"short hash":          {old: `hash = "`, new: `hash = "00`, line: 18, key: "operators.hash", code: result.WrongType},
+		"empty token":         {old: exampleHash, new: emptyHash, line: 18, key: "operators.hash", code: result.ImpossibleValue},
 		"missing zone":        {old: `zone = "east-kakheti-1"`, new: "", line: 1, key: "zone", code: result.MissingValue},
 		"missing store":       {old: `store = `, new: "# ", line: 11, key: "platform.store", code: result.MissingValue},
 		"zone elsewhere":      {old: `zone = "east-kakheti-1"`, new: `zone = "kutaisi-1"`, line: 2, key: "zone", code: result.ImpossibleValue},
--- a/pkg/result/codes.go
+++ b/pkg/result/codes.go
@@ -1,6 +1,9 @@
 package result
 
-import "net/http"
+import (
+	"net/http"
+	"slices"
+)
 
 // Codes of answered and refused requests.
 const (
@@ -82,7 +85,7 @@
 
 // Codes returns the table of all codes in ascending order.
 func Codes() []Info {
-	return append(requestCodes(), fileCodes()...)
+	return slices.Concat(requestCodes(), fileCodes(), operatorCodes())
 }
 
 func requestCodes() []Info {
