entry: answer look-ups, mint tickets and carry requests

Cause: callers need the request path: which entry to use, the request carried to a backend server as a stream, and an honest code for every way out.

Codes 1002 and 3006 are new.

--- a/internal/backend/body.go
+++ b/internal/backend/body.go
@@ -56,10 +56,10 @@
 // Read reads the answer.
 func (b *answerBody) Read(p []byte) (int, error) {
 	n, err := b.resp.Body.Read(p)
-	switch {
-	case err == nil:
+	switch err {
+	case nil:
 		return n, nil
-	case errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF):
+	case io.EOF:
 		b.answer.Trailer = b.resp.Trailer
 		return n, io.EOF
 	default:
--- /dev/null
+++ b/internal/entry/body.go
@@ -0,0 +1,78 @@
+package entry
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"time"
+)
+
+var errOverLimit = errors.New("body is over the class's limit")
+
+// callerBody reads a caller's body up to the class's limit, and gives up on a
+// caller that has sent nothing for too long.
+type callerBody struct {
+	src     io.ReadCloser
+	req     *http.Request
+	control *http.ResponseController
+	left    int64
+	silence time.Duration
+	over    bool
+	read    atomic.Int64
+}
+
+func newCallerBody(c *call) *callerBody {
+	b := &callerBody{src: c.r.Body, req: c.r, control: http.NewResponseController(c.w), left: int64(c.class.BodyLimit), silence: c.h.CallerSilence}
+	if b.silence == 0 {
+		b.silence = callerSilent
+	}
+	return b
+}
+
+// Read reads from the caller.
+func (b *callerBody) Read(p []byte) (int, error) {
+	_ = b.control.SetReadDeadline(time.Now().Add(b.silence))
+	n, err := b.src.Read(p)
+	b.read.Add(int64(n))
+	if b.left -= int64(n); b.left < 0 {
+		b.over = true
+		return 0, errOverLimit
+	}
+	if err != nil {
+		_ = b.control.SetReadDeadline(time.Time{})
+	}
+	if errors.Is(err, io.EOF) {
+		dropInternal(b.req.Trailer)
+	}
+	return n, err
+}
+
+// Close leaves the body open, for the server to close.
+func (b *callerBody) Close() error { return nil }
+
+// total returns the number of bytes read.
+func (b *callerBody) total() int64 {
+	if b == nil {
+		return 0
+	}
+	return b.read.Load()
+}
+
+// untouched tells whether no byte was read.
+func (b *callerBody) untouched() bool { return b.read.Load() == 0 }
+
+// trailer returns the trailer, which the server fills once the body has ended.
+func (b *callerBody) trailer() http.Header {
+	dropInternal(b.req.Trailer)
+	return b.req.Trailer
+}
+
+func dropInternal(h http.Header) {
+	for k := range h {
+		if strings.HasPrefix(k, internalStart) {
+			delete(h, k)
+		}
+	}
+}
--- /dev/null
+++ b/internal/quarantine/list.go
@@ -0,0 +1,246 @@
+package quarantine
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/shallotpier/shallotpier/pkg/id"
+)
+
+const (
+	// Crashes is how many backend servers a fingerprint may cost.
+	Crashes = 2
+
+	defaultHold   = 30 * time.Second
+	defaultMemory = 30 * time.Minute
+	maxListed     = 10_000
+	maxSightings  = 16
+	skewLimit     = time.Minute
+)
+
+type (
+	// Sighting is the news of one crash, or of its being lifted.
+	Sighting struct {
+		// Fingerprint is that of the request.
+		Fingerprint Fingerprint `json:"fingerprint"`
+		// Send is the id of the send that broke.
+		Send string `json:"send"`
+		// Instance is the entry that saw it.
+		Instance id.Instance `json:"instance"`
+		// Service is the request's service.
+		Service id.Service `json:"service"`
+		// At is when it was seen.
+		At time.Time `json:"at"`
+		// Lifted ends the state of the fingerprint as of At.
+		Lifted bool `json:"lifted,omitempty"`
+	}
+
+	// Verdict tells whether a request may be sent.
+	Verdict struct {
+		// Refused tells that it may not.
+		Refused bool
+		// RetryAfter is when it may be tried again.
+		RetryAfter time.Duration
+		// Probation tells that it may, and that Done must be called after the
+		// send.
+		Probation bool
+	}
+
+	// Entry is a fingerprint on the list, for operators.
+	Entry struct {
+		// Fingerprint is that of the requests.
+		Fingerprint Fingerprint `json:"fingerprint"`
+		// Service is the requests' service.
+		Service id.Service `json:"service"`
+		// Sightings counts the crashes.
+		Sightings int `json:"sightings"`
+		// Quarantined tells that no entry sends it; false is on probation.
+		Quarantined bool `json:"quarantined"`
+		// Until is when the state ends by itself.
+		Until time.Time `json:"until"`
+	}
+
+	// List holds the fingerprints of one entry. Its fields must not change
+	// after the first call. It is safe for concurrent use.
+	List struct {
+		// Instance is the entry's name.
+		Instance id.Instance
+		// Hold is how long other entries refuse a fingerprint after its first
+		// crash; 0 is 30 s.
+		Hold time.Duration
+		// Memory is how long a crash counts; 0 is 30 min.
+		Memory time.Duration
+
+		mu     sync.Mutex
+		listed map[Fingerprint]*state
+	}
+
+	state struct {
+		service id.Service
+		sends   []string
+		first   id.Instance
+		at      time.Time
+		lifted  time.Time
+		busy    bool
+	}
+)
+
+// Check tells whether a request may be sent now.
+func (l *List) Check(now time.Time, fp Fingerprint) Verdict {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.listed[fp]
+	if s == nil {
+		return Verdict{}
+	}
+	if now.Sub(s.at) >= l.memory() {
+		delete(l.listed, fp)
+		return Verdict{}
+	}
+	switch held := s.at.Add(l.hold()).Sub(now); {
+	case len(s.sends) >= Crashes:
+		return Verdict{Refused: true, RetryAfter: s.at.Add(l.memory()).Sub(now)}
+	case len(s.sends) == 0:
+		return Verdict{}
+	case s.first != l.Instance && held > 0:
+		return Verdict{Refused: true, RetryAfter: held}
+	case s.busy:
+		return Verdict{Refused: true, RetryAfter: time.Second}
+	}
+	s.busy = true
+	return Verdict{Probation: true}
+}
+
+// Quarantined tells whether no entry may send a fingerprint.
+func (l *List) Quarantined(now time.Time, fp Fingerprint) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.listed[fp]
+	return s != nil && len(s.sends) >= Crashes && now.Sub(s.at) < l.memory()
+}
+
+// Done notes the end of a send that Check allowed on probation.
+func (l *List) Done(fp Fingerprint) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if s := l.listed[fp]; s != nil {
+		s.busy = false
+	}
+}
+
+// Sight notes that a send broke and returns the news for the other entries.
+func (l *List) Sight(now time.Time, fp Fingerprint, service id.Service, send string) Sighting {
+	news := Sighting{Fingerprint: fp, Send: send, Instance: l.Instance, Service: service, At: now}
+	l.Learn(now, news)
+	return news
+}
+
+// Clear ends the probation of a fingerprint whose request got a whole answer.
+// It returns the news for the other entries, and false if there is none.
+func (l *List) Clear(now time.Time, fp Fingerprint) (Sighting, bool) {
+	l.mu.Lock()
+	s := l.listed[fp]
+	probation := s != nil && len(s.sends) > 0 && len(s.sends) < Crashes
+	l.mu.Unlock()
+	if !probation {
+		return Sighting{}, false
+	}
+	return l.Lift(now, fp), true
+}
+
+// Lift ends the state of a fingerprint and returns the news for the other
+// entries.
+func (l *List) Lift(now time.Time, fp Fingerprint) Sighting {
+	news := Sighting{Fingerprint: fp, Instance: l.Instance, At: now, Lifted: true}
+	l.Learn(now, news)
+	return news
+}
+
+// Learn takes news, of this entry or another, in any order and any number of
+// times.
+func (l *List) Learn(now time.Time, news Sighting) {
+	if news.At.After(now.Add(skewLimit)) || now.Sub(news.At) >= l.memory() {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.listed[news.Fingerprint]
+	if s == nil {
+		s = l.add(now, news.Fingerprint)
+	}
+	switch {
+	case news.Lifted:
+		if news.At.After(s.lifted) {
+			s.lifted, s.at, s.sends, s.busy = news.At, news.At, nil, false
+		}
+	case !news.At.After(s.lifted), slices.Contains(s.sends, news.Send), len(s.sends) >= maxSightings:
+	default:
+		if len(s.sends) == 0 {
+			s.first = news.Instance
+		}
+		s.sends, s.service = append(s.sends, news.Send), news.Service
+		if news.At.After(s.at) {
+			s.at = news.At
+		}
+	}
+}
+
+// Entries returns what is on the list, by fingerprint.
+func (l *List) Entries(now time.Time) []Entry {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var all []Entry
+	for fp, s := range l.listed {
+		until := s.at.Add(l.memory())
+		if len(s.sends) == 0 || !until.After(now) {
+			continue
+		}
+		all = append(all, Entry{Fingerprint: fp, Service: s.service, Sightings: len(s.sends), Quarantined: len(s.sends) >= Crashes, Until: until})
+	}
+	slices.SortFunc(all, func(a, b Entry) int { return slices.Compare(a.Fingerprint[:], b.Fingerprint[:]) })
+	return all
+}
+
+// add lists a fingerprint; past the limit of the list, one with the oldest
+// news leaves it.
+func (l *List) add(now time.Time, fp Fingerprint) *state {
+	if l.listed == nil {
+		l.listed = map[Fingerprint]*state{}
+	}
+	if len(l.listed) >= maxListed {
+		l.evict(now)
+	}
+	s := &state{}
+	l.listed[fp] = s
+	return s
+}
+
+func (l *List) evict(now time.Time) {
+	var oldest Fingerprint
+	at := now.Add(skewLimit)
+	for fp, s := range l.listed {
+		if now.Sub(s.at) >= l.memory() {
+			delete(l.listed, fp)
+		} else if s.at.Before(at) {
+			oldest, at = fp, s.at
+		}
+	}
+	if len(l.listed) >= maxListed {
+		delete(l.listed, oldest)
+	}
+}
+
+func (l *List) hold() time.Duration {
+	if l.Hold == 0 {
+		return defaultHold
+	}
+	return l.Hold
+}
+
+func (l *List) memory() time.Duration {
+	if l.Memory == 0 {
+		return defaultMemory
+	}
+	return l.Memory
+}
--- a/pkg/result/codes.go
+++ b/pkg/result/codes.go
@@ -12,6 +12,9 @@
 	// Replayed means that the kept answer of a once-only request was sent
 	// again.
 	Replayed Code = 1001
+	// AnswerNotKept means that a once-only request ran and that its answer is
+	// no longer kept.
+	AnswerNotKept Code = 1002
 
 	// NoService means that no service of that name is configured.
 	NoService Code = 2000
@@ -66,6 +69,9 @@
 	// BodyOverLimit means that an unannounced body turned out to be over the
 	// class's limit while it was passed on.
 	BodyOverLimit Code = 3005
+	// TicketForgotten means that the ticket ended so long ago that nothing is
+	// known of it any more.
+	TicketForgotten Code = 3006
 )
 
 // Codes of settings and service files.
@@ -92,6 +98,7 @@
 	return append(append([]Info{
 		{Served, "served", 0, Yes, "the backend server's whole answer was passed on", "use the answer", "nothing"},
 		{Replayed, "replayed", 0, Yes, "a resend of a once-only request got the kept answer of the first", "use the answer", "nothing"},
+		{AnswerNotKept, "answerNotKept", http.StatusGone, Yes, "a once-only request ran, and its answer is no longer kept", "look up the outcome", "nothing"},
 	}, refusedCodes()...), unknownCodes()...)
 }
 
@@ -126,6 +133,7 @@
 		{ConnectionSilent, "connectionSilent", http.StatusBadGateway, Unknown, "the connection to the backend server stopped moving", "reads: send again; others: look up the outcome", "look at the network between the zones"},
 		{TicketElsewhere, "ticketElsewhere", http.StatusBadGateway, Unknown, "the ticket belongs to an entry that can't be asked", "send again to that entry, or look up the outcome", "see whether that entry is lost"},
 		{BodyOverLimit, "bodyOverLimit", http.StatusRequestEntityTooLarge, Unknown, "an unannounced body went over the class's limit while it was passed on", "send less; others than reads: look up the outcome", "raise bodyLimit if it is too small"},
+		{TicketForgotten, "ticketForgotten", http.StatusGone, Unknown, "the ticket ended so long ago that nothing is known of it any more", "look up the outcome", "nothing"},
 	}
 }
 
