shift: hold the cap on a shift at every entry

Cause: requests toward a region must not rise by more than the service file's cap, over all entries together, in any window, with late and lost messages.

Change: a gate that holds the rule for one entry's admissions with its share of the rise, and a plan that moves half of the rise by demand without ever granting more than the whole.

Conclusion: the cap is strict; it costs refusals where it is small against the traffic's spread.

--- /dev/null
+++ b/internal/shift/doc.go
@@ -0,0 +1,41 @@
+// Package shift caps how fast the requests toward a region may rise, over all
+// entries together.
+//
+// What is counted is each request that an entry admits toward the region's
+// backend servers, resends included, at the time of admission. The cap holds
+// when for every moment t, on any window length W of the service file,
+//
+//	admitted in (t, t+W]  <=  admitted in (t-W, t]  +  rise * W
+//
+// so a rise is the difference between the mean rates of two adjacent windows.
+//
+// Each entry has a share of the rise and a [Gate] that holds the same rule for
+// the entry's own admissions with its own share. Both sides of the rule are
+// sums over the entries, so the rule holds for all of them together whenever
+// the shares in force at t sum to at most the rise. No entry needs to know
+// what another admits, so late news, lost news, a dead entry and callers that
+// use cached look-ups can't break the cap.
+//
+// A share counts for the windows that start while it is in force. A lower
+// share counts at once; a higher one from the next bucket of the window on.
+//
+// [Plan] moves part of the shares to where requests are held back. An entry
+// asks for its share; an ask states what the entry holds and voids the answers
+// to all earlier asks, so that the plan always knows an upper bound of what
+// each entry holds. An entry that hears nothing keeps the smaller of its old
+// and new share by keeping the old one, which the plan counts until the grant
+// has run out; after that it has its floor, which is nobody else's.
+//
+// # Usage
+//
+//	gate := shift.NewGate(time.Minute, shift.Floor(rise, entries), now, reservedSince)
+//	if ok, retryAfter := gate.Admit(now); !ok {
+//		return refused(result.ShiftCapped, retryAfter)
+//	}
+//
+//	// where the region's shares are kept
+//	grant, ok := plan.Answer(now, ask)
+//
+//	// at the entry, when the answer to its latest ask comes in
+//	gate.Grant(now, grant.Share, askSent.Add(shift.GrantTime))
+package shift
--- /dev/null
+++ b/internal/shift/gate_test.go
@@ -0,0 +1,409 @@
+package shift_test
+
+import (
+	"math"
+	"math/rand/v2"
+	"sort"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/shallotpier/shallotpier/internal/shift"
+	"github.com/shallotpier/shallotpier/pkg/id"
+	"github.com/shallotpier/shallotpier/pkg/unit"
+)
+
+const window = 4 * time.Second
+
+var start = time.Date(2026, 12, 3, 22, 0, 0, 0, time.UTC)
+
+func TestGateFloorInputs(t *testing.T) {
+	tests := map[string]struct {
+		floor, grant unit.Rate
+		until        time.Duration
+		want         int // admitted at once, two windows later
+	}{
+		"floor alone":         {floor: 10, want: 40},
+		"no floor":            {},
+		"NaN floor":           {floor: unit.Rate(math.NaN())},
+		"negative floor":      {floor: -1},
+		"infinite floor":      {floor: unit.Rate(math.Inf(1))},
+		"grant in force":      {floor: 10, grant: 20, until: time.Minute, want: 80},
+		"grant run out":       {floor: 10, grant: 20, until: -time.Second, want: 40},
+		"grant below floor":   {floor: 10, grant: 1, until: time.Minute, want: 40},
+		"NaN grant":           {floor: 10, grant: unit.Rate(math.NaN()), until: time.Minute, want: 40},
+		"negative grant":      {floor: 10, grant: -5, until: time.Minute, want: 40},
+		"infinite grant":      {floor: 10, grant: unit.Rate(math.Inf(1)), until: time.Minute, want: 40},
+		"grant ends in pause": {floor: 10, grant: 20, until: window + window/2, want: 40},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			g := shift.NewGate(window, tt.floor, start, start.Add(-3*window))
+			g.Grant(start, tt.grant, start.Add(tt.until))
+			is.Equal(admitAll(g, start.Add(2*window)), tt.want)
+		})
+	}
+}
+
+func TestGateNewHolderWaits(t *testing.T) {
+	is := is.New(t)
+	g := shift.NewGate(window, 10, start, start)
+	is.Equal(admitAll(g, start), 0)
+	is.Equal(admitAll(g, start.Add(window/2)), 0)
+	is.Equal(admitAll(g, start.Add(window+window/64)), 40)
+}
+
+func TestGateRiseByWindow(t *testing.T) {
+	is := is.New(t)
+	g := shift.NewGate(window, 10, start, start.Add(-3*window))
+	var got []int
+	for w := range 4 {
+		n := 0
+		for i := range 400 { // demand far over the cap
+			if ok, _ := g.Admit(start.Add(time.Duration(w)*window + time.Duration(i)*window/400)); ok {
+				n++
+			}
+		}
+		got = append(got, n)
+	}
+	is.Equal(got[0], 40)
+	for w := 1; w < 4; w++ {
+		is.True(got[w] > got[w-1])     // it rises
+		is.True(got[w] <= got[w-1]+40) // by at most the cap
+	}
+}
+
+func TestGateClockStepsBack(t *testing.T) {
+	is := is.New(t)
+	g := shift.NewGate(window, 10, start, start.Add(-3*window))
+	is.Equal(admitAll(g, start.Add(window)), 40)
+	is.Equal(admitAll(g, start), 0) // an earlier time opens nothing
+}
+
+func TestGateCountsAllConcurrentAdmissions(t *testing.T) {
+	is := is.New(t)
+	const limit, sent = 40_000, 80_000
+	g := shift.NewGate(window, limit/4, start, start.Add(-3*window))
+	var clock, admitted atomic.Int64
+	var wg sync.WaitGroup
+	for range 8 {
+		wg.Go(func() {
+			for range sent / 8 {
+				now := start.Add(time.Duration(clock.Add(int64(window) / sent)))
+				if ok, _ := g.Admit(now); ok {
+					admitted.Add(1)
+				}
+			}
+		})
+	}
+	wg.Wait()
+	is.Equal(admitted.Load(), int64(limit))
+}
+
+// world is a set of entries with their gates, one plan, and messages between
+// them that are lost, late and out of order.
+type world struct {
+	t        *rapid.T
+	now      time.Time
+	rise     unit.Rate
+	entries  []*entry
+	plan     *shift.Plan
+	answers  []answer
+	asks     []shift.Ask
+	admitted []time.Duration
+}
+
+type entry struct {
+	gate   *shift.Gate
+	who    shift.Holder
+	number uint64
+	sent   time.Time
+	died   time.Time
+	paused time.Time
+	demand int
+}
+
+type answer struct {
+	to    int
+	who   shift.Holder
+	grant shift.Grant
+}
+
+func newWorld(t *rapid.T) *world {
+	n := rapid.IntRange(1, 5).Draw(t, "entries")
+	w := &world{t: t, now: start, rise: unit.Rate(rapid.IntRange(1, 40).Draw(t, "rise"))}
+	w.plan = shift.NewPlan(w.rise, n, start.Add(-time.Minute))
+	for i := range n {
+		e := &entry{who: shift.Holder{Instance: id.Instance(rune('a' + i)), Incarnation: 1}, demand: i}
+		e.gate = shift.NewGate(window, shift.Floor(w.rise, n), start, start.Add(-3*window))
+		w.entries = append(w.entries, e)
+	}
+	return w
+}
+
+func (w *world) step() {
+	i := rapid.IntRange(0, len(w.entries)-1).Draw(w.t, "entry")
+	e := w.entries[i]
+	switch rapid.IntRange(0, 9).Draw(w.t, "event") {
+	case 0, 1, 2: // the entry asks; the ask waits in the network
+		if e.died.IsZero() {
+			e.number++
+			e.sent = w.now
+			w.asks = append(w.asks, shift.Ask{Holder: e.who, Number: e.number, Held: e.gate.Share(w.now), Demand: unit.Rate(e.demand * 10)})
+		}
+	case 3, 4: // one waiting ask arrives, any of them
+		if k := len(w.asks); k > 0 {
+			at := rapid.IntRange(0, k-1).Draw(w.t, "ask")
+			ask := w.asks[at]
+			if rapid.Bool().Draw(w.t, "kept") { // else it is duplicated later
+				w.asks = append(w.asks[:at], w.asks[at+1:]...)
+			}
+			if grant, ok := w.plan.Answer(w.now, ask); ok {
+				w.answers = append(w.answers, answer{w.find(ask.Holder.Instance), ask.Holder, grant})
+			}
+		}
+	case 5, 6: // one waiting answer arrives
+		if k := len(w.answers); k > 0 {
+			at := rapid.IntRange(0, k-1).Draw(w.t, "answer")
+			a := w.answers[at]
+			w.answers = append(w.answers[:at], w.answers[at+1:]...)
+			to := w.entries[a.to]
+			if to.who == a.who && a.grant.Number == to.number && to.died.IsZero() {
+				to.gate.Grant(w.now, a.grant.Share, to.sent.Add(shift.GrantTime))
+			}
+		}
+	case 7: // the entry dies, or a new process takes its place
+		if e.died.IsZero() {
+			e.died = w.now
+		} else {
+			e.who.Incarnation++
+			e.gate = shift.NewGate(window, shift.Floor(w.rise, len(w.entries)), w.now, e.died)
+			e.number, e.died = 0, time.Time{}
+		}
+	case 8: // another region fails: its callers come here
+		e.demand += rapid.IntRange(0, 90).Draw(w.t, "more")
+	case 9: // demand falls, or a pause
+		e.demand = rapid.IntRange(0, 90).Draw(w.t, "less")
+		e.paused = w.now.Add(time.Duration(rapid.IntRange(0, 20).Draw(w.t, "pause")) * time.Second)
+	}
+}
+
+func (w *world) find(name id.Instance) int {
+	for i, e := range w.entries {
+		if e.who.Instance == name {
+			return i
+		}
+	}
+	return 0
+}
+
+// run lets time pass while the entries' callers send, also those that hold a
+// cached look-up and so keep sending to a region that is full.
+func (w *world) run() {
+	for range rapid.IntRange(1, 12).Draw(w.t, "ticks") {
+		w.now = w.now.Add(time.Duration(rapid.IntRange(1, 400).Draw(w.t, "ms")) * time.Millisecond)
+		for _, e := range w.entries {
+			if !e.died.IsZero() || w.now.Before(e.paused) {
+				continue
+			}
+			for range e.demand {
+				if ok, _ := e.gate.Admit(w.now); ok {
+					w.admitted = append(w.admitted, w.now.Sub(start))
+				}
+			}
+		}
+	}
+}
+
+// checkShares holds the sum of the shares in force, those of paused entries
+// too.
+func (w *world) checkShares() {
+	sum := unit.Rate(0)
+	for _, e := range w.entries {
+		if e.died.IsZero() {
+			sum += e.gate.Share(w.now)
+		}
+	}
+	if sum > w.rise+1e-9 {
+		w.t.Fatalf("shares in force sum to %v for a rise of %v", sum, w.rise)
+	}
+}
+
+// check holds the cap on every window that starts or ends at any admission.
+func (w *world) check() {
+	times := w.admitted
+	count := func(from, to time.Duration) int { // (from, to]
+		return sort.Search(len(times), func(i int) bool { return times[i] > to }) -
+			sort.Search(len(times), func(i int) bool { return times[i] > from })
+	}
+	limit := float64(w.rise) * window.Seconds()
+	for _, at := range times {
+		for _, t := range []time.Duration{at - 1, at, at - window, at - window - 1, at + window} {
+			after, before := count(t, t+window), count(t-window, t)
+			if float64(after) > float64(before)+limit+1e-6 {
+				w.t.Fatalf("window after %s: %d admitted, %d before it, cap %.0f", t, after, before, limit)
+			}
+		}
+	}
+}
+
+func TestCapHoldsInEveryWindow(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(t)
+		for range rapid.IntRange(10, 60).Draw(t, "steps") {
+			w.step()
+			w.run()
+			if bound := w.plan.Bound(w.now); bound > w.rise+1e-9 {
+				t.Fatalf("shares of %v for a rise of %v", bound, w.rise)
+			}
+			w.checkShares()
+		}
+		w.check()
+	})
+}
+
+func TestPlanAnswerInputs(t *testing.T) {
+	nan, inf := unit.Rate(math.NaN()), unit.Rate(math.Inf(1))
+	tests := map[string]struct {
+		held, demand, otherDemand unit.Rate
+		late                      time.Duration
+		ok                        bool
+		want                      unit.Rate
+	}{
+		"no demand":         {held: 5, ok: true, want: 5},
+		"all demand":        {held: 5, demand: 9, ok: true, want: 15},
+		"half the demand":   {held: 5, demand: 9, otherDemand: 9, ok: true, want: 10},
+		"NaN demand":        {held: 5, demand: nan, ok: true, want: 5},
+		"negative demand":   {held: 5, demand: -3, ok: true, want: 5},
+		"infinite demand":   {held: 5, demand: inf, ok: true, want: 5},
+		"absurd demand":     {held: 5, demand: 1e12, ok: true, want: 5},
+		"other is stale":    {held: 5, demand: 9, otherDemand: 9, late: time.Minute, ok: true, want: 15},
+		"NaN held":          {held: nan},
+		"negative held":     {held: -1},
+		"infinite held":     {held: inf},
+		"held over the cap": {held: 100, ok: true, want: 5},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			p := shift.NewPlan(20, 2, start.Add(-time.Minute))
+			_, ok := p.Answer(start, shift.Ask{Holder: shift.Holder{Instance: "b"}, Number: 1, Held: 5, Demand: tt.otherDemand})
+			is.True(ok)
+			now := start.Add(tt.late)
+			grant, ok := p.Answer(now, shift.Ask{Holder: shift.Holder{Instance: "a"}, Number: 1, Held: tt.held, Demand: tt.demand})
+			is.Equal(ok, tt.ok)
+			if tt.otherDemand == 0 || tt.late > 0 {
+				is.Equal(grant.Share, tt.want)
+			} else {
+				is.Equal(grant.Share, unit.Rate(5)) // the other holds the moved part until it is seen to be lower
+			}
+		})
+	}
+}
+
+func TestPlanNewOwnerRaisesNothing(t *testing.T) {
+	is := is.New(t)
+	p := shift.NewPlan(20, 2, start)
+	ask := shift.Ask{Holder: shift.Holder{Instance: "a"}, Number: 1, Held: 5, Demand: 9}
+	grant, ok := p.Answer(start.Add(shift.GrantTime), ask)
+	is.True(ok)
+	is.Equal(grant.Share, unit.Rate(5))
+	_, ok = p.Answer(start.Add(shift.GrantTime), ask)
+	is.True(!ok) // the same ask again
+	ask.Number = 2
+	grant, _ = p.Answer(start.Add(2*shift.GrantTime), ask)
+	is.Equal(grant.Share, unit.Rate(15))
+}
+
+// Steady Poisson traffic is refused only as far as the cap is small against
+// its own spread; the table in docs/design/shift.md is this test's log.
+func TestSteadyTraffic(t *testing.T) {
+	for _, rise := range []unit.Rate{5, 10, 20, 40} {
+		r := rand.New(rand.NewPCG(7, 8))
+		const rate, entries, length = 100, 7, 60 * time.Second
+		gates := make([]*shift.Gate, entries)
+		for i := range gates {
+			gates[i] = shift.NewGate(30*time.Second, rise/entries, start, start.Add(-2*time.Minute))
+		}
+		sent, refused := 0, 0
+		for now := time.Duration(0); now < 20*length; now += time.Duration(r.ExpFloat64() * float64(time.Second) / rate) {
+			ok, _ := gates[r.IntN(entries)].Admit(start.Add(now))
+			if now < 10*length {
+				continue
+			}
+			sent++
+			if !ok {
+				refused++
+			}
+		}
+		t.Logf("rise %v/s: refused %.2f%%", rise, 100*float64(refused)/float64(sent))
+		if rise == 40 && refused*100 > sent {
+			t.Errorf("rise %v: %d of %d refused", rise, refused, sent)
+		}
+	}
+}
+
+func admitAll(g *shift.Gate, now time.Time) int {
+	n := 0
+	for {
+		if ok, _ := g.Admit(now); !ok {
+			return n
+		}
+		n++
+	}
+}
+
+func BenchmarkGateAdmit(b *testing.B) {
+	g := shift.NewGate(window, 1e9, start, start.Add(-3*window))
+	b.ReportAllocs()
+	now := start
+	for b.Loop() {
+		now = now.Add(time.Microsecond)
+		g.Admit(now)
+	}
+}
+
+func BenchmarkGateAdmitParallel(b *testing.B) {
+	g := shift.NewGate(window, 1e9, start, start.Add(-3*window))
+	b.ReportAllocs()
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			g.Admit(start)
+		}
+	})
+}
+
+func TestGateLowerShareCountsAtOnce(t *testing.T) {
+	is := is.New(t)
+	g := shift.NewGate(window, 10, start, start.Add(-3*window))
+	at := start.Add(2 * window)
+	is.Equal(admitAll(g, at), 40)
+	g.Grant(at, 30, at.Add(time.Minute))
+	g.Admit(at.Add(window / 4))
+	g.Grant(at.Add(window/4), 5, at.Add(time.Minute))
+	is.Equal(g.Share(at.Add(window/4)), unit.Rate(10)) // not below the floor
+	g.SetFloor(at.Add(window/4), 0)
+	is.Equal(g.Share(at.Add(window/4)), unit.Rate(5))
+	is.Equal(admitAll(g, at.Add(window/4)), 0)
+}
+
+func TestPlanCountsOldShareUntilLowerIsHeld(t *testing.T) {
+	is := is.New(t)
+	p := shift.NewPlan(20, 2, start.Add(-time.Minute))
+	a, b := shift.Holder{Instance: "a"}, shift.Holder{Instance: "b"}
+	grant, _ := p.Answer(start, shift.Ask{Holder: a, Number: 1, Held: 5, Demand: 9})
+	is.Equal(grant.Share, unit.Rate(15))
+	grant, _ = p.Answer(start, shift.Ask{Holder: a, Number: 2, Held: 15}) // no demand now: the answer may be lost
+	is.Equal(grant.Share, unit.Rate(5))
+	grant, _ = p.Answer(start, shift.Ask{Holder: b, Number: 1, Held: 5, Demand: 9})
+	is.Equal(grant.Share, unit.Rate(5))
+	_, ok := p.Answer(start, shift.Ask{Holder: a, Number: 3, Held: 5}) // it holds the lower one
+	is.True(ok)
+	grant, _ = p.Answer(start, shift.Ask{Holder: b, Number: 2, Held: 5, Demand: 9})
+	is.Equal(grant.Share, unit.Rate(15))
+}
