--- /dev/null
+++ b/internal/cli/check.go
@@ -0,0 +1,121 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+
+	urfave "github.com/urfave/cli/v3"
+
+	"github.com/shallotpier/shallotpier/internal/collect"
+	"github.com/shallotpier/shallotpier/pkg/deployment"
+	"github.com/shallotpier/shallotpier/pkg/id"
+	"github.com/shallotpier/shallotpier/pkg/result"
+	"github.com/shallotpier/shallotpier/pkg/service"
+)
+
+type (
+	checked struct {
+		Files []checkedFile `json:"files"`
+	}
+
+	checkedFile struct {
+		Path    string     `json:"path"`
+		Service id.Service `json:"service"`
+		Classes int        `json:"classes"`
+		Servers int        `json:"servers"`
+		Slots   int        `json:"slots"`
+	}
+)
+
+func (c *checked) text(w io.Writer) error {
+	for _, f := range c.Files {
+		fmt.Fprintf(w, "%s: service %s, %d classes, %d backend servers, %d slots: ok\n", f.Path, f.Service, f.Classes, f.Servers, f.Slots)
+	}
+	return nil
+}
+
+func (a *App) checkCommand() *urfave.Command {
+	return &urfave.Command{
+		Name:        "check",
+		Usage:       "check service files without a store",
+		ArgsUsage:   "FOLDER|FILE...",
+		Description: "Reads service.toml and *.service.toml below each folder and tells what is wrong with them.\n\nExamples:\n   shallotpier check .\n   shallotpier check --deployment deployment.toml registry/ vault/evidence.service.toml",
+		Flags:       []urfave.Flag{deploymentFlag()},
+		Action: a.action(func(_ context.Context, cmd *urfave.Command) error {
+			files, err := collectFiles(cmd)
+			if err != nil {
+				return err
+			}
+			var c checked
+			for _, f := range files {
+				c.Files = append(c.Files, checkedFile{
+					Path: f.Path, Service: f.File.Service, Classes: len(f.File.Classes),
+					Servers: len(f.File.Servers), Slots: f.File.Slots(),
+				})
+			}
+			return a.show(&c)
+		}),
+	}
+}
+
+func deploymentFlag() urfave.Flag {
+	return &urfave.StringFlag{Name: "deployment", Usage: "check against the regions, zones and entries of this deployment `FILE`"}
+}
+
+// collectFiles reads the operands' service files and, if a deployment is
+// given, checks their zones and regions against it.
+func collectFiles(cmd *urfave.Command) ([]collect.Found, error) {
+	if cmd.Args().Len() == 0 {
+		return nil, usagef("name the folders or files to read")
+	}
+	files, err := collect.Files(cmd.Args().Slice()...)
+	if err != nil {
+		return nil, err
+	}
+	world, err := readDeployment(cmd.String("deployment"))
+	if err != nil || world == nil {
+		return files, err
+	}
+	for _, f := range files {
+		if err := checkPlaces(f, world); err != nil {
+			return nil, err
+		}
+	}
+	return files, nil
+}
+
+// readDeployment returns nil for an empty path.
+func readDeployment(path string) (*deployment.Deployment, error) {
+	if path == "" {
+		return nil, nil
+	}
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, &service.FileError{File: path, Code: result.UnreadableFile, Text: err.Error()}
+	}
+	return deployment.Parse(path, data)
+}
+
+func checkPlaces(f collect.Found, world *deployment.Deployment) error {
+	problem := func(key string, item int, text string) error {
+		p := &service.FileError{Key: key, Item: item, Code: result.ImpossibleValue, Text: text}
+		return p.Locate(f.Path, f.Data)
+	}
+	regions := map[id.Region]bool{}
+	for _, r := range world.Regions {
+		regions[r.Name] = true
+	}
+	for i, r := range f.File.Regions {
+		if !regions[r.Name] {
+			return problem("regions.name", i, fmt.Sprintf("%q is not in deployment %s", r.Name, world.Name))
+		}
+	}
+	for i, s := range f.File.Servers {
+		if _, ok := world.Region(s.Zone); !ok {
+			return problem("servers.zone", i, fmt.Sprintf("%q of backend server %s is not in deployment %s", s.Zone, s.Name, world.Name))
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/collect/collect.go
@@ -0,0 +1,100 @@
+package collect
+
+import (
+	"errors"
+	"fmt"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"sort"
+	"strings"
+
+	"github.com/shallotpier/shallotpier/pkg/id"
+	"github.com/shallotpier/shallotpier/pkg/result"
+	"github.com/shallotpier/shallotpier/pkg/service"
+)
+
+const (
+	// name is a service file's own name, or its ending.
+	name   = "service.toml"
+	suffix = "." + name
+)
+
+// Found is a service file with its path.
+type Found struct {
+	// Path is where it was read.
+	Path string
+	// Data is its content, for the lines of problems that are found later.
+	Data []byte
+	// File is its checked content.
+	File *service.File
+}
+
+// Files reads the service files at the paths. A path is a file of any name, or
+// a folder that is searched with the folders below it, hidden ones excepted.
+// The error joins a *service.FileError for each wrong file; there is one too
+// if no file is found or two files are for one service.
+func Files(paths ...string) ([]Found, error) {
+	var (
+		found []Found
+		errs  []error
+	)
+	seen := map[id.Service]string{}
+	for _, path := range search(paths, &errs) {
+		each, err := read(path)
+		if err != nil {
+			errs = append(errs, err)
+			continue
+		}
+		name := each.File.Service
+		if other, ok := seen[name]; ok {
+			p := &service.FileError{Key: "service", Code: result.ImpossibleValue, Text: fmt.Sprintf("%s is for the service %q too", other, name)}
+			errs = append(errs, p.Locate(path, each.Data))
+			continue
+		}
+		seen[name] = path
+		found = append(found, each)
+	}
+	if len(found)+len(errs) == 0 {
+		errs = append(errs, &service.FileError{
+			File: strings.Join(paths, ", "), Code: result.UnreadableFile,
+			Text: fmt.Sprintf("no %s and no *%s is there", name, suffix),
+		})
+	}
+	return found, errors.Join(errs...)
+}
+
+func search(paths []string, errs *[]error) []string {
+	set := map[string]bool{}
+	for _, root := range paths {
+		err := filepath.WalkDir(root, func(path string, d fs.DirEntry, err error) error {
+			switch {
+			case err != nil:
+				return err
+			case d.IsDir() && path != root && strings.HasPrefix(d.Name(), "."):
+				return fs.SkipDir
+			case !d.IsDir() && (path == root || d.Name() == name || strings.HasSuffix(d.Name(), suffix)):
+				set[filepath.Clean(path)] = true
+			}
+			return nil
+		})
+		if err != nil {
+			*errs = append(*errs, &service.FileError{File: root, Code: result.UnreadableFile, Text: err.Error()})
+		}
+	}
+	all := make([]string, 0, len(set))
+	for path := range set {
+		all = append(all, path)
+	}
+	sort.Strings(all)
+	return all
+}
+
+func read(path string) (Found, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return Found{}, &service.FileError{File: path, Code: result.UnreadableFile, Text: err.Error()}
+	}
+	file, err := service.Parse(path, data)
+	return Found{Path: path, Data: data, File: file}, err
+}
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -5,11 +5,11 @@
 	"net/netip"
 	"os"
 	"path/filepath"
-	"sort"
 	"time"
 
 	"github.com/rotisserie/eris"
 
+	"github.com/shallotpier/shallotpier/internal/collect"
 	"github.com/shallotpier/shallotpier/internal/httpserver"
 	"github.com/shallotpier/shallotpier/internal/instances"
 	"github.com/shallotpier/shallotpier/internal/standin/backend"
@@ -57,7 +57,7 @@
 	}
 )
 
-// Load reads deployment.toml and the files of the folder services below the
+// Load reads deployment.toml and the service files below services in the
 // folder. A wrong file gives a *service.FileError.
 func Load(folder string) (*Fleet, error) {
 	path := filepath.Join(folder, "deployment.toml")
@@ -69,22 +69,13 @@
 	if err != nil {
 		return nil, err
 	}
-	f := &Fleet{World: world}
-	paths, err := filepath.Glob(filepath.Join(folder, "services", "*.toml"))
+	found, err := collect.Files(filepath.Join(folder, "services"))
 	if err != nil {
-		return nil, unreadable(folder, err)
+		return nil, err
 	}
-	sort.Strings(paths)
-	for _, path := range paths {
-		data, err := os.ReadFile(path)
-		if err != nil {
-			return nil, unreadable(path, err)
-		}
-		file, err := service.Parse(path, data)
-		if err != nil {
-			return nil, err
-		}
-		f.Files = append(f.Files, file)
+	f := &Fleet{World: world}
+	for _, each := range found {
+		f.Files = append(f.Files, each.File)
 	}
 	return f, nil
 }
--- a/pkg/deployment/deployment_test.go
+++ b/pkg/deployment/deployment_test.go
@@ -49,7 +49,7 @@
 			is.Equal(d.Delays.Regions.Std(), tt.regions)
 			is.Equal(d.Delays.Clients.Std(), tt.clients)
 			for s, want := range tt.services {
-				data, err := os.ReadFile(dir + "/services/" + s + ".toml")
+				data, err := os.ReadFile(dir + "/services/" + s + ".service.toml")
 				is.NoErr(err)
 				f, err := service.Parse(s, data)
 				is.NoErr(err)
--- a/pkg/service/parse_test.go
+++ b/pkg/service/parse_test.go
@@ -128,7 +128,7 @@
 func FuzzParse(f *testing.F) {
 	f.Add([]byte(example))
 	f.Add([]byte("classes = [{name = 'a'}, {deadline = '1s'}]"))
-	if data, err := os.ReadFile("../../examples/beridze/services/registry.toml"); err == nil {
+	if data, err := os.ReadFile("../../examples/beridze/services/registry.service.toml"); err == nil {
 		f.Add(data)
 	}
 	f.Fuzz(func(t *testing.T, data []byte) {
