once, quarantine: tests over generated histories and several entries

Cause: at most one execution and at most two lost servers have to hold over resends to any entry, and over entries that die, pause or are replaced.

A refused further permit no longer hides the code of the last send. The list of fingerprints has a settable limit.

--- a/internal/entry/carry.go
+++ b/internal/entry/carry.go
@@ -35,6 +35,7 @@
 // carry sends the request, again where that is safe, and answers the caller.
 func (c *call) carry(t taker) {
 	var tried []id.Server
+	var last ending
 	doubt := result.Code(0)
 	for {
 		e, server := c.attempt(t, tried)
@@ -45,11 +46,14 @@
 		if e.code.Ran() != result.No {
 			doubt = e.code
 		}
-		tried = append(tried, server)
+		if server == "" && len(tried) > 0 {
+			e = last // no further permit; the last send tells more
+		}
 		if !c.again(&e, server) {
 			c.giveUp(&e, doubt)
 			return
 		}
+		tried, last = append(tried, server), e
 	}
 }
 
--- /dev/null
+++ b/internal/once/histories_test.go
@@ -0,0 +1,181 @@
+package once_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"runtime"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/shallotpier/shallotpier/internal/once"
+	"github.com/shallotpier/shallotpier/pkg/id"
+	"github.com/shallotpier/shallotpier/pkg/result"
+)
+
+const (
+	histories = 100_000
+	steps     = 12
+	entries   = 3
+	life      = 10 * time.Second
+	memory    = 30 * time.Second
+)
+
+type (
+	// history drives the registries of a few entries with what callers and
+	// faults may do to them, and counts what would have been executed.
+	history struct {
+		rng     *rand.Rand
+		nodes   [entries]*node
+		next    id.Incarnation
+		tickets []*ticket
+		problem string
+	}
+
+	node struct {
+		name id.Instance
+		reg  *once.Registry
+		age  time.Duration
+		// gone and paused processes answer nothing; a paused one wakes.
+		paused bool
+		open   []open
+	}
+
+	ticket struct {
+		text string
+		// executions counts those that ran or may have.
+		executions int
+	}
+
+	open struct {
+		ticket *ticket
+		use    once.Use
+	}
+)
+
+// TestAtMostOnceOverHistories generates histories of resends to the same and
+// to other entries, of entries that pause, wake and are replaced under the
+// same name, and of sends that ran, did not run or were lost.
+func TestAtMostOnceOverHistories(t *testing.T) {
+	workers := runtime.GOMAXPROCS(0)
+	var wg sync.WaitGroup
+	executed := make([]int, workers)
+	for w := range workers {
+		wg.Go(func() {
+			for seed := w; seed < histories; seed += workers {
+				h := newHistory(uint64(seed))
+				if h.run(); h.problem != "" {
+					t.Errorf("seed %d: %s", seed, h.problem)
+					return
+				}
+				executed[w] += h.executions()
+			}
+		})
+	}
+	wg.Wait()
+	sum := 0
+	for _, n := range executed {
+		sum += n
+	}
+	if sum < histories/2 {
+		t.Errorf("only %d executions in %d histories", sum, histories)
+	}
+}
+
+func newHistory(seed uint64) *history {
+	h := &history{rng: rand.New(rand.NewPCG(seed, 5))}
+	for i := range h.nodes {
+		h.nodes[i] = h.start(id.Instance(fmt.Sprintf("entry-%d", i)))
+	}
+	return h
+}
+
+func (h *history) start(name id.Instance) *node {
+	h.next++
+	key := []byte(fmt.Sprintf("key of incarnation %d", h.next))
+	return &node{name: name, reg: &once.Registry{Instance: name, Incarnation: h.next, Key: key, Life: life, Memory: memory, Tickets: 4, Answers: 8}}
+}
+
+func (h *history) run() {
+	for range steps {
+		i := h.rng.IntN(entries)
+		n := h.nodes[i]
+		switch h.rng.IntN(12) {
+		case 0, 1:
+			if !n.paused && len(h.tickets) < 3 {
+				h.tickets = append(h.tickets, &ticket{text: n.reg.Mint(n.age, "registry")})
+			}
+		case 2, 3, 4, 5, 6:
+			if len(h.tickets) > 0 {
+				h.send(n, h.tickets[h.rng.IntN(len(h.tickets))], true)
+			}
+		case 7, 8:
+			h.end(n)
+		case 9:
+			n.paused = !n.paused
+		case 10:
+			// Its executions are lost on the way; they may run to their end.
+			h.nodes[i] = h.start(n.name)
+		case 11:
+			h.pass(time.Duration(h.rng.Int64N(int64(memory))))
+		}
+	}
+}
+
+func (h *history) pass(d time.Duration) {
+	for _, n := range h.nodes {
+		n.age += d
+	}
+}
+
+// send uses a ticket at a node; a node that is asked for another's ticket
+// hands it on.
+func (h *history) send(n *node, k *ticket, handOn bool) {
+	if n.paused {
+		return
+	}
+	use := n.reg.Begin(n.age, "registry", k.text, once.Binding{1})
+	switch use.State {
+	case once.Run:
+		if k.executions++; k.executions > 1 {
+			h.problem = "executed twice"
+		}
+		n.open = append(n.open, open{k, use})
+	case once.Elsewhere:
+		for _, to := range h.nodes {
+			if handOn && to.name == use.Instance {
+				h.send(to, k, false)
+			}
+		}
+	case once.Refused, once.Ended:
+		if k.executions > 0 && use.Code.Ran() == result.No {
+			h.problem = fmt.Sprintf("code %d says that it did not run", use.Code)
+		}
+	}
+}
+
+// end ends the oldest execution of a node.
+func (h *history) end(n *node) {
+	if n.paused || len(n.open) == 0 {
+		return
+	}
+	o := n.open[0]
+	n.open = n.open[1:]
+	switch h.rng.IntN(3) {
+	case 0:
+		o.ticket.executions--
+		n.reg.End(o.use, result.ConnectFailed, nil)
+	case 1:
+		n.reg.End(o.use, result.AnswerCut, nil)
+	default:
+		n.reg.End(o.use, result.Served, &once.Answer{Body: make([]byte, 5)})
+	}
+}
+
+func (h *history) executions() int {
+	sum := 0
+	for _, k := range h.tickets {
+		sum += k.executions
+	}
+	return sum
+}
--- a/internal/quarantine/list.go
+++ b/internal/quarantine/list.go
@@ -14,7 +14,7 @@
 
 	defaultHold   = 30 * time.Second
 	defaultMemory = 30 * time.Minute
-	maxListed     = 10_000
+	defaultListed = 10_000
 	maxSightings  = 16
 	skewLimit     = time.Minute
 )
@@ -71,6 +71,9 @@
 		Hold time.Duration
 		// Memory is how long a crash counts; 0 is 30 min.
 		Memory time.Duration
+		// Listed is the greatest number of fingerprints; 0 is 10,000. Past it
+		// the one with the oldest news leaves the list.
+		Listed int
 
 		mu     sync.Mutex
 		listed map[Fingerprint]*state
@@ -202,21 +205,25 @@
 	return all
 }
 
-// add lists a fingerprint; past the limit of the list, one with the oldest
-// news leaves it.
+// add lists a fingerprint.
 func (l *List) add(now time.Time, fp Fingerprint) *state {
 	if l.listed == nil {
 		l.listed = map[Fingerprint]*state{}
 	}
-	if len(l.listed) >= maxListed {
-		l.evict(now)
+	limit := l.Listed
+	if limit == 0 {
+		limit = defaultListed
+	}
+	if len(l.listed) >= limit {
+		l.evict(now, limit)
 	}
 	s := &state{}
 	l.listed[fp] = s
 	return s
 }
 
-func (l *List) evict(now time.Time) {
+// evict makes room for one fingerprint.
+func (l *List) evict(now time.Time, limit int) {
 	var oldest Fingerprint
 	at := now.Add(skewLimit)
 	for fp, s := range l.listed {
@@ -226,7 +233,7 @@
 			oldest, at = fp, s.at
 		}
 	}
-	if len(l.listed) >= maxListed {
+	if len(l.listed) >= limit {
 		delete(l.listed, oldest)
 	}
 }
--- /dev/null
+++ b/internal/quarantine/list_test.go
@@ -0,0 +1,122 @@
+package quarantine_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/shallotpier/shallotpier/internal/quarantine"
+)
+
+func start() time.Time { return time.Date(2026, 12, 3, 22, 0, 0, 0, time.UTC) }
+
+func TestListCheck(t *testing.T) {
+	fp := quarantine.Fingerprint{1}
+	now := start()
+	own := quarantine.Sighting{Fingerprint: fp, Instance: "entry-1", Send: "a", At: now}
+	foreign := quarantine.Sighting{Fingerprint: fp, Instance: "entry-2", Send: "a", At: now}
+	second := quarantine.Sighting{Fingerprint: fp, Instance: "entry-3", Send: "b", At: now}
+	lifted := quarantine.Sighting{Fingerprint: fp, Instance: "entry-3", Lifted: true, At: now.Add(time.Second)}
+	future := quarantine.Sighting{Fingerprint: fp, Instance: "entry-3", Send: "c", At: now.Add(time.Hour)}
+	tests := map[string]struct {
+		news  []quarantine.Sighting
+		after time.Duration
+		busy  bool
+		want  quarantine.Verdict
+	}{
+		"unknown":                    {},
+		"own first crash":            {news: []quarantine.Sighting{own}, want: quarantine.Verdict{Probation: true}},
+		"own first crash, one runs":  {news: []quarantine.Sighting{own}, busy: true, want: quarantine.Verdict{Refused: true, RetryAfter: time.Second}},
+		"another's first crash":      {news: []quarantine.Sighting{foreign}, after: 10 * time.Second, want: quarantine.Verdict{Refused: true, RetryAfter: 20 * time.Second}},
+		"another's hold has ended":   {news: []quarantine.Sighting{foreign}, after: 30 * time.Second, want: quarantine.Verdict{Probation: true}},
+		"two crashes":                {news: []quarantine.Sighting{own, second}, after: time.Minute, want: quarantine.Verdict{Refused: true, RetryAfter: 29 * time.Minute}},
+		"the same news twice":        {news: []quarantine.Sighting{own, own}, want: quarantine.Verdict{Probation: true}},
+		"ends by itself":             {news: []quarantine.Sighting{own, second}, after: 30 * time.Minute},
+		"lifted":                     {news: []quarantine.Sighting{own, second, lifted}, after: 2 * time.Second},
+		"lifted, old news afterward": {news: []quarantine.Sighting{lifted, own, second}, after: 2 * time.Second},
+		"news from the future":       {news: []quarantine.Sighting{own, future}, want: quarantine.Verdict{Probation: true}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			l := &quarantine.List{Instance: "entry-1"}
+			for _, n := range tt.news {
+				l.Learn(now, n)
+			}
+			if tt.busy {
+				l.Check(now.Add(tt.after), fp)
+			}
+			is.Equal(l.Check(now.Add(tt.after), fp), tt.want)
+		})
+	}
+}
+
+// TestAtMostTwoCrashes sends one crashing request again and again through any
+// entries, each time after the answer of the last.
+func TestAtMostTwoCrashes(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		lists := []*quarantine.List{{Instance: "entry-1"}, {Instance: "entry-2"}, {Instance: "entry-3"}}
+		fp := quarantine.Fingerprint{9}
+		now, crashes, last := start(), 0, time.Time{}
+		for i := range rapid.IntRange(1, 40).Draw(rt, "resends") {
+			now = now.Add(time.Duration(rapid.Int64Range(0, int64(time.Minute)).Draw(rt, "pause")))
+			l := lists[rapid.IntRange(0, 2).Draw(rt, "entry")]
+			v := l.Check(now, fp)
+			if v.Refused {
+				continue
+			}
+			if crashes == quarantine.Crashes && now.Sub(last) >= 30*time.Minute {
+				crashes = 0 // it ended by itself
+			}
+			crashes, last = crashes+1, now
+			news := l.Sight(now, fp, "registry", string(rune('a'+i)))
+			for _, other := range lists {
+				other.Learn(now, news)
+			}
+			if v.Probation {
+				l.Done(fp)
+			}
+			if crashes > quarantine.Crashes {
+				rt.Fatalf("%d servers lost", crashes)
+			}
+		}
+	})
+}
+
+func TestListIsBounded(t *testing.T) {
+	is := is.New(t)
+	l := &quarantine.List{Instance: "entry-1", Listed: 100}
+	for i := range 300 {
+		l.Sight(start().Add(time.Duration(i)), quarantine.Fingerprint{byte(i), byte(i >> 8)}, "registry", "a")
+	}
+	is.Equal(len(l.Entries(start().Add(time.Second))), 100)
+}
+
+func TestFingerprintFields(t *testing.T) {
+	is := is.New(t)
+	base := quarantine.Traits{Service: "registry", Method: "GET", Path: "/a", Key: "k", Length: 1, Digest: "d"}
+	seen := map[quarantine.Fingerprint]bool{base.Fingerprint(): true}
+	for _, change := range []func(*quarantine.Traits){
+		func(t *quarantine.Traits) { t.Service = "vault" }, func(t *quarantine.Traits) { t.Method = "PUT" },
+		func(t *quarantine.Traits) { t.Path = "/ak"; t.Key = "" }, func(t *quarantine.Traits) { t.Key = "" },
+		func(t *quarantine.Traits) { t.Length = 2 }, func(t *quarantine.Traits) { t.Digest = "" },
+	} {
+		traits := base
+		change(&traits)
+		is.True(!seen[traits.Fingerprint()])
+		seen[traits.Fingerprint()] = true
+	}
+}
+
+func FuzzFingerprint(f *testing.F) {
+	f.Add("00112233445566778899aabbccddeeff")
+	f.Add("")
+	f.Fuzz(func(t *testing.T, text string) {
+		var fp quarantine.Fingerprint
+		if err := fp.UnmarshalText([]byte(text)); err == nil && len(fp.String()) != len(text) {
+			t.Errorf("decoded %q to %q", text, fp)
+		}
+	})
+}
