openloop, bench: open-loop load with a side-by-side mode

Change: openloop.Load sends by a schedule and counts latency from it. bench.Bench runs one or two loopback targets over several seeds and reports percentiles and their ratio with its spread; shallotpier bench lookup and bench request are its commands.

--- a/internal/cli/app.go
+++ b/internal/cli/app.go
@@ -115,6 +115,7 @@
 		a.drainCommand(),
 		a.undrainCommand(),
 		a.quarantineCommand(),
+		a.benchCommand(),
 	}
 }
 
