entry, backend: tests of cut and silent connections and of hostile requests

Cause: "ran: no" must be proved, "unknown" must not be said where "no" could be, and a caller must not reach past its class or set internal headers.

Change: a test cuts the connection at every byte of request and answer, by end, reset and silence, and holds the code against the stand-in's record. Others silence open connections under reads, send 22 shapes of unclean requests, and stream an upload. A caller that names a later configuration version than the entry has is refused with notReady. Internal headers written with underscores are dropped too.

--- a/internal/backend/client_test.go
+++ b/internal/backend/client_test.go
@@ -5,9 +5,11 @@
 	"errors"
 	"fmt"
 	"io"
+	"log"
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
+	"os"
 	"strings"
 	"sync"
 	"testing"
@@ -56,6 +58,8 @@
 // on whole but belongs to another request, and for a cut one that looks whole.
 func TestSpoiledAnswersOverInterleavedRequests(t *testing.T) {
 	is := is.New(t)
+	log.SetOutput(io.Discard) // net/http reports what is spoiled
+	t.Cleanup(func() { log.SetOutput(os.Stderr) })
 	var mu sync.Mutex
 	rng := rand.New(rand.NewPCG(1, 2))
 	kinds := map[string]standin.Answer{}
--- /dev/null
+++ b/internal/backend/ran_test.go
@@ -0,0 +1,257 @@
+package backend_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/shallotpier/shallotpier/internal/backend"
+	standin "github.com/shallotpier/shallotpier/internal/standin/backend"
+	"github.com/shallotpier/shallotpier/internal/standin/pipe"
+	"github.com/shallotpier/shallotpier/pkg/result"
+	"github.com/shallotpier/shallotpier/pkg/service"
+)
+
+// Ways to cut a connection.
+const (
+	whole cutting = iota
+	ended
+	reset
+	silent
+)
+
+type (
+	cutting int
+
+	// cut says after how many bytes, of those written or those read, a
+	// connection is cut.
+	cut struct {
+		how           cutting
+		written, read int
+	}
+
+	cutConn struct {
+		net.Conn
+		mu            sync.Mutex
+		cut           cut
+		written, read int
+		closed        chan struct{}
+		once          sync.Once
+	}
+
+	// exchange is one request with what came of it.
+	exchange struct {
+		code          result.Code
+		begun, ran    int
+		written, read int
+	}
+)
+
+func (c *cutConn) Write(p []byte) (int, error) {
+	c.mu.Lock()
+	left := len(p)
+	if c.cut.how != whole && c.cut.read < 0 {
+		left = min(left, c.cut.written-c.written)
+	}
+	c.mu.Unlock()
+	n, err := 0, error(nil)
+	if left > 0 {
+		n, err = c.Conn.Write(p[:left])
+	}
+	c.mu.Lock()
+	c.written += n
+	c.mu.Unlock()
+	if err == nil && left < len(p) {
+		err = c.stop()
+	}
+	return n, err
+}
+
+func (c *cutConn) Read(p []byte) (int, error) {
+	c.mu.Lock()
+	done := c.cut.how != whole && c.cut.read > 0 && c.read >= c.cut.read
+	c.mu.Unlock()
+	if done {
+		return 0, c.stop()
+	}
+	n, err := c.Conn.Read(p)
+	c.mu.Lock()
+	limited := c.cut.how != whole && c.cut.read >= 0
+	if limited {
+		n = min(n, c.cut.read-c.read)
+	}
+	c.read += n
+	c.mu.Unlock()
+	if limited && n == 0 {
+		return 0, c.stop()
+	}
+	return n, err
+}
+
+func (c *cutConn) Close() error {
+	c.once.Do(func() { close(c.closed) })
+	return c.Conn.Close()
+}
+
+func (c *cutConn) stop() error {
+	switch c.cut.how {
+	case silent:
+		<-c.closed
+		return net.ErrClosed
+	case reset:
+		c.Conn.Close()
+		return syscall.ECONNRESET
+	default:
+		c.Conn.Close()
+		return io.EOF
+	}
+}
+
+// try sends one request over a connection that is cut. On a kept connection
+// the cut is counted from the end of an earlier exchange.
+func try(t *testing.T, form string, shed, kept bool, how cut) (got exchange) {
+	synctest.Test(t, func(t *testing.T) {
+		var n pipe.Network
+		addr := netip.MustParseAddrPort("10.0.0.1:80")
+		srv := &standin.Server{Name: "one"}
+		l, err := n.Listen(addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		srv.Serve(l)
+		var last *cutConn
+		c := &backend.Client{Dial: func(ctx context.Context, addr netip.AddrPort) (net.Conn, error) {
+			raw, err := n.Dial(ctx, addr)
+			if err != nil {
+				return nil, err
+			}
+			last = &cutConn{Conn: raw, cut: how, closed: make(chan struct{})}
+			if kept {
+				last.cut = cut{}
+			}
+			return last, nil
+		}}
+		target := &service.Server{Address: addr, Slots: 1, Connections: 4}
+		if kept {
+			// The first exchange shows that ids are repeated, the second is kept.
+			exchangeOnce(t, c, target, "GET", "r0")
+			exchangeOnce(t, c, target, "GET", "r0")
+			synctest.Wait()
+			last.mu.Lock()
+			last.cut, last.written, last.read = how, 0, 0
+			last.mu.Unlock()
+		}
+		srv.SetFaults(standin.Faults{Shed: shed})
+		got.code = exchangeOnce(t, c, target, form, "r1")
+		synctest.Wait()
+		rec := srv.Record()
+		got.begun, got.ran = rec.Begun["r1"], rec.Ran["r1"]
+		got.written, got.read = last.written, last.read
+		c.CloseIdle()
+		srv.Close()
+		time.Sleep(time.Hour)
+	})
+	return got
+}
+
+func exchangeOnce(t *testing.T, c *backend.Client, target *service.Server, form, id string) result.Code {
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	var req *http.Request
+	switch form {
+	case "GET":
+		req = request("GET", "/a", id, "")
+	case "POST":
+		req = request("POST", "/a", id, "body")
+	default:
+		req = request("POST", "/a", id, "")
+		req.Body, req.ContentLength = io.NopCloser(strings.NewReader("chunks")), -1
+		req.Trailer = http.Header{"X-Sum": {"1"}}
+	}
+	ans, err := c.Send(ctx, &backend.Request{Server: target, HTTP: req, ID: "s-" + id})
+	if err == nil {
+		_, err = io.ReadAll(ans.Body)
+		ans.Close()
+	}
+	if err == nil {
+		return result.Served
+	}
+	return codeOf(err)
+}
+
+// TestCutAtEveryByte cuts the connection at every byte position of request and
+// answer, in each way, and holds what is said against the server's record.
+func TestCutAtEveryByte(t *testing.T) {
+	tests := map[string]struct {
+		form       string
+		shed, kept bool
+	}{
+		"read":                      {form: "GET"},
+		"read on a kept connection": {form: "GET", kept: true},
+		"write":                     {form: "POST"},
+		"write that is shed":        {form: "POST", shed: true},
+		"chunked upload":            {form: "chunked"},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			all := try(t, tt.form, tt.shed, tt.kept, cut{})
+			final := all.code
+			is.True(final == result.Served || tt.shed && final == result.ShedByServer)
+			if tt.kept {
+				// The exchange before had the same size.
+				is.True(all.written > 0 && all.read > 0)
+			}
+			for _, how := range []cutting{ended, reset, silent} {
+				for k := range all.written {
+					got := try(t, tt.form, tt.shed, tt.kept, cut{how: how, written: k, read: -1})
+					judge(t, got, "request", how, k)
+					want := result.Unknown
+					if k == 0 {
+						want = result.No
+					}
+					if k == 0 && tt.kept && how != silent {
+						want = result.Yes // over a fresh connection
+					}
+					if got.code.Ran() != want {
+						t.Errorf("request cut (%d) at %d of %d: code %d", how, k, all.written, got.code)
+					}
+				}
+				for k := range all.read {
+					got := try(t, tt.form, tt.shed, tt.kept, cut{how: how, read: k})
+					judge(t, got, "answer", how, k)
+					if got.code.Ran() == result.Yes {
+						t.Errorf("answer cut (%d) at %d of %d looks whole", how, k, all.read)
+					}
+				}
+			}
+		})
+	}
+}
+
+// judge looks for an answer that the record proves false.
+func judge(t *testing.T, got exchange, part string, how cutting, at int) {
+	t.Helper()
+	ran := got.code.Ran()
+	if ran == result.No && got.ran > 0 || ran == result.Yes && got.ran != 1 {
+		t.Errorf("%s cut (%d) at %d: code %d, but it ran %d times", part, how, at, got.code, got.ran)
+	}
+}
+
+func TestNoConnection(t *testing.T) {
+	is := is.New(t)
+	c := &backend.Client{Dial: func(context.Context, netip.AddrPort) (net.Conn, error) { return nil, syscall.ECONNREFUSED }}
+	code := exchangeOnce(t, c, &service.Server{Address: netip.MustParseAddrPort("10.0.0.1:80")}, "POST", "r1")
+	is.Equal(code, result.ConnectFailed)
+}
--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -6,7 +6,6 @@
 	"io"
 	"net/http"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/shallotpier/shallotpier/internal/backend"
@@ -93,7 +92,7 @@
 		h.Set("Content-Length", v)
 	}
 	for k := range trailer {
-		if !strings.HasPrefix(k, internalStart) {
+		if !isInternal(k) {
 			h.Add("Trailer", k)
 		}
 	}
@@ -150,7 +149,7 @@
 
 func (c *call) trail(trailer http.Header) {
 	for k, vs := range trailer {
-		if !strings.HasPrefix(k, internalStart) {
+		if !isInternal(k) {
 			c.w.Header()[k] = vs
 		}
 	}
--- a/internal/entry/body.go
+++ b/internal/entry/body.go
@@ -4,7 +4,6 @@
 	"errors"
 	"io"
 	"net/http"
-	"strings"
 	"sync/atomic"
 	"time"
 )
@@ -71,7 +70,7 @@
 
 func dropInternal(h http.Header) {
 	for k := range h {
-		if strings.HasPrefix(k, internalStart) {
+		if isInternal(k) {
 			delete(h, k)
 		}
 	}
--- a/internal/entry/check.go
+++ b/internal/entry/check.go
@@ -13,7 +13,7 @@
 	maxRequestID  = 64
 	maxPath       = 8 << 10
 	maxKey        = 256
-	internalStart = "Shallotpier-"
+	internalStart = "shallotpier-"
 )
 
 // checkRequest tells whether a request is one that may be looked at further.
@@ -52,6 +52,13 @@
 	return true
 }
 
+// behind tells whether a caller has seen a later configuration than the entry
+// has. Callers say which one they saw.
+func behind(r *http.Request, t *Table) bool {
+	seen, err := strconv.ParseUint(r.Header.Get(result.HeaderVersion), 10, 64)
+	return err == nil && seen > uint64(t.Version)
+}
+
 // requestID returns a caller's request id if it is fit for headers and logs,
 // and nothing otherwise.
 func requestID(s string) string {
@@ -86,12 +93,18 @@
 func passOn(dst, src http.Header) {
 	drop := hopByHop(src)
 	for k, vs := range src {
-		if !drop[k] && !strings.HasPrefix(k, internalStart) {
+		if !drop[k] && !isInternal(k) {
 			dst[k] = append([]string(nil), vs...)
 		}
 	}
 }
 
+// isInternal tells whether a header is the system's own, or would be read as
+// one by a server that takes underscores for hyphens.
+func isInternal(k string) bool {
+	return len(k) >= len(internalStart) && strings.ReplaceAll(strings.ToLower(k[:len(internalStart)]), "_", "-") == internalStart
+}
+
 func hopByHop(h http.Header) map[string]bool {
 	drop := map[string]bool{
 		"Connection": true, "Keep-Alive": true, "Proxy-Authenticate": true, "Proxy-Authorization": true,
--- /dev/null
+++ b/internal/entry/fault_test.go
@@ -0,0 +1,141 @@
+package entry_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	standin "github.com/shallotpier/shallotpier/internal/standin/backend"
+	"github.com/shallotpier/shallotpier/pkg/result"
+)
+
+// TestReadsOnSilentConnections silences some of the open connections of every
+// backend server while reads go on.
+func TestReadsOnSilentConnections(t *testing.T) {
+	for _, nth := range []int{1, 2} {
+		t.Run(fmt.Sprint("one in ", nth), func(t *testing.T) {
+			is := is.New(t)
+			w := newWorld(t, 2, 1)
+			read := func(n int) {
+				var wg sync.WaitGroup
+				for i := range n {
+					wg.Go(func() {
+						id := fmt.Sprint("r", i)
+						got := w.do(w.entries[0], "GET", "/s/registry/a", "", result.HeaderRequestID, id, result.HeaderDeadline, "2000")
+						if got.code != result.Served || !strings.HasPrefix(got.body, id+" ") {
+							t.Errorf("%s: code %d, body %q", id, got.code, got.body)
+						}
+					})
+				}
+				wg.Wait()
+			}
+			read(1) // shows that ids are repeated
+			read(12)
+			for _, s := range w.servers {
+				s.Silence(nth)
+			}
+			read(12)
+			got := w.do(w.entries[0], "POST", "/s/registry/a", "x") // a connection of its own
+			is.Equal(got.code, result.Served)
+		})
+	}
+}
+
+func TestCancellationReachesTheServer(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 1, 1)
+	running := make(chan struct{}, 1)
+	w.faults(standin.Faults{Slower: time.Hour, Crash: func(*http.Request) bool { running <- struct{}{}; return false }})
+	ctx, cancel := context.WithCancel(t.Context())
+	req, err := http.NewRequestWithContext(ctx, "POST", w.entries[0].http.URL+"/s/registry/a", strings.NewReader("x"))
+	is.NoErr(err)
+	go func() {
+		<-running
+		cancel()
+	}()
+	_, err = (&http.Transport{}).RoundTrip(req)
+	is.True(err != nil)
+	for w.servers[0].Load().Running > 0 {
+		time.Sleep(time.Millisecond)
+	}
+	w.entries[0].http.Close()
+	is.Equal(len(w.outcomes), 1)
+	is.Equal(w.outcomes[0].Code, result.CallerGone)
+	is.True(!w.outcomes[0].Running.IsZero()) // the slot outlives the request
+}
+
+// TestRequestShapes sends what is no clean request. None may reach a backend
+// server as more than one request, or past the class that was matched.
+func TestRequestShapes(t *testing.T) {
+	const get = "GET /s/registry/a HTTP/1.1\r\nHost: x\r\n"
+	const post = "POST /s/registry/a HTTP/1.1\r\nHost: x\r\n"
+	const smuggled = "GET /s/registry/smuggled HTTP/1.1\r\nHost: x\r\n\r\n"
+	tests := map[string]struct {
+		give  string
+		reach int
+	}{
+		"two lengths":          {give: post + "Content-Length: 1\r\nContent-Length: 2\r\n\r\nab"},
+		"length and chunks":    {give: post + "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", reach: 1},
+		"signed length":        {give: post + "Content-Length: +1\r\n\r\na"},
+		"odd coding":           {give: post + "Transfer-Encoding: xchunked\r\n\r\n0\r\n\r\n"},
+		"two codings":          {give: post + "Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n"},
+		"bad chunk size":       {give: post + "Transfer-Encoding: chunked\r\n\r\n0x1\r\na\r\n0\r\n\r\n"},
+		"space in a name":      {give: get + "Content-Length : 1\r\n\r\na"},
+		"space before a name":  {give: get + " X: 1\r\n\r\n"},
+		"bare CR in a value":   {give: get + "X: a\rb\r\n\r\n"},
+		"NUL in a value":       {give: get + "X: a\x00b\r\n\r\n"},
+		"no host":              {give: "GET /s/registry/a HTTP/1.1\r\n\r\n"},
+		"two hosts":            {give: get + "Host: y\r\n\r\n"},
+		"HTTP/1.0":             {give: "GET /s/registry/a HTTP/1.0\r\n\r\n"},
+		"HTTP/0.9":             {give: "GET /s/registry/a\r\n\r\n"},
+		"connect":              {give: "CONNECT /s/registry/a HTTP/1.1\r\nHost: x\r\n\r\n"},
+		"trace":                {give: "TRACE /s/registry/a HTTP/1.1\r\nHost: x\r\n\r\n"},
+		"absolute form":        {give: "GET http://other/s/registry/a HTTP/1.1\r\nHost: x\r\n\r\n", reach: 1},
+		"two tickets":          {give: post + "Shallotpier-Ticket: a\r\nShallotpier-Ticket: b\r\nContent-Length: 0\r\n\r\n"},
+		"oversized header":     {give: get + "X: " + strings.Repeat("x", 2<<20) + "\r\n\r\n"},
+		"endless header":       {give: get + strings.Repeat("X: a\r\n", 400_000)},
+		"body past its length": {give: post + "Content-Length: 1\r\n\r\nab" + smuggled, reach: 1},
+		"chunked in upgrade":   {give: get + "Connection: Upgrade\r\nUpgrade: h2c\r\n\r\n", reach: 1},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			w := newWorld(t, 1, 1)
+			var mu sync.Mutex
+			var paths []string
+			w.faults(standin.Faults{Spoil: func(r *http.Request) standin.Answer {
+				mu.Lock()
+				defer mu.Unlock()
+				paths = append(paths, r.URL.Path)
+				return standin.Whole
+			}})
+			c, err := net.Dial("tcp", w.entries[0].addr().String())
+			is.NoErr(err)
+			defer c.Close()
+			go func() { _, _ = io.WriteString(c, tt.give) }()
+			resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+			if err == nil {
+				resp.Body.Close()
+				is.Equal(resp.StatusCode < 300, tt.reach > 0)
+			}
+			c.Close()
+			w.entries[0].http.Close()
+			mu.Lock()
+			defer mu.Unlock()
+			is.True(len(paths) <= tt.reach)
+			for _, p := range paths {
+				is.Equal(p, "/a")
+			}
+			is.True(!strings.Contains(w.log.String(), "\n\n"))
+		})
+	}
+}
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -119,19 +119,17 @@
 		c.id = h.sendID()
 	}
 	path := r.URL.Path
+	c.table = h.Table()
 	switch {
 	case !checkRequest(r):
 		c.refuse(result.BadRequest, 0)
-	case h.Table() == nil:
+	case c.table == nil, behind(r, c.table):
 		c.refuse(result.NotReady, time.Second)
 	case strings.HasPrefix(path, ServicePath):
-		c.table = h.Table()
 		c.request(path[len(ServicePath):])
 	case strings.HasPrefix(path, LookupPath) && r.Method == http.MethodGet:
-		c.table = h.Table()
 		c.lookup(path[len(LookupPath):])
 	case strings.HasPrefix(path, TicketPath) && r.Method == http.MethodPost:
-		c.table = h.Table()
 		c.ticket(path[len(TicketPath):])
 	default:
 		c.refuse(result.NoService, 0)
--- /dev/null
+++ b/internal/entry/stream_test.go
@@ -0,0 +1,123 @@
+package entry_test
+
+import (
+	"io"
+	"net/http"
+	"runtime"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	standin "github.com/shallotpier/shallotpier/internal/standin/backend"
+	"github.com/shallotpier/shallotpier/pkg/result"
+)
+
+// TestUploadIsStreamed lets the backend server see a request whose caller has
+// not sent it whole.
+func TestUploadIsStreamed(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 1, 1)
+	begun := make(chan struct{})
+	w.faults(standin.Faults{Crash: func(*http.Request) bool { close(begun); return false }})
+	body, feed := io.Pipe()
+	go func() {
+		_, _ = io.WriteString(feed, "first")
+		<-begun
+		_, _ = io.WriteString(feed, "last")
+		feed.Close()
+	}()
+	req, err := http.NewRequest("PUT", w.entries[0].http.URL+"/s/registry/bundle", body)
+	is.NoErr(err)
+	req.Header.Set(result.HeaderRequestID, "r1")
+	resp, err := (&http.Transport{}).RoundTrip(req)
+	is.NoErr(err)
+	defer resp.Body.Close()
+	got, err := io.ReadAll(resp.Body)
+	is.NoErr(err)
+	is.Equal(string(got), "r1 server-1 9\n")
+}
+
+func TestUnannouncedBodyOverItsLimit(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 1, 1)
+	req, err := http.NewRequest("POST", w.entries[0].http.URL+"/s/registry/a", io.LimitReader(zeros{}, 1<<20))
+	is.NoErr(err)
+	req.ContentLength = -1
+	req.Header.Set(result.HeaderRequestID, "r1")
+	resp, err := (&http.Transport{}).RoundTrip(req)
+	is.NoErr(err)
+	defer resp.Body.Close()
+	is.Equal(resp.Header.Get(result.HeaderCode), result.BodyOverLimit.String())
+	is.Equal(w.ran("r1"), 0)
+}
+
+type zeros struct{}
+
+func (zeros) Read(p []byte) (int, error) {
+	clear(p)
+	return len(p), nil
+}
+
+// BenchmarkUpload carries 1 GiB through an entry. Caller, entry and backend
+// server share the process, so that heapMiB is an upper bound of what the
+// upload adds to the entry.
+func BenchmarkUpload(b *testing.B) {
+	const size = 1 << 30
+	w := newWorld(&testing.T{}, 1, 1)
+	b.SetBytes(size)
+	var peak uint64
+	for b.Loop() {
+		before := heap(true)
+		var stop atomic.Bool
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			for !stop.Load() {
+				peak = max(peak, heap(false)-min(before, heap(false)))
+				time.Sleep(5 * time.Millisecond)
+			}
+		}()
+		req, _ := http.NewRequest("PUT", w.entries[0].http.URL+"/s/registry/bundle", io.LimitReader(zeros{}, size))
+		req.ContentLength = size
+		resp, err := (&http.Transport{DisableKeepAlives: true}).RoundTrip(req)
+		if err != nil {
+			b.Fatal(err)
+		}
+		if resp.Header.Get(result.HeaderCode) != result.Served.String() {
+			b.Fatal(resp.Header)
+		}
+		resp.Body.Close()
+		stop.Store(true)
+		<-done
+	}
+	b.ReportMetric(float64(peak)/(1<<20), "heapMiB")
+}
+
+// BenchmarkRead carries small reads.
+func BenchmarkRead(b *testing.B) {
+	w := newWorld(&testing.T{}, 1, 1)
+	client := &http.Transport{MaxIdleConnsPerHost: 100}
+	b.ReportAllocs()
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			req, _ := http.NewRequest("GET", w.entries[0].http.URL+"/s/registry/a", nil)
+			resp, err := client.RoundTrip(req)
+			if err != nil {
+				b.Fatal(err)
+			}
+			_, _ = io.Copy(io.Discard, resp.Body)
+			resp.Body.Close()
+		}
+	})
+}
+
+func heap(collect bool) uint64 {
+	if collect {
+		runtime.GC()
+	}
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
