share: divide a whole among the entries

Cause: the cap on a shift and the links' budgets are both divided among the entries, half evenly and half by demand.

Change: the plan moves from shift to its own package and hands out fractions instead of rates, so that a new cap or a new link measurement takes effect at each entry without new grants.

Conclusion: one place grants shares.

--- a/internal/shift/plan.go
+++ b/internal/share/plan.go
@@ -1,4 +1,4 @@
-package shift
+package share
 
 import (
 	"math"
@@ -6,7 +6,6 @@
 
 	"github.com/shallotpier/shallotpier/internal/measured"
 	"github.com/shallotpier/shallotpier/pkg/id"
-	"github.com/shallotpier/shallotpier/pkg/unit"
 )
 
 const (
@@ -17,11 +16,11 @@
 	grantMargin = time.Second
 	// demandAge is the greatest age of a stated demand that is counted.
 	demandAge = 15 * time.Second
-	// floorPart is the part of the rise that is split evenly among the
+	// floorPart is the part of the whole that is split evenly among the
 	// configured entries and never moved.
 	floorPart = 0.5
-	// maxDemand bounds what one entry may claim, in requests a second.
-	maxDemand = 1e6
+	// maxDemand bounds what one entry may claim.
+	maxDemand = 1e12
 )
 
 type (
@@ -40,51 +39,48 @@
 		// Number rises with each ask of the process. The entry accepts only
 		// the answer to its latest ask.
 		Number uint64 `json:"number"`
-		// Held is the share in force at the entry, in requests a second.
-		Held unit.Rate `json:"held"`
-		// Demand is the rate of requests that the cap lately held back.
-		Demand unit.Rate `json:"demand"`
+		// Held is the share in force at the entry, 0 to 1.
+		Held float64 `json:"held"`
+		// Demand is what the entry lately lacked: a rate, in a unit that is
+		// the same for all entries.
+		Demand float64 `json:"demand"`
 	}
 
 	// Grant answers an Ask.
 	Grant struct {
 		// Number is the ask's.
 		Number uint64 `json:"number"`
-		// Share is the entry's new share in requests a second. It falls back
-		// to the floor GrantTime after the ask was sent.
-		Share unit.Rate `json:"share"`
+		// Share is the entry's new share, 0 to 1. It falls back to the floor
+		// GrantTime after the ask was sent.
+		Share float64 `json:"share"`
 	}
 
-	// Plan divides the rise toward one region among the entries. Its owner
-	// must be the only one; a new owner makes a new Plan.
+	// Plan divides one whole among the entries. Its owner must be the only
+	// one; a new owner makes a new Plan.
 	Plan struct {
-		rise    unit.Rate
-		floor   unit.Rate
+		floor   float64
 		start   time.Time
 		holders map[Holder]*holding
 	}
 
 	holding struct {
 		number uint64
-		bound  unit.Rate
+		bound  float64
 		until  time.Time
-		demand measured.Value[unit.Rate]
+		demand measured.Value[float64]
 	}
 )
 
-// NewPlan returns a plan for a rise among a number of configured entries. It
-// raises no share before the grants of an earlier plan have run out.
-func NewPlan(rise unit.Rate, entries int, now time.Time) *Plan {
-	rise = valid(rise)
-	return &Plan{rise: rise, floor: Floor(rise, entries), start: now, holders: make(map[Holder]*holding)}
+// NewPlan returns a plan among a number of configured entries. It raises no
+// share before the grants of an earlier plan have run out.
+func NewPlan(entries int, now time.Time) *Plan {
+	return &Plan{floor: Floor(entries), start: now, holders: make(map[Holder]*holding)}
 }
 
 // Floor returns the share that each of a number of configured entries has
 // without being granted any. It is the instance's: a new process on it may
 // hold it only when the earlier process has ended.
-func Floor(rise unit.Rate, entries int) unit.Rate {
-	return valid(rise) * floorPart / unit.Rate(max(entries, 1))
-}
+func Floor(entries int) float64 { return floorPart / float64(max(entries, 1)) }
 
 // Answer returns the share for an entry; ok is false for an ask that came
 // after a later one of the same process, or that states an impossible share.
@@ -112,14 +108,14 @@
 }
 
 // Bound returns the greatest sum of shares that entries may hold at now.
-func (p *Plan) Bound(now time.Time) unit.Rate {
+func (p *Plan) Bound(now time.Time) float64 {
 	p.expire(now)
-	return p.rise - p.room(Holder{})
+	return 1 - p.room(Holder{})
 }
 
 // target returns the holder's floor and its part of what is moved by demand.
-func (p *Plan) target(now time.Time, h *holding) unit.Rate {
-	mine, all := unit.Rate(0), unit.Rate(0)
+func (p *Plan) target(now time.Time, h *holding) float64 {
+	mine, all := 0.0, 0.0
 	for _, other := range p.holders {
 		d, _ := other.demand.Read(now, demandAge)
 		all += d
@@ -130,13 +126,13 @@
 	if all == 0 {
 		return p.floor
 	}
-	return p.floor + p.rise*(1-floorPart)*mine/all
+	return p.floor + (1-floorPart)*mine/all
 }
 
 // room returns what no other holder may hold. Floors of entries that never
 // asked are theirs.
-func (p *Plan) room(except Holder) unit.Rate {
-	moved := p.rise * (1 - floorPart)
+func (p *Plan) room(except Holder) float64 {
+	moved := 1 - floorPart
 	for who, h := range p.holders {
 		if who != except {
 			moved -= max(h.bound-p.floor, 0)
@@ -156,7 +152,7 @@
 	}
 }
 
-func demand(r unit.Rate) unit.Rate {
+func demand(r float64) float64 {
 	if !(r > 0) || math.IsInf(float64(r), 0) || r > maxDemand {
 		return 0
 	}
--- a/internal/shift/doc.go
+++ b/internal/shift/doc.go
@@ -19,23 +19,19 @@
 // A share counts for the windows that start while it is in force. A lower
 // share counts at once; a higher one from the next bucket of the window on.
 //
-// [Plan] moves part of the shares to where requests are held back. An entry
-// asks for its share; an ask states what the entry holds and voids the answers
-// to all earlier asks, so that the plan always knows an upper bound of what
-// each entry holds. An entry that hears nothing keeps the smaller of its old
-// and new share by keeping the old one, which the plan counts until the grant
-// has run out; after that it has its floor, which is nobody else's.
+// Shares come from [github.com/shallotpier/shallotpier/internal/share]: each
+// entry has a floor, and grants that run out at the entry move the rest to
+// where requests are held back.
 //
 // # Usage
 //
-//	gate := shift.NewGate(time.Minute, shift.Floor(rise, entries), now, reservedSince)
+//	rise := file.ShiftCap.Rise
+//	floor := unit.Rate(share.Floor(entries)) * rise
+//	gate := shift.NewGate(file.ShiftCap.Window.Std(), floor, now, reservedSince)
 //	if ok, retryAfter := gate.Admit(now); !ok {
 //		return refused(result.ShiftCapped, retryAfter)
 //	}
 //
-//	// where the region's shares are kept
-//	grant, ok := plan.Answer(now, ask)
-//
-//	// at the entry, when the answer to its latest ask comes in
-//	gate.Grant(now, grant.Share, askSent.Add(shift.GrantTime))
+//	// when the answer to the entry's latest ask comes in
+//	gate.Grant(now, unit.Rate(grant.Share)*rise, askSent.Add(share.GrantTime))
 package shift
