health, retry: join the word on a backend server, and bound resends

Cause: probes and load reports lag or mislead, and resends must not multiply the load on failing servers.

Change: an opinion for each server, in which the worse word wins and a server comes back by trial; a rule for when a resend is safe and in time, and a budget as a share of the first sends.

--- /dev/null
+++ b/internal/health/opinion_test.go
@@ -0,0 +1,180 @@
+package health_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/shallotpier/shallotpier/internal/health"
+	"github.com/shallotpier/shallotpier/internal/measured"
+	"github.com/shallotpier/shallotpier/pkg/result"
+)
+
+var (
+	start    = time.Date(2026, 12, 3, 22, 0, 0, 0, time.UTC)
+	noProbe  measured.Value[bool]
+	noReport measured.Value[health.Report]
+)
+
+func TestMaySendInputs(t *testing.T) {
+	const stale, future = -time.Minute, time.Minute
+	good := health.Report{Slots: 6, Running: 2}
+	refusing := health.Report{Slots: 6, Running: 2, Refuses: true}
+	probe := func(ok bool, d time.Duration) measured.Value[bool] { return measured.At(ok, start.Add(d)) }
+	report := func(r health.Report, d time.Duration) measured.Value[health.Report] {
+		return measured.At(r, start.Add(d))
+	}
+	tests := map[string]struct {
+		answered time.Duration // before start; 0 means never
+		probe    measured.Value[bool]
+		report   measured.Value[health.Report]
+		want     health.Verdict
+	}{
+		"nothing known":                      {0, noProbe, noReport, health.Trial},
+		"answer alone":                       {time.Second, noProbe, noReport, health.Yes},
+		"old answer alone":                   {time.Minute, noProbe, noReport, health.Trial},
+		"good probe alone":                   {0, probe(true, 0), noReport, health.Yes},
+		"failed probe alone":                 {0, probe(false, 0), noReport, health.Trial},
+		"failed probe newer than the answer": {time.Second, probe(false, 0), noReport, health.Trial},
+		"failed probe older than the answer": {time.Second, probe(false, -2*time.Second), noReport, health.Yes},
+		"stale good probe":                   {0, probe(true, stale), noReport, health.Trial},
+		"stale failed probe":                 {time.Second, probe(false, stale), noReport, health.Yes},
+		"good probe from the future":         {0, probe(true, future), noReport, health.Trial},
+		"failed probe from the future":       {time.Second, probe(false, future), noReport, health.Yes},
+		"report alone":                       {0, noProbe, report(good, 0), health.Yes},
+		"report refuses":                     {time.Second, probe(true, 0), report(refusing, 0), health.No},
+		"stale report refuses":               {time.Second, noProbe, report(refusing, stale), health.Yes},
+		"future report refuses":              {time.Second, noProbe, report(refusing, future), health.Yes},
+		"stale report alone":                 {0, noProbe, report(good, stale), health.Trial},
+		"negative report alone":              {0, noProbe, report(health.Report{Slots: 6, Running: -1}, 0), health.Trial},
+		"absurd report alone":                {0, noProbe, report(health.Report{Slots: 6, Running: 1 << 40}, 0), health.Trial},
+		"absurd report refuses":              {time.Second, noProbe, report(health.Report{Slots: -6, Refuses: true}, 0), health.Yes},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var o health.Opinion
+			if tt.answered > 0 {
+				o.Observe(start.Add(-tt.answered), health.Answered)
+			}
+			got, _ := o.MaySend(start, tt.probe, tt.report)
+			is.Equal(got, tt.want)
+		})
+	}
+}
+
+func TestEvents(t *testing.T) {
+	tests := map[string]struct {
+		events []health.Event
+		want   health.Verdict
+	}{
+		"one failure":                 {[]health.Event{health.ConnectFailed}, health.Yes},
+		"two failures":                {[]health.Event{health.ConnectFailed, health.Cut}, health.No},
+		"failures around an answer":   {[]health.Event{health.Cut, health.Answered, health.Cut}, health.Yes},
+		"shed":                        {[]health.Event{health.Shed}, health.No},
+		"shed and then an answer":     {[]health.Event{health.Shed, health.Answered}, health.No}, // of an earlier request
+		"silent":                      {[]health.Event{health.Silent}, health.Trial},
+		"silent, then answered":       {[]health.Event{health.Silent, health.Answered}, health.Yes},
+		"caller gone":                 {[]health.Event{health.Nothing}, health.Yes},
+		"unknown event":               {[]health.Event{health.Event(99)}, health.Yes},
+		"two failures, late answer":   {[]health.Event{health.Cut, health.Cut, health.Answered}, health.No}, // the wait stays
+		"silence ends no older doubt": {[]health.Event{health.Silent, health.Nothing}, health.Trial},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var o health.Opinion
+			o.Observe(start, health.Answered)
+			now := start
+			for _, e := range tt.events {
+				now = now.Add(10 * time.Millisecond)
+				o.Observe(now, e)
+			}
+			got, _ := o.MaySend(now, noProbe, noReport)
+			is.Equal(got, tt.want)
+		})
+	}
+}
+
+// A server that is out gets one request at a time, further and further apart,
+// whatever its probe says, and everything after the first answer.
+func TestRecoveryByTrial(t *testing.T) {
+	is := is.New(t)
+	var o health.Opinion
+	now := start
+	o.Observe(now, health.ConnectFailed)
+	o.Observe(now, health.ConnectFailed)
+	for _, wait := range []time.Duration{1, 2, 4, 8, 16, 30, 30} {
+		v, retryAfter := o.MaySend(now, measured.At(true, now), noReport)
+		is.Equal(v, health.No)
+		is.Equal(retryAfter, wait*time.Second)
+		now = now.Add(retryAfter)
+		v, _ = o.MaySend(now, measured.At(true, now), noReport)
+		is.Equal(v, health.Trial)
+		o.BeginTrial(now)
+		v, _ = o.MaySend(now, measured.At(true, now), noReport)
+		is.Equal(v, health.No) // one at a time
+		o.Observe(now, health.Cut)
+	}
+	now = now.Add(time.Minute)
+	o.BeginTrial(now)
+	v, _ := o.MaySend(now.Add(time.Minute), noProbe, noReport)
+	is.Equal(v, health.Trial) // a trial without an outcome ends
+	o.Observe(now, health.Answered)
+	v, _ = o.MaySend(now, noProbe, noReport)
+	is.Equal(v, health.Yes)
+}
+
+func TestEventOfKnowsAllCodes(t *testing.T) {
+	is := is.New(t)
+	is.Equal(health.EventOf(result.ConnectFailed), health.ConnectFailed)
+	is.Equal(health.EventOf(result.ShedByServer), health.Shed)
+	is.Equal(health.EventOf(result.AnswerCut), health.Cut)
+	is.Equal(health.EventOf(result.ConnectionSilent), health.Silent)
+	is.Equal(health.EventOf(result.Served), health.Answered)
+	for _, code := range []result.Code{result.CallerGone, result.AnswerLate, result.DeadlinePassed, result.Quarantined, 0, -1} {
+		is.Equal(health.EventOf(code), health.Nothing)
+	}
+}
+
+// No history puts a server out for good.
+func TestAlwaysComesBack(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var o health.Opinion
+		now := start
+		for range rapid.IntRange(0, 200).Draw(t, "events") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 5000).Draw(t, "ms")) * time.Millisecond)
+			if rapid.IntRange(0, 5).Draw(t, "trial") == 0 {
+				o.BeginTrial(now)
+			}
+			o.Observe(now, health.Event(rapid.IntRange(0, 6).Draw(t, "event")))
+		}
+		now = now.Add(time.Minute)
+		if v, _ := o.MaySend(now, noProbe, noReport); v == health.No {
+			t.Fatal("out after a minute without events")
+		}
+	})
+}
+
+func BenchmarkMaySend(b *testing.B) {
+	var o health.Opinion
+	o.Observe(start, health.Answered)
+	probe := measured.At(true, start)
+	report := measured.At(health.Report{Slots: 6}, start)
+	b.ReportAllocs()
+	for b.Loop() {
+		o.MaySend(start, probe, report)
+	}
+}
+
+// A server on trial goes out again at its first failure.
+func TestFailedTrialPutsOut(t *testing.T) {
+	is := is.New(t)
+	var o health.Opinion // nothing known: trial
+	o.BeginTrial(start)
+	o.Observe(start, health.ConnectFailed)
+	v, _ := o.MaySend(start, measured.At(true, start), noReport)
+	is.Equal(v, health.No)
+}
--- /dev/null
+++ b/internal/retry/budget_test.go
@@ -0,0 +1,139 @@
+package retry_test
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/shallotpier/shallotpier/internal/measured"
+	"github.com/shallotpier/shallotpier/internal/retry"
+	"github.com/shallotpier/shallotpier/pkg/result"
+	"github.com/shallotpier/shallotpier/pkg/service"
+)
+
+var start = time.Date(2026, 12, 3, 22, 0, 0, 0, time.UTC)
+
+func TestAllowedInputs(t *testing.T) {
+	base := retry.Try{Kind: service.Read, Code: result.AnswerCut, Sends: 1, Attempts: 3, Deadline: start.Add(time.Second)}
+	latency := func(d, age time.Duration) func(*retry.Try) {
+		return func(t *retry.Try) { t.Latency = measured.At(d, start.Add(-age)) }
+	}
+	tests := map[string]struct {
+		change func(*retry.Try)
+		want   bool
+	}{
+		"read that was cut":       {func(*retry.Try) {}, true},
+		"write that was cut":      {func(t *retry.Try) { t.Kind = service.Write }, false},
+		"upload that was cut":     {func(t *retry.Try) { t.Kind = service.Upload }, false},
+		"once that was cut":       {func(t *retry.Try) { t.Kind = service.Once }, false},
+		"write not connected":     {func(t *retry.Try) { t.Kind, t.Code = service.Write, result.ConnectFailed }, true},
+		"once shed":               {func(t *retry.Try) { t.Kind, t.Code = service.Once, result.ShedByServer }, true},
+		"unknown kind, cut":       {func(t *retry.Try) { t.Kind = "" }, false},
+		"served":                  {func(t *retry.Try) { t.Code = result.Served }, false},
+		"quarantined":             {func(t *retry.Try) { t.Code = result.Quarantined }, false},
+		"late":                    {func(t *retry.Try) { t.Code = result.AnswerLate }, false},
+		"no such code":            {func(t *retry.Try) { t.Code = -1 }, false},
+		"last attempt":            {func(t *retry.Try) { t.Sends = 3 }, false},
+		"never sent":              {func(t *retry.Try) { t.Sends = 0 }, false},
+		"negative sends":          {func(t *retry.Try) { t.Sends = -1 }, false},
+		"negative attempts":       {func(t *retry.Try) { t.Attempts = -1 }, false},
+		"deadline passed":         {func(t *retry.Try) { t.Deadline = start }, false},
+		"no deadline":             {func(t *retry.Try) { t.Deadline = time.Time{} }, false},
+		"too little time":         {func(t *retry.Try) { t.Deadline = start.Add(90 * time.Millisecond) }, false},
+		"latency fits":            {latency(900*time.Millisecond, 0), true},
+		"latency doesn't fit":     {latency(time.Second, 0), false},
+		"latency stale":           {latency(time.Hour, 2*time.Minute), true},
+		"latency from the future": {latency(time.Hour, -time.Minute), true},
+		"latency negative":        {latency(-time.Hour, 0), true},
+		"latency absurd":          {latency(math.MaxInt64, 0), true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			try := base
+			tt.change(&try)
+			is.Equal(retry.Allowed(&try, start), tt.want)
+		})
+	}
+}
+
+func TestBudgetInputs(t *testing.T) {
+	tests := map[string]struct {
+		share float64
+		later time.Duration
+		want  int
+	}{
+		"a tenth":           {0.1, 0, 10},
+		"all":               {1, 0, 100},
+		"none":              {0, 0, 0},
+		"NaN":               {math.NaN(), 0, 0},
+		"negative":          {-1, 0, 0},
+		"over one":          {1.5, 0, 0},
+		"infinite":          {math.Inf(1), 0, 0},
+		"end of the window": {0.1, 9 * time.Second, 10},
+		"after the window":  {0.1, 11 * time.Second, 0},
+		"clock steps back":  {0.1, -time.Hour, 10},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var b retry.Budget
+			for range 100 {
+				b.First(start)
+			}
+			n := 0
+			for range 200 {
+				if b.Take(start.Add(tt.later), tt.share) {
+					n++
+				}
+			}
+			is.Equal(n, tt.want)
+		})
+	}
+}
+
+// Over any history the resends are at most the share of the first sends.
+func TestBudgetHoldsOverAnyHistory(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var b retry.Budget
+		share := rapid.Float64Range(0, 1).Draw(t, "share")
+		now, first, again := start, 0, 0
+		for range rapid.IntRange(0, 300).Draw(t, "events") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 1500).Draw(t, "ms")) * time.Millisecond)
+			if rapid.Bool().Draw(t, "first") {
+				b.First(now)
+				first++
+			} else if b.Take(now, share) {
+				again++
+			}
+			if float64(again) > share*float64(first)+1e-9 {
+				t.Fatalf("%d resends of %d first sends at share %v", again, first, share)
+			}
+		}
+	})
+}
+
+func BenchmarkBudget(b *testing.B) {
+	var budget retry.Budget
+	now := start
+	b.ReportAllocs()
+	for b.Loop() {
+		now = now.Add(time.Microsecond)
+		budget.First(now)
+		budget.Take(now, 0.1)
+	}
+}
+
+func TestBudgetForgetsAfterPause(t *testing.T) {
+	is := is.New(t)
+	var b retry.Budget
+	for s := range 10 {
+		for range 100 {
+			b.First(start.Add(time.Duration(s) * time.Second))
+		}
+	}
+	is.True(!b.Take(start.Add(30*time.Second), 1))
+}
