capacity: measures of the role that answers look-ups

Cause: look-ups are the largest load of the target and had no measure. Change: heap of the table, processor time of one decision and of one changed site, at five sizes from 6,250 to 100,000 blocks.

--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"slices"
 
 	"github.com/shallotpier/shallotpier/internal/slope"
 )
@@ -21,7 +22,7 @@
 
 // Measures returns the measures of all roles.
 func Measures() []Measure {
-	return spreading()
+	return slices.Concat(answering(), spreading())
 }
 
 // Measured runs one measure and fits its line.
