--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -37,6 +37,14 @@
 		Release(Outcome)
 	}
 
+	// Paced is a Permit whose request body must be sent at a limited rate.
+	Paced interface {
+		Permit
+		// Next returns how many of the wanted bytes may be sent now; if none,
+		// wait tells when to ask again.
+		Next(now time.Time, want int) (n int, wait time.Duration)
+	}
+
 	// Outcome is what a send showed of its backend server.
 	Outcome struct {
 		// Code is the result code of the send.
