entry: send a read a second time without giving the first up

Cause: a read whose connection stayed silent for a part of its deadline was given up and sent again. A server that was merely slow, within the deadline, was given up as well, so that the read failed and load grew when servers were slowest.

Change: after an equal part of the time left, a read goes to a second server within the retry budget, while the first send goes on; the first answer counts. The send that lost keeps its slot in use until the deadline, and the kept connections to its server are not used again. Within an answer that was begun, silence still ends the send. Crashes are spread while a retry runs, and before a failure is answered. The quarantine takes no lock while its list is empty.

Conclusion: silent and slow are no longer confused for reads; the price is a second send, which the budget bounds.

--- a/internal/backend/body.go
+++ b/internal/backend/body.go
@@ -5,17 +5,14 @@
 	"io"
 	"net/http"
 	"sync/atomic"
-	"time"
 )
 
 type (
 	// requestBody passes the caller's body on and keeps the error that it
 	// ended with. Without a source it is empty.
 	requestBody struct {
-		src     io.ReadCloser
-		conn    *atomic.Pointer[conn]
-		err     atomic.Pointer[error]
-		waiting atomic.Bool
+		src io.ReadCloser
+		err atomic.Pointer[error]
 	}
 
 	// answerBody turns the errors of an answer's body into SendErrors.
@@ -30,12 +27,7 @@
 	if b.src == nil {
 		return 0, io.EOF
 	}
-	b.waiting.Store(true)
 	n, err := b.src.Read(p)
-	if c := b.conn.Load(); c != nil {
-		c.moved.Store(time.Now().UnixNano())
-	}
-	b.waiting.Store(false)
 	if err != nil && !errors.Is(err, io.EOF) {
 		b.err.Store(&err)
 	}
--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -24,7 +24,7 @@
 const (
 	defaultConnect   = time.Second
 	defaultStall     = 30 * time.Second
-	defaultIdle      = 30 * time.Second
+	defaultIdle      = 4 * time.Second
 	continueTimeout  = time.Second
 	maxAnswerHeaders = 64 << 10
 	copyBuffer       = 16 << 10
@@ -41,7 +41,8 @@
 		Connect time.Duration
 		// Stall is how long a write may make no progress; 0 is 30 s.
 		Stall time.Duration
-		// Idle is how long an unused connection is kept; 0 is 30 s.
+		// Idle is how long an unused connection is kept; 0 is 4 s, less than
+		// servers usually keep one.
 		Idle time.Duration
 		// Entries is how many entries share each server's connections; 0 is 1.
 		Entries int
@@ -58,8 +59,8 @@
 		HTTP *http.Request
 		// ID tells this send from all others of all entries.
 		ID string
-		// Patience is how long the connection may stay silent while an answer
-		// is awaited; 0 is as long as the context lasts.
+		// Patience is how long the connection may stay silent in the middle of
+		// an answer; 0 is as long as the context lasts.
 		Patience time.Duration
 	}
 
@@ -174,6 +175,7 @@
 		Latency: time.Since(started), send: s, raw: resp.Body,
 	}
 	a.Body = &answerBody{answer: a, resp: resp}
+	s.answering(req.Patience)
 	return a, nil
 }
 
@@ -184,6 +186,9 @@
 	a.send.end()
 }
 
+// Distrust closes the kept connections to a server that no request is using.
+func (c *Client) Distrust(server *service.Server) { c.peer(server).kept.CloseIdleConnections() }
+
 // CloseIdle closes the connections that no request is using.
 func (c *Client) CloseIdle() {
 	c.servers.Range(func(_, v any) bool {
@@ -246,7 +251,7 @@
 }
 
 func (s *send) prepare(parent context.Context, req *Request) *http.Request {
-	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { s.attach(info.Conn, req.Patience) }}
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { s.attach(info.Conn) }}
 	out := req.HTTP.Clone(httptrace.WithClientTrace(s.ctx, trace))
 	out.Trailer = req.HTTP.Trailer
 	out.RequestURI = ""
@@ -259,7 +264,7 @@
 		out.Header.Set(result.HeaderDeadline, strconv.FormatInt(max(time.Until(deadline).Milliseconds(), 1), 10))
 	}
 	bare := req.HTTP.Body == nil || req.HTTP.Body == http.NoBody
-	s.body = &requestBody{conn: &s.conn}
+	s.body = &requestBody{}
 	switch m := req.HTTP.Method; {
 	case !bare:
 		s.body.src = req.HTTP.Body
@@ -275,19 +280,31 @@
 }
 
 // attach notes the connection that the request goes out on.
-func (s *send) attach(raw net.Conn, patience time.Duration) {
+func (s *send) attach(raw net.Conn) {
 	c, ok := raw.(*conn)
 	if !ok {
 		return
 	}
 	s.base = c.written.Load()
 	s.conn.Store(c)
-	c.begin(patience, &s.body.waiting)
+	c.begin(0)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.watch = time.AfterFunc(c.next(), func() { s.look(c) })
 }
 
+// answering judges the connection by patience from now on.
+func (s *send) answering(patience time.Duration) {
+	c := s.conn.Load()
+	if c == nil || patience == 0 {
+		return
+	}
+	c.begin(patience)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.watch.Reset(c.next())
+}
+
 // look ends the send if its connection has gone silent, and looks again later
 // otherwise.
 func (s *send) look(c *conn) {
--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -29,8 +29,6 @@
 	moved   atomic.Int64
 	waiting atomic.Bool
 	write   sync.Mutex
-	// caller tells whether the request's next bytes are the caller's to send.
-	caller atomic.Pointer[atomic.Bool]
 }
 
 // Write counts what the connection took.
@@ -54,9 +52,8 @@
 	return n, err
 }
 
-// begin starts the judgement for a new request.
-func (c *conn) begin(patience time.Duration, caller *atomic.Bool) {
-	c.caller.Store(caller)
+// begin starts the judgement anew; patience 0 judges by writes alone.
+func (c *conn) begin(patience time.Duration) {
 	c.patience.Store(int64(patience))
 	c.moved.Store(time.Now().UnixNano())
 }
@@ -85,7 +82,7 @@
 	}
 	if p := time.Duration(c.patience.Load()); p > 0 {
 		waited := time.Duration(0)
-		if caller := c.caller.Load(); c.waiting.Load() && !caller.Load() {
+		if c.waiting.Load() {
 			waited = now.Sub(time.Unix(0, c.moved.Load()))
 		}
 		left = min(left, p-waited)
--- a/internal/backend/doc.go
+++ b/internal/backend/doc.go
@@ -14,8 +14,10 @@
 // silent unnoticed can't make their outcome unknown.
 //
 // Silence is judged by bytes: a connection on which a write has not moved for
-// [Client.Stall], or an awaited answer for [Request.Patience], is ended. Time
-// in which the caller has sent nothing is not counted.
+// [Client.Stall], or an answer that was begun for [Request.Patience], is ended.
+// While nothing is to be written or read it is not judged, so that a slow
+// caller can't end it. The kernel ends connections whose bytes or probes are
+// not acknowledged.
 //
 // # Usage
 //
--- a/internal/entry/body.go
+++ b/internal/entry/body.go
@@ -18,7 +18,8 @@
 	control *http.ResponseController
 	left    int64
 	silence time.Duration
-	over    bool
+	over    atomic.Bool
+	closed  atomic.Bool
 	read    atomic.Int64
 }
 
@@ -32,11 +33,14 @@
 
 // Read reads from the caller.
 func (b *callerBody) Read(p []byte) (int, error) {
+	if b.closed.Load() {
+		return 0, io.ErrClosedPipe
+	}
 	_ = b.control.SetReadDeadline(time.Now().Add(b.silence))
 	n, err := b.src.Read(p)
 	b.read.Add(int64(n))
 	if b.left -= int64(n); b.left < 0 {
-		b.over = true
+		b.over.Store(true)
 		return 0, errOverLimit
 	}
 	if err != nil {
@@ -59,6 +63,13 @@
 	return b.read.Load()
 }
 
+// end keeps the connection's next request from being disturbed.
+func (b *callerBody) end() {
+	if b != nil {
+		b.closed.Store(true)
+	}
+}
+
 // untouched tells whether no byte was read.
 func (b *callerBody) untouched() bool { return b.read.Load() == 0 }
 
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/netip"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/shallotpier/shallotpier/internal/admission"
@@ -56,6 +57,8 @@
 	attempts int
 	headed   bool
 	broken   bool
+	doubt    result.Code
+	spreads  *sync.WaitGroup
 }
 
 // request handles a request to a service; rest is the path after ServicePath.
@@ -141,7 +144,7 @@
 // bodyCode tells why a body could not be read before anything was sent.
 func (c *call) bodyCode() result.Code {
 	switch {
-	case c.body.over:
+	case c.body.over.Load():
 		return result.BodyTooLarge
 	case errors.Is(c.ctx.Err(), context.DeadlineExceeded):
 		return result.DeadlinePassed
--- a/internal/entry/carry.go
+++ b/internal/entry/carry.go
@@ -36,61 +36,66 @@
 func (c *call) carry(t taker) {
 	var tried []id.Server
 	var last ending
-	doubt := result.Code(0)
 	for {
-		e, server := c.attempt(t, tried)
+		e, used := c.attempt(t, tried)
 		if e.passed {
 			c.code = e.code
+			if e.broken {
+				c.spreads.Wait()
+			}
 			return
 		}
-		if e.code.Ran() != result.No {
-			doubt = e.code
-		}
-		if server == "" && len(tried) > 0 {
+		if len(used) == 0 && len(tried) > 0 {
 			e = last // no further permit; the last send tells more
 		}
-		if !c.again(&e, server) {
-			c.giveUp(&e, doubt)
+		if len(used) == 0 || !c.again(&e) {
+			c.giveUp(&e)
 			return
 		}
-		tried, last = append(tried, server), e
+		tried, last = append(tried, used...), e
 	}
 }
 
 // giveUp answers that the request failed. A request that may have run in an
-// earlier send is never said not to have run.
-func (c *call) giveUp(e *ending, doubt result.Code) {
-	if doubt != 0 {
-		c.refuse(doubt, 0)
+// earlier send is never said not to have run. The other entries know of its
+// crashes by then.
+func (c *call) giveUp(e *ending) {
+	c.spreads.Wait()
+	if c.doubt != 0 {
+		c.refuse(c.doubt, 0)
 		return
 	}
 	c.refuse(e.code, e.after)
 }
 
-// attempt asks for a permit, sends once, and gives the permit back.
-func (c *call) attempt(t taker, tried []id.Server) (ending, id.Server) {
-	permit, err := c.h.Admitter.Admit(c.ctx, c.admission(tried))
-	if err != nil {
-		return c.refusal(err), ""
-	}
-	server := permit.Server()
-	c.server = server.Name
-	c.attempts++
-	if c.attempts == 1 && c.h.Budget != nil {
-		c.h.Budget.First(time.Now(), c.file)
+// attempt sends the request, a read perhaps over two connections, and passes
+// the answer on. It returns the servers that were tried.
+func (c *call) attempt(t taker, tried []id.Server) (ending, []id.Server) {
+	f := c.launch(tried)
+	f, used := c.race(f, tried)
+	return c.settle(t, f), used
+}
+
+// settle passes the answer on and gives the permit back.
+func (c *call) settle(t taker, f *flight) ending {
+	defer f.cancel()
+	if f.permit == nil {
+		return c.refusal(f.err)
 	}
-	send := c.h.sendID()
-	ans, err := c.h.Backend.Send(c.ctx, &backend.Request{Server: server, HTTP: c.outgoing(), ID: send, Patience: c.patience()})
+	c.server = f.permit.Server().Name
 	var e ending
-	if err == nil {
-		e = c.take(t, ans)
-		ans.Close()
+	if f.err == nil {
+		e = c.take(t, f.ans)
+		f.ans.Close()
 	} else {
-		e = c.failure(err)
+		e = c.failure(f.err)
 	}
-	permit.Release(c.outcome(&e))
-	c.judge(&e, send)
-	return e, server.Name
+	f.permit.Release(c.outcome(&e))
+	c.judge(&e, f.send)
+	if !e.passed && e.code.Ran() != result.No {
+		c.doubt = e.code
+	}
+	return e
 }
 
 func (c *call) take(t taker, ans *backend.Answer) ending {
@@ -124,9 +129,9 @@
 		return ending{code: result.CallerGone}
 	}
 	e := ending{code: failed.Code, broken: failed.Broken}
-	if c.body.over && failed.Sent {
+	if over := c.body.over.Load(); over && failed.Sent {
 		e.code = result.BodyOverLimit
-	} else if c.body.over {
+	} else if over {
 		e.code = result.BodyTooLarge
 	}
 	if e.code == result.ShedByServer {
@@ -157,49 +162,58 @@
 	return b
 }
 
-// judge tells the quarantine what the send showed. The other entries know of
-// a crash before anything else happens to the request.
+// judge tells the quarantine, and the other entries, what the send showed.
 func (c *call) judge(e *ending, send string) {
 	q := c.h.Quarantine
 	if q == nil {
 		return
 	}
-	var news quarantine.Sighting
 	switch {
 	case e.broken:
-		news = q.Sight(time.Now(), c.print, c.file.Service, send)
+		c.spread(q.Sight(time.Now(), c.print, c.file.Service, send))
 	case e.code == result.Served:
-		cleared, ok := q.Clear(time.Now(), c.print)
-		if !ok {
-			return
+		if news, ok := q.Clear(time.Now(), c.print); ok {
+			c.spread(news)
 		}
-		news = cleared
-	default:
-		return
 	}
+}
+
+// spread tells the other entries. Callers are not told that their request
+// failed before it has ended.
+func (c *call) spread(news quarantine.Sighting) {
 	if c.h.Spread == nil {
 		return
 	}
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(c.ctx), spreadTime)
-	defer cancel()
-	c.h.Spread.Spread(ctx, news)
+	c.spreads.Go(func() {
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(c.ctx), spreadTime)
+		defer cancel()
+		c.h.Spread.Spread(ctx, news)
+	})
 }
 
-// again tells whether the request may be sent once more.
-func (c *call) again(e *ending, server id.Server) bool {
+// again tells whether the request may be sent once more after e.
+func (c *call) again(e *ending) bool {
 	switch {
-	case server == "" || c.ctx.Err() != nil || c.attempts >= c.file.Retry.Attempts:
+	case resendable(e.code):
+	case c.class.Kind.Safe() && (e.code == result.AnswerCut || e.code == result.ConnectionSilent):
+	default:
 		return false
-	case !c.class.Kind.Safe() && !resendable(e.code):
+	}
+	if e.broken && c.h.Quarantine != nil && c.h.Quarantine.Quarantined(time.Now(), c.print) {
 		return false
-	case c.class.Kind.Safe() && !resendable(e.code) && e.code != result.AnswerCut && e.code != result.ConnectionSilent:
+	}
+	return c.mayResend()
+}
+
+// mayResend tells whether one more send is possible and within the budget.
+func (c *call) mayResend() bool {
+	switch {
+	case c.h.Budget == nil, c.ctx.Err() != nil, c.attempts >= c.file.Retry.Attempts:
 		return false
 	case c.small == nil && c.r.ContentLength != 0 && !c.body.untouched():
 		return false
-	case e.broken && c.h.Quarantine != nil && c.h.Quarantine.Quarantined(time.Now(), c.print):
-		return false
 	}
-	return c.h.Budget != nil && c.h.Budget.Retry(time.Now(), c.file)
+	return c.h.Budget.Retry(time.Now(), c.file)
 }
 
 // resendable names the codes that prove that a send did not run and that
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -30,6 +30,8 @@
 	TicketPath = "/v1/ticket/"
 	// ServicePath is followed by a service's name and the path within it.
 	ServicePath = "/s/"
+
+	waitStep = 20 * time.Millisecond
 )
 
 type (
@@ -106,13 +108,13 @@
 
 		sends   atomic.Uint64
 		observe observer
-		running sync.WaitGroup
+		running atomic.Int64
 	}
 )
 
 // ServeHTTP answers one request.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	c := &call{h: h, w: w, r: r, started: time.Now(), ctx: r.Context()}
+	c := &call{h: h, w: w, r: r, started: time.Now(), ctx: r.Context(), spreads: new(sync.WaitGroup)}
 	defer c.finish()
 	c.id = requestID(r.Header.Get(result.HeaderRequestID))
 	if c.id == "" {
@@ -136,20 +138,19 @@
 	}
 }
 
-// Wait returns when no execution is under way whose caller has gone, or when
-// ctx ends.
+// Wait returns when no send or execution is under way, those included whose
+// caller has gone, or when ctx ends.
 func (h *Handler) Wait(ctx context.Context) error {
-	done := make(chan struct{})
-	go func() {
-		h.running.Wait()
-		close(done)
-	}()
-	select {
-	case <-done:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
+	t := time.NewTicker(waitStep)
+	defer t.Stop()
+	for h.running.Load() > 0 {
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
 	}
+	return nil
 }
 
 // age returns the age of the entry's incarnation.
--- a/internal/entry/observe.go
+++ b/internal/entry/observe.go
@@ -38,6 +38,7 @@
 // finish measures and logs the request, and ends the caller's connection if
 // a passed-on answer broke off.
 func (c *call) finish() {
+	c.body.end()
 	took := time.Since(c.started)
 	c.measure(took)
 	c.log(took)
@@ -124,6 +125,16 @@
 	c.h.Log.LogAttrs(context.WithoutCancel(c.ctx), slog.LevelInfo, "request", attrs...)
 }
 
+// logEnd logs the outcome of an execution whose caller has gone.
+func (c *call) logEnd() {
+	if c.h.Log == nil {
+		return
+	}
+	c.h.Log.LogAttrs(context.WithoutCancel(c.ctx), slog.LevelInfo, "executionEnded", slog.String("requestId", c.id),
+		slog.String("service", string(c.file.Service)), slog.String("class", string(c.class.Name)), slog.Int("code", int(c.code)),
+		slog.String("ran", c.code.Ran().String()), slog.String("server", string(c.server)))
+}
+
 // sendID returns an id that no other send of any entry has.
 func (h *Handler) sendID() string {
 	b := make([]byte, 0, 64)
--- a/internal/entry/once.go
+++ b/internal/entry/once.go
@@ -9,6 +9,7 @@
 	"io"
 	"net/http"
 	"net/netip"
+	"sync"
 	"time"
 
 	"github.com/shallotpier/shallotpier/internal/backend"
@@ -113,16 +114,20 @@
 	deadline, cancel := context.WithDeadline(context.WithoutCancel(c.ctx), c.deadline)
 	exec.ctx, exec.w = deadline, discard{http.Header{}}
 	kept := &keptAnswer{call: &exec}
+	exec.spreads = new(sync.WaitGroup)
 	c.h.running.Add(1)
 	ended := make(chan struct{})
 	go func() {
-		defer c.h.running.Done()
+		defer c.h.running.Add(-1)
 		defer cancel()
 		defer close(ended)
 		// Without an outcome it is unknown whether the request ran.
 		exec.code = result.AnswerCut
 		defer func() { c.h.Once.End(use, exec.code, kept.answer) }()
 		exec.checked(func() { exec.carry(kept) })
+		if c.ctx.Err() != nil {
+			exec.logEnd()
+		}
 	}()
 	select {
 	case <-ended:
--- a/internal/quarantine/list.go
+++ b/internal/quarantine/list.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/shallotpier/shallotpier/pkg/id"
@@ -77,6 +78,9 @@
 
 		mu     sync.Mutex
 		listed map[Fingerprint]*state
+		// size is the number of listed fingerprints. Requests take no lock
+		// while it is 0.
+		size atomic.Int64
 	}
 
 	state struct {
@@ -91,6 +95,9 @@
 
 // Check tells whether a request may be sent now.
 func (l *List) Check(now time.Time, fp Fingerprint) Verdict {
+	if l.size.Load() == 0 {
+		return Verdict{}
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	s := l.listed[fp]
@@ -98,7 +105,7 @@
 		return Verdict{}
 	}
 	if now.Sub(s.at) >= l.memory() {
-		delete(l.listed, fp)
+		l.drop(fp)
 		return Verdict{}
 	}
 	switch held := s.at.Add(l.hold()).Sub(now); {
@@ -117,6 +124,9 @@
 
 // Quarantined tells whether no entry may send a fingerprint.
 func (l *List) Quarantined(now time.Time, fp Fingerprint) bool {
+	if l.size.Load() == 0 {
+		return false
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	s := l.listed[fp]
@@ -142,6 +152,9 @@
 // Clear ends the probation of a fingerprint whose request got a whole answer.
 // It returns the news for the other entries, and false if there is none.
 func (l *List) Clear(now time.Time, fp Fingerprint) (Sighting, bool) {
+	if l.size.Load() == 0 {
+		return Sighting{}, false
+	}
 	l.mu.Lock()
 	s := l.listed[fp]
 	probation := s != nil && len(s.sends) > 0 && len(s.sends) < Crashes
@@ -219,22 +232,28 @@
 	}
 	s := &state{}
 	l.listed[fp] = s
+	l.size.Store(int64(len(l.listed)))
 	return s
 }
 
+func (l *List) drop(fp Fingerprint) {
+	delete(l.listed, fp)
+	l.size.Store(int64(len(l.listed)))
+}
+
 // evict makes room for one fingerprint.
 func (l *List) evict(now time.Time, limit int) {
 	var oldest Fingerprint
 	at := now.Add(skewLimit)
 	for fp, s := range l.listed {
 		if now.Sub(s.at) >= l.memory() {
-			delete(l.listed, fp)
+			l.drop(fp)
 		} else if s.at.Before(at) {
 			oldest, at = fp, s.at
 		}
 	}
 	if len(l.listed) >= limit {
-		delete(l.listed, oldest)
+		l.drop(oldest)
 	}
 }
 
--- a/internal/standin/backend/answer.go
+++ b/internal/standin/backend/answer.go
@@ -47,7 +47,7 @@
 	}
 	send := r.Header.Get(result.HeaderSend)
 	switch how {
-	case Cut:
+	case Cut, Stuck:
 		writeAnswer(buf.Writer, send, text, len(text)+1)
 	case Long:
 		writeAnswer(buf.Writer, send, text+text, len(text))
--- a/internal/standin/backend/server.go
+++ b/internal/standin/backend/server.go
@@ -30,6 +30,9 @@
 	Unframed
 	// Foreign answers with the id of another send.
 	Foreign
+	// Stuck stops in the middle of the announced body and keeps the
+	// connection open.
+	Stuck
 )
 
 type (
