--- a/internal/standin/wan/network.go
+++ b/internal/standin/wan/network.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -31,6 +32,15 @@
 		waits  map[netip.AddrPort]chan net.Conn
 		open   map[net.Conn]struct{}
 		closed bool
+		sent   map[Direction]*atomic.Int64
+	}
+
+	// Direction is one direction between two regions.
+	Direction struct {
+		// From is the sending region.
+		From id.Region
+		// To is the receiving region.
+		To id.Region
 	}
 
 	// chunk is what was read at once, or the end of what is sent.
@@ -58,12 +68,28 @@
 	if !ok {
 		return nil, eris.Errorf("address %s is in no zone", to)
 	}
-	return n.dial(ctx, n.World.Delay(from, zone), to)
+	a, _ := n.World.Region(from)
+	b, _ := n.World.Region(zone)
+	return n.dial(ctx, n.World.Delay(from, zone), to, Direction{From: a, To: b})
+}
+
+// Sent returns the bytes that were sent so far between each two regions,
+// clients excepted.
+func (n *Network) Sent() map[Direction]int64 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	out := map[Direction]int64{}
+	for d, count := range n.sent {
+		if d.From != d.To {
+			out[d] = count.Load()
+		}
+	}
+	return out
 }
 
 // DialClient connects from a client to an entry's address.
 func (n *Network) DialClient(ctx context.Context, to netip.AddrPort) (net.Conn, error) {
-	return n.dial(ctx, n.World.Delays.Clients.Std(), to)
+	return n.dial(ctx, n.World.Delays.Clients.Std(), to, Direction{})
 }
 
 // Close ends all relayed connections.
@@ -80,7 +106,7 @@
 	return nil
 }
 
-func (n *Network) dial(ctx context.Context, delay time.Duration, to netip.AddrPort) (net.Conn, error) {
+func (n *Network) dial(ctx context.Context, delay time.Duration, to netip.AddrPort, way Direction) (net.Conn, error) {
 	var d net.Dialer
 	far, err := d.DialContext(ctx, "tcp", to.String())
 	if err != nil {
@@ -100,7 +126,7 @@
 		far.Close()
 		return nil, err
 	}
-	n.relay(near, far, delay)
+	n.relay(near, far, delay, way)
 	return caller, nil
 }
 
@@ -170,18 +196,21 @@
 }
 
 // relay passes bytes on in both directions until both have ended.
-func (n *Network) relay(near, far net.Conn, delay time.Duration) {
+func (n *Network) relay(near, far net.Conn, delay time.Duration, way Direction) {
 	n.track(near, far)
 	var both sync.WaitGroup
 	both.Add(2)
-	for _, way := range [2][2]net.Conn{{near, far}, {far, near}} {
+	ends := [2]net.Conn{near, far}
+	counts := [2]*atomic.Int64{n.counter(way), n.counter(Direction{From: way.To, To: way.From})}
+	for i, src := range ends {
+		dst, count := ends[1-i], counts[i]
 		line := make(chan chunk, maxChunks)
 		broken := make(chan struct{})
-		go take(line, way[0], delay, broken)
+		go take(line, src, delay, broken)
 		go func() {
 			defer both.Done()
 			defer close(broken)
-			deliver(way[1], way[0], line)
+			deliver(dst, src, line, count)
 		}()
 	}
 	go func() {
@@ -190,6 +219,18 @@
 	}()
 }
 
+func (n *Network) counter(d Direction) *atomic.Int64 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.sent == nil {
+		n.sent = map[Direction]*atomic.Int64{}
+	}
+	if n.sent[d] == nil {
+		n.sent[d] = new(atomic.Int64)
+	}
+	return n.sent[d]
+}
+
 func (n *Network) track(conns ...net.Conn) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -229,9 +270,10 @@
 
 // deliver writes what is due on the line to dst. When the line ends it ends
 // that direction; when dst is broken it breaks src too.
-func deliver(dst, src net.Conn, line <-chan chunk) {
+func deliver(dst, src net.Conn, line <-chan chunk, count *atomic.Int64) {
 	for c := range line {
 		time.Sleep(time.Until(c.due))
+		count.Add(int64(len(c.data)))
 		if _, err := dst.Write(c.data); err != nil {
 			src.Close()
 			return
--- a/internal/standin/wan/network_test.go
+++ b/internal/standin/wan/network_test.go
@@ -77,6 +77,10 @@
 			is.Equal(len(got), len(sent))
 			is.Equal(got[len(got)-1], byte(7))
 			is.True(time.Since(begun) >= tt.least)
+			if tt.from == "west-1" {
+				is.Equal(n.Sent()[wan.Direction{From: "west", To: "east"}], int64(len(sent)))
+				is.Equal(n.Sent()[wan.Direction{From: "east", To: "west"}], int64(len(sent)))
+			}
 		})
 	}
 }
