sightings: tell the other entries about requests that crash servers

Cause: at most two backend servers may be lost to a request through whichever entries it is sent, so entries have to hear of a first crash before its caller is answered, and entries that were cut off have to learn it later.

Change: internal/sightings passes news to all entries, by way of others where one can't be reached, and compares lists. The quarantine keeps its sightings so that they can be passed on, with service and class for operators. A lifted sighting could not be decoded, for want of a service name.

Conclusion: a list missed during a cut is made good within a period.

--- a/internal/entry/carry.go
+++ b/internal/entry/carry.go
@@ -9,6 +9,7 @@
 	"github.com/shallotpier/shallotpier/internal/admission"
 	"github.com/shallotpier/shallotpier/internal/backend"
 	"github.com/shallotpier/shallotpier/internal/quarantine"
+	"github.com/shallotpier/shallotpier/internal/retry"
 	"github.com/shallotpier/shallotpier/pkg/id"
 	"github.com/shallotpier/shallotpier/pkg/result"
 )
@@ -170,7 +171,7 @@
 	}
 	switch {
 	case e.broken:
-		c.spread(q.Sight(time.Now(), c.print, c.file.Service, send))
+		c.spread(q.Sight(time.Now(), c.print, c.file.Service, c.class.Name, send))
 	case e.code == result.Served:
 		if news, ok := q.Clear(time.Now(), c.print); ok {
 			c.spread(news)
@@ -193,10 +194,8 @@
 
 // again tells whether the request may be sent once more after e.
 func (c *call) again(e *ending) bool {
-	switch {
-	case resendable(e.code):
-	case c.class.Kind.Safe() && (e.code == result.AnswerCut || e.code == result.ConnectionSilent):
-	default:
+	try := retry.Try{Kind: c.class.Kind, Code: e.code, Sends: c.attempts, Attempts: c.file.Retry.Attempts, Deadline: c.deadline}
+	if !retry.Allowed(&try, time.Now()) {
 		return false
 	}
 	if e.broken && c.h.Quarantine != nil && c.h.Quarantine.Quarantined(time.Now(), c.print) {
@@ -216,12 +215,6 @@
 	return c.h.Budget.Retry(time.Now(), c.file)
 }
 
-// resendable names the codes that prove that a send did not run and that
-// another server may do better.
-func resendable(code result.Code) bool {
-	return code == result.ConnectFailed || code == result.ShedByServer
-}
-
 // patience is how long a read's connection may stay silent: an equal part of
 // the time left for each send that remains. The last send has all of it.
 func (c *call) patience() time.Duration {
--- a/internal/quarantine/list.go
+++ b/internal/quarantine/list.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"cmp"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -26,11 +27,13 @@
 		// Fingerprint is that of the request.
 		Fingerprint Fingerprint `json:"fingerprint"`
 		// Send is the id of the send that broke.
-		Send string `json:"send"`
+		Send string `json:"send,omitempty"`
 		// Instance is the entry that saw it.
 		Instance id.Instance `json:"instance"`
 		// Service is the request's service.
-		Service id.Service `json:"service"`
+		Service id.Service `json:"service,omitempty"`
+		// Class is the request's class.
+		Class id.Class `json:"class,omitempty"`
 		// At is when it was seen.
 		At time.Time `json:"at"`
 		// Lifted ends the state of the fingerprint as of At.
@@ -54,6 +57,8 @@
 		Fingerprint Fingerprint `json:"fingerprint"`
 		// Service is the requests' service.
 		Service id.Service `json:"service"`
+		// Class is the requests' class.
+		Class id.Class `json:"class"`
 		// Sightings counts the crashes.
 		Sightings int `json:"sightings"`
 		// Quarantined tells that no entry sends it; false is on probation.
@@ -84,12 +89,11 @@
 	}
 
 	state struct {
-		service id.Service
-		sends   []string
-		first   id.Instance
-		at      time.Time
-		lifted  time.Time
-		busy    bool
+		// sightings counts since the last lift, the earliest known first.
+		sightings []Sighting
+		at        time.Time
+		lifted    time.Time
+		busy      bool
 	}
 )
 
@@ -109,11 +113,11 @@
 		return Verdict{}
 	}
 	switch held := s.at.Add(l.hold()).Sub(now); {
-	case len(s.sends) >= Crashes:
+	case len(s.sightings) >= Crashes:
 		return Verdict{Refused: true, RetryAfter: s.at.Add(l.memory()).Sub(now)}
-	case len(s.sends) == 0:
+	case len(s.sightings) == 0:
 		return Verdict{}
-	case s.first != l.Instance && held > 0:
+	case s.sightings[0].Instance != l.Instance && held > 0:
 		return Verdict{Refused: true, RetryAfter: held}
 	case s.busy:
 		return Verdict{Refused: true, RetryAfter: time.Second}
@@ -130,7 +134,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	s := l.listed[fp]
-	return s != nil && len(s.sends) >= Crashes && now.Sub(s.at) < l.memory()
+	return s != nil && len(s.sightings) >= Crashes && now.Sub(s.at) < l.memory()
 }
 
 // Done notes the end of a send that Check allowed on probation.
@@ -143,8 +147,8 @@
 }
 
 // Sight notes that a send broke and returns the news for the other entries.
-func (l *List) Sight(now time.Time, fp Fingerprint, service id.Service, send string) Sighting {
-	news := Sighting{Fingerprint: fp, Send: send, Instance: l.Instance, Service: service, At: now}
+func (l *List) Sight(now time.Time, fp Fingerprint, service id.Service, class id.Class, send string) Sighting {
+	news := Sighting{Fingerprint: fp, Send: send, Instance: l.Instance, Service: service, Class: class, At: now}
 	l.Learn(now, news)
 	return news
 }
@@ -157,7 +161,7 @@
 	}
 	l.mu.Lock()
 	s := l.listed[fp]
-	probation := s != nil && len(s.sends) > 0 && len(s.sends) < Crashes
+	probation := s != nil && len(s.sightings) > 0 && len(s.sightings) < Crashes
 	l.mu.Unlock()
 	if !probation {
 		return Sighting{}, false
@@ -188,20 +192,42 @@
 	switch {
 	case news.Lifted:
 		if news.At.After(s.lifted) {
-			s.lifted, s.at, s.sends, s.busy = news.At, news.At, nil, false
+			s.lifted, s.at, s.sightings, s.busy = news.At, news.At, nil, false
 		}
-	case !news.At.After(s.lifted), slices.Contains(s.sends, news.Send), len(s.sends) >= maxSightings:
+	case !news.At.After(s.lifted), s.knows(news.Send), len(s.sightings) >= maxSightings:
 	default:
-		if len(s.sends) == 0 {
-			s.first = news.Instance
-		}
-		s.sends, s.service = append(s.sends, news.Send), news.Service
+		s.sightings = append(s.sightings, news)
 		if news.At.After(s.at) {
 			s.at = news.At
 		}
 	}
 }
 
+func (s *state) knows(send string) bool {
+	return slices.ContainsFunc(s.sightings, func(n Sighting) bool { return n.Send == send })
+}
+
+// News returns at most limit pieces of the news that are behind the list, the
+// latest first, for an entry that may not have heard them.
+func (l *List) News(now time.Time, limit int) []Sighting {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var all []Sighting
+	for fp, s := range l.listed {
+		if now.Sub(s.at) >= l.memory() {
+			continue
+		}
+		all = append(all, s.sightings...)
+		if !s.lifted.IsZero() {
+			all = append(all, Sighting{Fingerprint: fp, Instance: l.Instance, At: s.lifted, Lifted: true})
+		}
+	}
+	slices.SortFunc(all, func(a, b Sighting) int {
+		return cmp.Or(b.At.Compare(a.At), slices.Compare(a.Fingerprint[:], b.Fingerprint[:]))
+	})
+	return all[:min(len(all), limit)]
+}
+
 // Entries returns what is on the list, by fingerprint.
 func (l *List) Entries(now time.Time) []Entry {
 	l.mu.Lock()
@@ -209,10 +235,11 @@
 	var all []Entry
 	for fp, s := range l.listed {
 		until := s.at.Add(l.memory())
-		if len(s.sends) == 0 || !until.After(now) {
+		if len(s.sightings) == 0 || !until.After(now) {
 			continue
 		}
-		all = append(all, Entry{Fingerprint: fp, Service: s.service, Sightings: len(s.sends), Quarantined: len(s.sends) >= Crashes, Until: until})
+		first := &s.sightings[0]
+		all = append(all, Entry{Fingerprint: fp, Service: first.Service, Class: first.Class, Sightings: len(s.sightings), Quarantined: len(s.sightings) >= Crashes, Until: until})
 	}
 	slices.SortFunc(all, func(a, b Entry) int { return slices.Compare(a.Fingerprint[:], b.Fingerprint[:]) })
 	return all
--- a/internal/quarantine/list_test.go
+++ b/internal/quarantine/list_test.go
@@ -71,7 +71,7 @@
 				crashes = 0 // it ended by itself
 			}
 			crashes, last = crashes+1, now
-			news := l.Sight(now, fp, "registry", string(rune('a'+i)))
+			news := l.Sight(now, fp, "registry", "lookup", string(rune('a'+i)))
 			for _, other := range lists {
 				other.Learn(now, news)
 			}
@@ -89,7 +89,7 @@
 	is := is.New(t)
 	l := &quarantine.List{Instance: "entry-1", Listed: 100}
 	for i := range 300 {
-		l.Sight(start().Add(time.Duration(i)), quarantine.Fingerprint{byte(i), byte(i >> 8)}, "registry", "a")
+		l.Sight(start().Add(time.Duration(i)), quarantine.Fingerprint{byte(i), byte(i >> 8)}, "registry", "lookup", "a")
 	}
 	is.Equal(len(l.Entries(start().Add(time.Second))), 100)
 }
--- /dev/null
+++ b/internal/sightings/exchange_test.go
@@ -0,0 +1,150 @@
+package sightings_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/shallotpier/shallotpier/internal/peer"
+	"github.com/shallotpier/shallotpier/internal/quarantine"
+	"github.com/shallotpier/shallotpier/internal/sightings"
+	"github.com/shallotpier/shallotpier/pkg/id"
+)
+
+type (
+	// network joins exchanges; links that are cut lose calls.
+	network struct {
+		handlers map[id.Instance]map[string]peer.Handler
+		cut      map[[2]id.Instance]bool
+	}
+
+	end struct {
+		n    *network
+		self id.Instance
+	}
+)
+
+func (e end) Register(method string, h peer.Handler) {
+	if e.n.handlers[e.self] == nil {
+		e.n.handlers[e.self] = map[string]peer.Handler{}
+	}
+	e.n.handlers[e.self][method] = h
+}
+
+func (e end) Call(ctx context.Context, to id.Instance, method string, params, result any) error {
+	if e.n.cut[[2]id.Instance{e.self, to}] {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	h := e.n.handlers[to][method]
+	if h == nil {
+		return errors.New("no such method")
+	}
+	raw, err := json.Marshal(params)
+	if err != nil {
+		return err
+	}
+	got, err := h(ctx, peer.Sender{Instance: e.self}, raw)
+	if err != nil || result == nil {
+		return err
+	}
+	raw, err = json.Marshal(got)
+	if err != nil {
+		return err
+	}
+	return json.Unmarshal(raw, result)
+}
+
+func join(n *network, names ...id.Instance) map[id.Instance]*sightings.Exchange {
+	all := map[id.Instance]*sightings.Exchange{}
+	for i, name := range names {
+		x := &sightings.Exchange{List: &quarantine.List{Instance: name}, Peers: end{n, name}, Rand: rand.New(rand.NewPCG(uint64(i), 1))}
+		x.Others = func() []id.Instance {
+			var others []id.Instance
+			for _, o := range names {
+				if o != name {
+					others = append(others, o)
+				}
+			}
+			return others
+		}
+		x.Register(end{n, name})
+		all[name] = x
+	}
+	return all
+}
+
+func newNetwork() *network {
+	return &network{handlers: map[id.Instance]map[string]peer.Handler{}, cut: map[[2]id.Instance]bool{}}
+}
+
+func TestSpread(t *testing.T) {
+	tests := map[string]struct {
+		cut  [][2]id.Instance
+		want bool
+	}{
+		"all reachable":    {want: true},
+		"one by a detour":  {cut: [][2]id.Instance{{"a", "c"}}, want: true},
+		"one not at all":   {cut: [][2]id.Instance{{"a", "c"}, {"b", "c"}}},
+		"nobody reachable": {cut: [][2]id.Instance{{"a", "b"}, {"a", "c"}}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				n := newNetwork()
+				all := join(n, "a", "b", "c")
+				for _, c := range tt.cut {
+					n.cut[c] = true
+				}
+				fp, now := quarantine.Fingerprint{1}, time.Now()
+				all["a"].Spread(t.Context(), all["a"].List.Sight(now, fp, "registry", "lookup", "s1"))
+				is.True(time.Since(now) <= time.Second)
+				is.Equal(all["c"].List.Check(now, fp).Refused, tt.want)
+			})
+		})
+	}
+}
+
+func TestComparingMakesGoodWhatWasLost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		n := newNetwork()
+		all := join(n, "a", "b")
+		fp := quarantine.Fingerprint{1}
+		lifted := quarantine.Fingerprint{2}
+		for _, send := range []string{"s1", "s2"} {
+			all["a"].List.Sight(time.Now(), fp, "registry", "lookup", send)
+			all["b"].List.Sight(time.Now(), lifted, "registry", "lookup", send)
+		}
+		time.Sleep(time.Second)
+		all["a"].List.Lift(time.Now(), lifted)
+		ctx, cancel := context.WithCancel(t.Context())
+		go func() { _ = all["b"].Run(ctx) }()
+		time.Sleep(time.Second)
+		cancel()
+		is.True(all["b"].List.Quarantined(time.Now(), fp))
+		is.True(!all["b"].List.Quarantined(time.Now(), lifted))
+		is.Equal(all["a"].List.Entries(time.Now()), all["b"].List.Entries(time.Now()))
+	})
+}
+
+func FuzzTell(f *testing.F) {
+	f.Add(`{"news":[{"fingerprint":"00112233445566778899aabbccddeeff","send":"a","instance":"entry-1","service":"registry","class":"lookup","at":"2026-12-03T22:00:00Z"}]}`)
+	f.Add(`{"news":[{"fingerprint":"00"}]}`)
+	f.Add(`{"tell":["entry-1"],"news":[{"lifted":true}]}`)
+	f.Fuzz(func(t *testing.T, params string) {
+		n := newNetwork()
+		all := join(n, "a")
+		_, err := n.handlers["a"][sightings.MethodTell](t.Context(), peer.Sender{}, json.RawMessage(params))
+		if err != nil && len(all["a"].List.Entries(time.Now())) > 0 {
+			t.Error("a refused message was learned")
+		}
+	})
+}
