--- a/pkg/result/codes.go
+++ b/pkg/result/codes.go
@@ -89,9 +89,31 @@
 	UnreadableFile Code = 4004
 )
 
+// Codes of the platform's store and of publication.
+const (
+	// Accepted means that a publication is in force as its version.
+	Accepted Code = 5000
+	// Overtaken means that another publication has the version.
+	Overtaken Code = 5001
+	// NotYetKnown means that a publication's write may still take effect.
+	NotYetKnown Code = 5002
+	// RefusedByCheck means that a submission would break a promise.
+	RefusedByCheck Code = 5003
+	// StoreUnavailable means that the store could not be asked and that
+	// nothing was written.
+	StoreUnavailable Code = 5004
+	// OlderState means that the store or a peer showed an older version than
+	// the one in force, which was ignored.
+	OlderState Code = 5010
+	// LeaseLost means that a lease has a newer term than the holder's.
+	LeaseLost Code = 5020
+	// LeaseUnsure means that a holder can't confirm its term and doesn't act.
+	LeaseUnsure Code = 5021
+)
+
 // Codes returns the table of all codes in ascending order.
 func Codes() []Info {
-	return slices.Concat(requestCodes(), fileCodes(), operatorCodes())
+	return slices.Concat(requestCodes(), fileCodes(), storeCodes(), operatorCodes())
 }
 
 func requestCodes() []Info {
@@ -146,3 +168,16 @@
 		{UnreadableFile, "unreadableFile", 0, No, "a file can't be read or is not TOML", "", "correct the file"},
 	}
 }
+
+func storeCodes() []Info {
+	return []Info{
+		{Accepted, "accepted", 0, Yes, "a publication is in force as its version", "", "nothing"},
+		{Overtaken, "overtaken", 0, No, "another publication has the version", "", "look at the difference and publish again"},
+		{NotYetKnown, "notYetKnown", 0, Unknown, "a publication's write may still take effect", "", "ask again with the ticket; see docs/operators/two-publishers.md"},
+		{RefusedByCheck, "refusedByCheck", 0, No, "a submission would break a promise", "", "correct the service files"},
+		{StoreUnavailable, "storeUnavailable", 0, No, "the store could not be asked and nothing was written", "", "see docs/operators/store-outage.md"},
+		{OlderState, "olderState", 0, No, "the store or a peer showed an older version than the one in force", "", "nothing, unless it lasts"},
+		{LeaseLost, "leaseLost", 0, No, "a lease has a newer term than the holder's", "", "nothing"},
+		{LeaseUnsure, "leaseUnsure", 0, No, "a holder can't confirm its term and doesn't act", "", "see docs/operators/store-outage.md"},
+	}
+}
