ramp, placement: bring load to cold servers in steps

Cause: a backend server that just started, or a region after a big move, answers slowly, the more so the more it is given.

Change: a ramp driven by answers and reports.

Conclusion: the ramp orders and never takes slots away.

--- a/internal/placement/doc.go
+++ b/internal/placement/doc.go
@@ -18,8 +18,9 @@
 // order of servers. The first region is drawn by the parts that Steer decided,
 // the others follow by delay. Within a region the nearest zone comes first, but
 // zones that were tried come after those that were not, and servers that were
-// tried don't come at all. A server in its slow start comes first only as often
-// as its ramp allows.
+// tried don't come at all. A server in its slow start comes before the region's
+// warm ones only as often as its ramp allows, and else after them all: it takes
+// what would otherwise wait.
 //
 // # Usage
 //
--- a/internal/placement/table.go
+++ b/internal/placement/table.go
@@ -10,8 +10,12 @@
 	"github.com/shallotpier/shallotpier/pkg/service"
 )
 
-// maxZones bounds the zones of one region that a Table tells apart.
-const maxZones = 64
+const (
+	// maxZones bounds the zones of one region that a Table tells apart.
+	maxZones = 64
+	// warm is the scaled ramp of a warm server.
+	warm = ^uint32(0)
+)
 
 type (
 	// Member is a backend server that may be used now.
@@ -23,7 +27,7 @@
 		// Delay is the one-way delay from the entry.
 		Delay time.Duration
 		// Ramp is how often, 0 to 1, the server may come before the others of
-		// its zone; 1 when it is warm.
+		// its region; 1 when it is warm.
 		Ramp float64
 	}
 
@@ -37,6 +41,7 @@
 		name  id.Region
 		limit uint32 // cumulated share, scaled to 1<<32
 		zones []zone
+		cold  bool // has members in a slow start
 	}
 
 	zone struct {
@@ -58,7 +63,11 @@
 		if p.Share > 0 {
 			sum += p.Share
 		}
-		t.regions = append(t.regions, region{name: p.Region, limit: scale(sum), zones: zonesOf(p.Region, members)})
+		r := region{name: p.Region, limit: scale(sum), zones: zonesOf(p.Region, members)}
+		for _, m := range members {
+			r.cold = r.cold || (m.Region == p.Region && scale(m.Ramp) != warm)
+		}
+		t.regions = append(t.regions, r)
 	}
 	return t
 }
@@ -91,49 +100,42 @@
 	return 0
 }
 
+// appendTo appends the region's servers: those whose ramp doesn't reach the
+// draw come after all others, and zones that were tried after those that were
+// not.
 func (r *region) appendTo(dst []*service.Server, spin uint32, tried []id.Server) []*service.Server {
-	if len(tried) == 0 {
+	later := uint64(0)
+	if len(tried) > 0 {
 		for i := range r.zones {
-			dst = r.zones[i].appendTo(dst, spin, nil)
+			if r.zones[i].contains(tried) {
+				later |= 1 << i
+			}
 		}
-		return dst
 	}
-	later := uint64(0)
-	for i := range r.zones {
-		if r.zones[i].contains(tried) {
-			later |= 1 << i
-			continue
+	for _, held := range [2]bool{false, true} {
+		if held && !r.cold {
+			break
+		}
+		for i := range r.zones {
+			if later&(1<<i) == 0 {
+				dst = r.zones[i].appendTo(dst, spin, nil, held)
+			}
+		}
+		for rest := later; rest != 0; rest &= rest - 1 {
+			dst = r.zones[bits.TrailingZeros64(rest)].appendTo(dst, spin, tried, held)
 		}
-		dst = r.zones[i].appendTo(dst, spin, nil)
-	}
-	for ; later != 0; later &= later - 1 {
-		dst = r.zones[bits.TrailingZeros64(later)].appendTo(dst, spin, tried)
 	}
 	return dst
 }
 
-// appendTo appends the members in a circle from one that spin picks. Members
-// whose ramp doesn't reach the draw come after the others.
-func (z *zone) appendTo(dst []*service.Server, spin uint32, tried []id.Server) []*service.Server {
+// appendTo appends the members that are held back by their ramp, or those that
+// are not, in a circle from one that spin picks.
+func (z *zone) appendTo(dst []*service.Server, spin uint32, tried []id.Server, held bool) []*service.Server {
 	n := uint32(len(z.members))
 	start := uint32(uint64(spin) * uint64(n) >> 32)
-	held := false
-	for k := range n {
-		m := &z.members[(start+k)%n]
-		switch {
-		case slices.Contains(tried, m.server.Name):
-		case m.holds(spin):
-			held = true
-		default:
-			dst = append(dst, m.server)
-		}
-	}
-	if !held {
-		return dst
-	}
 	for k := range n {
 		m := &z.members[(start+k)%n]
-		if m.holds(spin) && !slices.Contains(tried, m.server.Name) {
+		if m.holds(spin) == held && !slices.Contains(tried, m.server.Name) {
 			dst = append(dst, m.server)
 		}
 	}
@@ -143,7 +145,7 @@
 // holds tells whether a member is passed over for a draw because of its ramp.
 func (m *member) holds(spin uint32) bool {
 	const spread = 2654435769 // 1<<32 over the golden ratio
-	return m.ramp != ^uint32(0) && spin*spread >= m.ramp
+	return m.ramp != warm && spin*spread >= m.ramp
 }
 
 func (z *zone) contains(names []id.Server) bool {
@@ -182,7 +184,7 @@
 	case !(x > 0):
 		return 0
 	case x >= 1-1e-9:
-		return ^uint32(0)
+		return warm
 	default:
 		return uint32(x * (1 << 32))
 	}
--- /dev/null
+++ b/internal/ramp/ramp_test.go
@@ -0,0 +1,261 @@
+package ramp_test
+
+import (
+	"container/heap"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/shallotpier/shallotpier/internal/measured"
+	"github.com/shallotpier/shallotpier/internal/ramp"
+)
+
+const usual = 200 * time.Millisecond
+
+var start = time.Date(2026, 12, 3, 22, 0, 0, 0, time.UTC)
+
+func TestStepInputs(t *testing.T) {
+	const large, small, blind, hold, back = 1.5, 1.2, 1.1, 1.0, 0.7
+	at := start.Add(2 * time.Second)
+	fresh := measured.At(usual, at)
+	report := func(w float64, d time.Duration) measured.Value[float64] { return measured.At(w, at.Add(d)) }
+	warm := func(l, d time.Duration) measured.Value[time.Duration] { return measured.At(l, at.Add(d)) }
+	var noReport measured.Value[float64]
+	tests := map[string]struct {
+		latency  time.Duration
+		refused  bool
+		warm     measured.Value[time.Duration]
+		reported measured.Value[float64]
+		want     float64 // factor on the first level
+	}{
+		"fast, reported warm":     {usual, false, fresh, report(1, 0), large},
+		"fast, no report":         {usual, false, fresh, noReport, small},
+		"fast, stale report":      {usual, false, fresh, report(1, -time.Minute), small},
+		"fast, future report":     {usual, false, fresh, report(1, time.Minute), small},
+		"fast, NaN report":        {usual, false, fresh, report(math.NaN(), 0), small},
+		"fast, negative report":   {usual, false, fresh, report(-1, 0), small},
+		"fast, absurd report":     {usual, false, fresh, report(100, 0), small},
+		"rather slow":             {2 * usual, false, fresh, report(1, 0), hold},
+		"slow, reported warm":     {5 * usual, false, fresh, report(1, 0), back},
+		"fast but refused":        {usual, true, fresh, report(1, 0), back},
+		"warm latency missing":    {usual, false, measured.Value[time.Duration]{}, report(1, 0), blind},
+		"warm latency stale":      {usual, false, warm(usual, -2*time.Minute), report(1, 0), blind},
+		"warm latency in future":  {usual, false, warm(usual, time.Minute), report(1, 0), blind},
+		"warm latency negative":   {usual, false, warm(-usual, 0), report(1, 0), blind},
+		"warm latency absurd":     {usual, false, warm(math.MaxInt64, 0), report(1, 0), blind},
+		"refused, nothing known":  {usual, true, measured.Value[time.Duration]{}, noReport, back},
+		"answer latency negative": {-usual, false, fresh, report(1, 0), hold}, // no answers, no step
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var r ramp.Ramp
+			r.Start(start)
+			first := r.Level()
+			for range 10 {
+				r.Answered(tt.latency)
+			}
+			if tt.refused {
+				r.Refused()
+			}
+			is.True(math.Abs(r.Step(at, tt.warm, tt.reported)-first*tt.want) < 1e-9)
+		})
+	}
+}
+
+func TestReportedColdBoundsLevel(t *testing.T) {
+	is := is.New(t)
+	var r ramp.Ramp
+	r.Start(start)
+	now := start
+	for range 60 {
+		now = now.Add(time.Second)
+		for range 10 {
+			r.Answered(usual)
+		}
+		r.Step(now, measured.At(usual, now), measured.At(0.2, now))
+	}
+	is.True(math.Abs(r.Level()-0.45) < 1e-9)
+}
+
+func TestEndsByItself(t *testing.T) {
+	is := is.New(t)
+	var r ramp.Ramp
+	is.Equal(r.Level(), 1.0) // the zero Ramp is warm
+	r.Start(start)
+	now := start
+	for ; now.Before(start.Add(ramp.Longest)); now = now.Add(time.Second) {
+		r.Refused()
+		r.Step(now, measured.At(usual, now), measured.At(0.0, now))
+	}
+	is.True(r.Level() < 0.1)
+	is.Equal(r.Step(now, measured.At(usual, now), measured.At(0.0, now)), 1.0)
+}
+
+func TestSlots(t *testing.T) {
+	is := is.New(t)
+	for level, want := range map[float64]int{0: 1, -1: 1, 0.01: 1, 0.5: 3, 0.51: 4, 1: 6, 7: 6} {
+		is.Equal(ramp.Slots(level, 6), want)
+	}
+	is.Equal(ramp.Slots(math.NaN(), 6), 1)
+	is.Equal(ramp.Slots(1, 0), 0)
+}
+
+// mode is how a simulation uses the ramp.
+type mode struct {
+	ramped   bool
+	reports  bool // servers report their warmth
+	overflow bool // requests that find all usable slots taken use the others
+}
+
+// backend is a server whose answers are slow while it is cold, the more so the
+// more requests it runs. It warms with time and with what it served.
+type backend struct {
+	ramp          ramp.Ramp
+	cold          bool
+	running, took int
+}
+
+type end struct {
+	at, began time.Duration
+	server    int
+}
+
+type ends []end
+
+func (e ends) Len() int           { return len(e) }
+func (e ends) Less(i, j int) bool { return e[i].at < e[j].at }
+func (e ends) Swap(i, j int)      { e[i], e[j] = e[j], e[i] }
+func (e *ends) Push(x any)        { *e = append(*e, x.(end)) }
+func (e *ends) Pop() any {
+	last := (*e)[len(*e)-1]
+	*e = (*e)[:len(*e)-1]
+	return last
+}
+
+// firstMinutes returns the p50 and p99 latency of five minutes in which cold
+// of 30 servers with 6 slots have just started, at a load of 0.6.
+func firstMinutes(cold int, m mode, seed uint64) (p50, p99 time.Duration) {
+	const servers, slots, length = 30, 6, 5 * time.Minute
+	r := rand.New(rand.NewPCG(seed, 1))
+	list := make([]backend, servers)
+	for i := range cold {
+		list[i].cold = true
+		if m.ramped {
+			list[i].ramp.Start(start)
+		}
+	}
+	var running ends
+	var waiting, latencies []time.Duration
+	gap := float64(usual) / (0.6 * servers * slots)
+	begin := func(now, came time.Duration) bool {
+		for k, first := 0, r.IntN(servers); k < 2*servers; k++ {
+			i := (first + k) % servers
+			b := &list[i]
+			limit := ramp.Slots(b.ramp.Level(), slots)
+			if m.overflow && k >= servers { // all were full: the rest of the slots
+				limit = slots
+			}
+			if b.running >= limit {
+				continue
+			}
+			b.running++
+			mean := float64(usual) * (1 + 19*b.coldness(now)*float64(b.running)/slots)
+			heap.Push(&running, end{now + time.Duration(r.ExpFloat64()*mean), came, i})
+			return true
+		}
+		return false
+	}
+	next, step := time.Duration(0), time.Second
+	for next < length {
+		if len(running) > 0 && running[0].at < next {
+			e := heap.Pop(&running).(end)
+			b := &list[e.server]
+			b.running--
+			b.took++
+			latencies = append(latencies, e.at-e.began)
+			b.ramp.Answered(e.at - e.began)
+			if len(waiting) > 0 && begin(e.at, waiting[0]) {
+				waiting = waiting[1:]
+			}
+			continue
+		}
+		if next >= step {
+			for i := range list {
+				report := measured.Value[float64]{}
+				if m.reports { // 2 s late
+					report = measured.At(1-list[i].coldness(step-2*time.Second), start.Add(step-2*time.Second))
+				}
+				list[i].ramp.Step(start.Add(step), measured.At(usual, start.Add(step)), report)
+			}
+			step += time.Second
+		}
+		if len(waiting) > 0 || !begin(next, next) {
+			waiting = append(waiting, next)
+		}
+		next += time.Duration(r.ExpFloat64() * gap)
+	}
+	slices.Sort(latencies)
+	return latencies[len(latencies)/2], latencies[len(latencies)*99/100]
+}
+
+func (b *backend) coldness(now time.Duration) float64 {
+	if !b.cold {
+		return 0
+	}
+	return math.Exp(-float64(b.took)/600 - max(now.Seconds(), 0)/60)
+}
+
+func TestFirstFiveMinutes(t *testing.T) {
+	_, without := firstMinutes(5, mode{}, 0)
+	_, byAnswers := firstMinutes(5, mode{ramped: true, overflow: true}, 0)
+	_, reported := firstMinutes(5, mode{ramped: true, reports: true, overflow: true}, 0)
+	t.Logf("p99 without %s, by answers %s, with reports %s", without, byAnswers, reported)
+	if byAnswers > without*95/100 || reported > without*95/100 {
+		t.Errorf("p99 without %s, by answers %s, with reports %s", without, byAnswers, reported)
+	}
+}
+
+// BenchmarkFirstFiveMinutes reports the table in docs/design/ramp.md.
+func BenchmarkFirstFiveMinutes(b *testing.B) {
+	modes := []struct {
+		name string
+		mode mode
+	}{
+		{"without", mode{}},
+		{"held", mode{ramped: true}},
+		{"held,reports", mode{ramped: true, reports: true}},
+		{"overflow", mode{ramped: true, overflow: true}},
+		{"overflow,reports", mode{ramped: true, reports: true, overflow: true}},
+	}
+	for _, cold := range []int{0, 1, 5, 10, 15, 20} {
+		for _, m := range modes {
+			b.Run(fmt.Sprintf("cold=%d/%s", cold, m.name), func(b *testing.B) {
+				for b.Loop() {
+					worst := time.Duration(0)
+					for seed := range uint64(3) {
+						_, p99 := firstMinutes(cold, m.mode, seed)
+						worst = max(worst, p99)
+					}
+					b.ReportMetric(float64(worst.Milliseconds()), "p99-ms")
+				}
+			})
+		}
+	}
+}
+
+func BenchmarkStep(b *testing.B) {
+	var r ramp.Ramp
+	warm, report := measured.At(usual, start), measured.At(0.5, start)
+	b.ReportAllocs()
+	for b.Loop() {
+		r.Start(start)
+		r.Answered(usual)
+		r.Step(start, warm, report)
+	}
+}
