result: tell whether a request ran without building the table

Cause: Code.Ran and Code.Info built the whole table of codes for each call, several times a request.

Change: Ran goes by the code's group, and Info looks into its group alone. The test of the table holds both against every code.

--- /dev/null
+++ b/internal/once/bench_test.go
@@ -0,0 +1,20 @@
+package once_test
+
+import (
+	"testing"
+
+	"github.com/shallotpier/shallotpier/internal/once"
+	"github.com/shallotpier/shallotpier/pkg/result"
+)
+
+// BenchmarkTicket takes one ticket from its minting to its kept answer.
+func BenchmarkTicket(b *testing.B) {
+	r := registry()
+	r.Tickets = 1 << 30
+	answer := &once.Answer{Status: 200, Body: make([]byte, 512)}
+	b.ReportAllocs()
+	for b.Loop() {
+		ticket := r.Mint(0, "registry")
+		r.End(r.Begin(0, "registry", ticket, once.Binding{1}), result.Served, answer)
+	}
+}
--- a/pkg/result/codes.go
+++ b/pkg/result/codes.go
@@ -116,12 +116,14 @@
 	return slices.Concat(requestCodes(), fileCodes(), storeCodes(), operatorCodes())
 }
 
-func requestCodes() []Info {
-	return append(append([]Info{
+func requestCodes() []Info { return slices.Concat(servedCodes(), refusedCodes(), unknownCodes()) }
+
+func servedCodes() []Info {
+	return []Info{
 		{Served, "served", 0, Yes, "the backend server's whole answer was passed on", "use the answer", "nothing"},
 		{Replayed, "replayed", 0, Yes, "a resend of a once-only request got the kept answer of the first", "use the answer", "nothing"},
 		{AnswerNotKept, "answerNotKept", http.StatusGone, Yes, "a once-only request ran, and its answer is no longer kept", "look up the outcome", "nothing"},
-	}, refusedCodes()...), unknownCodes()...)
+	}
 }
 
 func refusedCodes() []Info {
--- a/pkg/result/result.go
+++ b/pkg/result/result.go
@@ -47,6 +47,15 @@
 	Yes
 )
 
+// Groups of the codes of requests.
+const (
+	groupSize = 1000
+
+	servedGroup  = 1
+	refusedGroup = 2
+	unknownGroup = 3
+)
+
 type (
 	// Ran tells whether a request was run by a backend server.
 	Ran uint8
@@ -109,7 +118,7 @@
 // Info returns the code's description; ok is false for a number that is not
 // in the table.
 func (c Code) Info() (info Info, ok bool) {
-	for _, i := range Codes() {
+	for _, i := range c.group() {
 		if i.Code == c {
 			return i, true
 		}
@@ -117,8 +126,31 @@
 	return Info{Code: c, Status: http.StatusInternalServerError}, false
 }
 
-// Ran tells whether a request that ended with the code was run.
+// Ran tells whether a request that ended with the code was run. It doesn't
+// look into the table, so that it may be used on the path of a request.
 func (c Code) Ran() Ran {
-	info, _ := c.Info()
-	return info.Ran
+	switch c / groupSize {
+	case servedGroup:
+		return Yes
+	case refusedGroup:
+		return No
+	case unknownGroup:
+		return Unknown
+	default:
+		info, _ := c.Info()
+		return info.Ran
+	}
+}
+
+func (c Code) group() []Info {
+	switch c / groupSize {
+	case servedGroup:
+		return servedCodes()
+	case refusedGroup:
+		return refusedCodes()
+	case unknownGroup:
+		return unknownCodes()
+	default:
+		return Codes()
+	}
 }
--- a/pkg/result/result_test.go
+++ b/pkg/result/result_test.go
@@ -19,6 +19,10 @@
 		is.True(info.Code > last) // codes ascend
 		is.True(!names[info.Name])
 		names[info.Name] = true
+		is.Equal(info.Code.Ran(), info.Ran) // the group tells the same as the table
+		found, ok := info.Code.Info()
+		is.True(ok)
+		is.Equal(found, info)
 		last = info.Code
 	}
 }
