slots: shares granted by a home and moved by demand

Cause: an even split leaves slots unused at one entry that another one needs, and the part of a lost entry is lost with it.

Change: wire holds the two messages, which state totals that only rise within a lease term and so may be lost, doubled, late or out of order; ledger is the home's books, holder the entry's. A grant ends Lifetime after the holder sent the report that was answered, or began the store read that confirmed the term. Slots of a silent holder are reclaimed only by raising the term. The model test drives three entries, a store and a network through lost, doubled and late messages, pauses between reading the clock and acting, restarts, partitions and takeovers.

The test found one fault: a claim that a new home never received was kept alive by store reads.

Conclusion: the rule holds in the model. It assumes clocks of equal rate; the deployment's Longest has to hold a margin for drift and for late bytes.

--- a/internal/admission/pool/pool.go
+++ b/internal/admission/pool/pool.go
@@ -54,12 +54,12 @@
 )
 
 // Now returns the time on the clock of the pool's gates.
-func (p *Pool) Now() int64 { return p.At(time.Now()) }
+func (p *Pool) Now() time.Duration { return p.At(time.Now()) }
 
 // At returns a time on the clock of the pool's gates.
-func (p *Pool) At(t time.Time) int64 {
+func (p *Pool) At(t time.Time) time.Duration {
 	p.once.Do(func() { p.start = time.Now().Add(-time.Second) })
-	return int64(t.Sub(p.start))
+	return t.Sub(p.start)
 }
 
 // Set returns the gate of a server and adds it if it is new.
@@ -131,7 +131,7 @@
 	return p.wait(ctx, req, q, servers)
 }
 
-func (p *Pool) take(req *admission.Request, servers []*service.Server, now int64) (*service.Server, *gate.Gate) {
+func (p *Pool) take(req *admission.Request, servers []*service.Server, now time.Duration) (*service.Server, *gate.Gate) {
 	t := p.table.Load()
 	for _, s := range servers {
 		if !usable(s, req.Tried) {
--- a/internal/slots/gate/doc.go
+++ b/internal/slots/gate/doc.go
@@ -7,8 +7,8 @@
 // granted. It may run out: past the Gate's end no slot can be taken, while
 // those in use stay counted until they are given back.
 //
-// Times are nanoseconds on one monotonic clock of the process, which the
-// caller passes in.
+// Times are durations since a fixed moment on one monotonic clock of the
+// process, which the caller passes in.
 //
 // # Usage
 //
--- a/internal/slots/gate/gate.go
+++ b/internal/slots/gate/gate.go
@@ -3,10 +3,11 @@
 import (
 	"math"
 	"sync/atomic"
+	"time"
 )
 
 // Forever is the end of a Gate whose slots don't run out.
-const Forever int64 = math.MaxInt64
+const Forever time.Duration = math.MaxInt64
 
 const (
 	usedBits = 32
@@ -24,8 +25,8 @@
 
 // Acquire takes a slot if one is free, the gate is open and now is before its
 // end.
-func (g *Gate) Acquire(now int64) bool {
-	if now >= g.end.Load() || g.closed.Load() {
+func (g *Gate) Acquire(now time.Duration) bool {
+	if int64(now) >= g.end.Load() || g.closed.Load() {
 		return false
 	}
 	for {
@@ -61,6 +62,18 @@
 	}
 }
 
+// Cut takes n slots out of the limit, which may fall below the number of slots
+// in use but not below 0.
+func (g *Gate) Cut(n int) {
+	for {
+		old := g.state.Load()
+		cut := min(uint64(max(n, 0)), old>>usedBits)
+		if g.state.CompareAndSwap(old, old-cut*oneLimit) {
+			return
+		}
+	}
+}
+
 // SetLimit sets the limit, which may be below the number of slots in use.
 func (g *Gate) SetLimit(limit int) {
 	for {
@@ -78,10 +91,10 @@
 }
 
 // SetEnd sets the time from which no slot can be taken.
-func (g *Gate) SetEnd(end int64) { g.end.Store(end) }
+func (g *Gate) SetEnd(end time.Duration) { g.end.Store(int64(end)) }
 
 // End returns the time from which no slot can be taken.
-func (g *Gate) End() int64 { return g.end.Load() }
+func (g *Gate) End() time.Duration { return time.Duration(g.end.Load()) }
 
 // SetClosed closes the gate, or opens it again; no slot can be taken through a
 // closed gate.
--- a/internal/slots/gate/gate_test.go
+++ b/internal/slots/gate/gate_test.go
@@ -4,6 +4,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -13,7 +14,7 @@
 func TestGateAcquire(t *testing.T) {
 	tests := map[string]struct {
 		limit, used int
-		end         int64
+		end         time.Duration
 		closed      bool
 		want        bool
 	}{
--- /dev/null
+++ b/internal/slots/ledger/model_test.go
@@ -0,0 +1,395 @@
+package ledger_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"pgregory.net/rapid"
+
+	"github.com/shallotpier/shallotpier/internal/peer"
+	"github.com/shallotpier/shallotpier/internal/slots/gate"
+	"github.com/shallotpier/shallotpier/internal/slots/holder"
+	"github.com/shallotpier/shallotpier/internal/slots/ledger"
+	"github.com/shallotpier/shallotpier/internal/slots/wire"
+	"github.com/shallotpier/shallotpier/pkg/id"
+)
+
+const (
+	modelEntries  = 3
+	modelLifetime = 20 * time.Millisecond
+	modelLease    = 30 * time.Millisecond
+	modelServer   = id.Server("a")
+	modelSlots    = 2
+	modelSteps    = 300
+	fixedSeeds    = 5000
+)
+
+type (
+	// model is a world of a few entries, a store and a network. An entry reads
+	// its clock when it takes up a task, and may be paused until it does it.
+	model struct {
+		rng     *rand.Rand
+		longest time.Duration
+		stride  int
+		now     time.Duration
+		term    id.Term
+		home    int
+		expires time.Duration
+		entries [modelEntries]*modelEntry
+		net     []modelMessage
+		running []modelRequest
+	}
+
+	modelEntry struct {
+		index  int
+		self   peer.Sender
+		offset time.Duration
+		gate   *gate.Gate
+		holder *holder.Holder
+		ledger *ledger.Ledger
+		paused func()
+		cut    bool
+	}
+
+	modelMessage struct {
+		to      int
+		from    peer.Sender
+		report  *wire.Report
+		grant   *wire.Grant
+		term    id.Term
+		begun   time.Duration
+		process id.Incarnation
+	}
+
+	modelRequest struct {
+		entry    *modelEntry
+		gate     *gate.Gate
+		deadline time.Duration
+	}
+)
+
+func bucket() wire.Bucket { return wire.Bucket{Service: "registry", Zone: "z-1"} }
+
+func newModel(seed uint64) *model {
+	m := &model{home: -1, rng: rand.New(rand.NewPCG(seed, 1))}
+	m.longest = time.Duration(m.between(1, 40)) * time.Millisecond
+	m.stride = m.between(2, 15)
+	for i := range m.entries {
+		m.entries[i] = &modelEntry{index: i, offset: time.Duration(i) * time.Hour}
+		m.start(i)
+	}
+	return m
+}
+
+func (m *model) start(i int) {
+	e := m.entries[i]
+	e.self = peer.Sender{Instance: id.Instance(rune('a' + i)), Incarnation: e.self.Incarnation + 1}
+	e.gate = new(gate.Gate)
+	g := e.gate
+	e.holder = &holder.Holder{Bucket: bucket(), Lifetime: modelLifetime, Gate: func(id.Server) *gate.Gate { return g }}
+	e.holder.Configure([]id.Server{modelServer})
+	e.ledger = &ledger.Ledger{Bucket: bucket(), Lifetime: modelLifetime, Longest: m.longest, Silence: modelLifetime}
+	e.ledger.Configure([]ledger.Slots{{Server: modelServer, Slots: modelSlots, Ceiling: modelSlots}}, m.clock(e))
+	e.paused = nil
+}
+
+func (m *model) clock(e *modelEntry) time.Duration { return m.now + e.offset }
+
+// do lets an entry do a task now, or pauses it between reading its clock and
+// doing the task.
+func (m *model) do(e *modelEntry, task func(now time.Duration)) {
+	if e.paused != nil {
+		return
+	}
+	now := m.clock(e)
+	if m.between(0, 9) == 0 {
+		e.paused = func() { task(now) }
+		return
+	}
+	task(now)
+}
+
+func (m *model) entry() *modelEntry {
+	return m.entries[m.between(0, modelEntries-1)]
+}
+
+func (m *model) send(msg modelMessage) { m.net = append(m.net, msg) }
+
+func (m *model) push(e *modelEntry) {
+	for _, p := range e.ledger.Pushes() {
+		m.send(modelMessage{to: int(p.To.Instance[0] - 'a'), from: e.self, grant: &p.Grant, process: p.To.Incarnation})
+	}
+}
+
+func (m *model) report(e *modelEntry, now time.Duration, want int) {
+	if e.holder.Term() == 0 || m.home < 0 {
+		return
+	}
+	r := e.holder.Report(now, want, want)
+	m.send(modelMessage{to: m.home, from: e.self, report: &r})
+}
+
+// deliver lets an entry take one message, which stays in the network if
+// duplicated.
+func (m *model) deliver() {
+	if len(m.net) == 0 {
+		return
+	}
+	i := m.between(0, len(m.net)-1)
+	msg := m.net[i]
+	if m.entries[msg.to].cut && msg.term == 0 {
+		return
+	}
+	if m.between(0, 3) != 0 {
+		m.net = append(m.net[:i:i], m.net[i+1:]...)
+	}
+	e := m.entries[msg.to]
+	if msg.report == nil && msg.process != e.self.Incarnation {
+		return
+	}
+	m.do(e, func(now time.Duration) { m.handle(e, msg, now) })
+}
+
+func (m *model) handle(e *modelEntry, msg modelMessage, now time.Duration) {
+	switch {
+	case msg.report != nil:
+		grant, err := e.ledger.Report(msg.from, msg.report, now)
+		m.push(e)
+		if err == nil {
+			m.send(modelMessage{to: int(msg.from.Instance[0] - 'a'), from: e.self, grant: &grant, process: msg.from.Incarnation})
+		}
+	case msg.grant != nil:
+		e.holder.Grant(msg.grant, now)
+		if msg.grant.Recall > 0 {
+			e.holder.Return(msg.grant.Recall)
+			m.report(e, now, 0)
+		}
+	default:
+		e.holder.Confirm(msg.term, msg.begun)
+		e.holder.Adopt(msg.term, now)
+	}
+}
+
+// exchange lets an entry report to the home that it knows of and have the
+// answer, which may be lost or come late; the report may come again.
+func (m *model) exchange() {
+	e, want := m.entry(), m.between(0, 2)
+	if e.paused != nil || e.cut || m.home < 0 {
+		return
+	}
+	now := m.clock(e)
+	if e.holder.Term() == 0 || m.between(0, 2) == 0 {
+		e.holder.Adopt(m.term, now)
+	}
+	home := m.knownHome(e)
+	if home.paused != nil || home.cut {
+		return
+	}
+	r := e.holder.Report(now, want, want)
+	if m.between(0, 4) == 0 {
+		m.send(modelMessage{to: home.index, from: e.self, report: &r})
+	}
+	grant, err := home.ledger.Report(e.self, &r, m.clock(home))
+	m.push(home)
+	if err != nil {
+		return
+	}
+	answer := modelMessage{to: e.index, from: home.self, grant: &grant, process: e.self.Incarnation}
+	switch m.between(0, 5) {
+	case 0:
+	case 1:
+		m.send(answer)
+	default:
+		m.handle(e, answer, now)
+	}
+}
+
+func (m *model) knownHome(e *modelEntry) *modelEntry {
+	for _, other := range m.entries {
+		if other.ledger.Term() == e.holder.Term() {
+			return other
+		}
+	}
+	return m.entries[m.home]
+}
+
+func (m *model) acquire() {
+	e := m.entry()
+	span := time.Duration(m.between(1, int(m.longest/time.Millisecond))) * time.Millisecond
+	m.do(e, func(now time.Duration) {
+		if !e.gate.Acquire(now) {
+			return
+		}
+		r := modelRequest{entry: e, gate: e.gate, deadline: now + span - e.offset}
+		if m.now >= r.deadline {
+			e.gate.Release()
+			return
+		}
+		m.running = append(m.running, r)
+	})
+}
+
+func (m *model) end(i int) {
+	r := m.running[i]
+	r.gate.Release()
+	m.running = append(m.running[:i:i], m.running[i+1:]...)
+}
+
+func (m *model) takeOver() {
+	e := m.entry()
+	if e.paused != nil || m.now < m.expires {
+		return
+	}
+	m.term++
+	m.home, m.expires = e.index, m.now+modelLease
+	m.begin(e)
+}
+
+func (m *model) raise() {
+	if m.home < 0 {
+		return
+	}
+	e := m.entries[m.home]
+	if e.paused != nil || e.ledger.Term() != m.term || m.now >= m.expires {
+		return
+	}
+	m.term++
+	m.begin(e)
+}
+
+func (m *model) begin(e *modelEntry) {
+	term, until := m.term, m.expires+e.offset
+	m.do(e, func(now time.Duration) {
+		e.ledger.Begin(term, now)
+		e.ledger.SetAuthority(until)
+		m.push(e)
+	})
+}
+
+func (m *model) renewLease() {
+	if m.home < 0 {
+		return
+	}
+	e := m.entries[m.home]
+	if e.paused != nil || e.ledger.Term() != m.term || m.now >= m.expires {
+		return
+	}
+	m.expires = m.now + modelLease
+	e.ledger.SetAuthority(m.expires + e.offset)
+}
+
+func (m *model) readStore() {
+	e := m.entry()
+	if e.paused != nil || m.term == 0 {
+		return
+	}
+	m.send(modelMessage{to: e.index, term: m.term, begun: m.clock(e), process: e.self.Incarnation})
+}
+
+func (m *model) advance() {
+	m.now += time.Duration(m.between(1, m.stride)) * time.Millisecond
+	for i := len(m.running) - 1; i >= 0; i-- {
+		if m.now >= m.running[i].deadline {
+			m.end(i)
+		}
+	}
+}
+
+// TestSlotsConserved holds that no server ever runs more requests than it has
+// slots, through any history of messages lost, doubled, late and out of order,
+// of processes paused, killed and restarted, and of homes that change.
+func TestSlotsConserved(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		seed := rapid.Uint64().Draw(t, "seed")
+		if err := newModel(seed).run(); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
+
+// TestSlotsConservedFixedSeeds is the same over histories that never change.
+// Those listed failed once.
+func TestSlotsConservedFixedSeeds(t *testing.T) {
+	seeds := []uint64{
+		0x7daf7, // a claim that the home never got was kept alive by the store
+	}
+	for seed := range uint64(fixedSeeds) {
+		seeds = append(seeds, seed)
+	}
+	for _, seed := range seeds {
+		if err := newModel(seed).run(); err != nil {
+			t.Fatalf("seed %d: %v", seed, err)
+		}
+	}
+}
+
+func (m *model) run() error {
+	actions := m.actions()
+	for range modelSteps {
+		actions[m.rng.IntN(len(actions))]()
+		if len(m.running) > modelSlots {
+			return eris.Errorf("%d requests run on %d slots at %s", len(m.running), modelSlots, m.now)
+		}
+	}
+	return nil
+}
+
+func (m *model) between(low, high int) int { return low + m.rng.IntN(high-low+1) }
+
+// actions returns what may happen; the frequent ones stand in it repeatedly.
+func (m *model) actions() []func() {
+	weights := []struct {
+		weight int
+		do     func()
+	}{
+		{12, m.acquire}, {12, m.exchange}, {6, m.deliver}, {4, m.advance}, {2, m.takeOver},
+		{1, m.raise}, {3, m.renewLease}, {2, m.readStore}, {2, m.finish}, {3, m.resume},
+		{1, m.restart}, {1, m.giveBack}, {1, m.tick}, {1, m.cutOff},
+	}
+	var out []func()
+	for _, w := range weights {
+		for range w.weight {
+			out = append(out, w.do)
+		}
+	}
+	return out
+}
+
+func (m *model) tick() {
+	e := m.entry()
+	m.do(e, func(now time.Duration) { e.ledger.Tick(now); m.push(e) })
+}
+
+func (m *model) giveBack() {
+	e := m.entry()
+	m.do(e, func(time.Duration) { e.holder.Return(1) })
+}
+
+func (m *model) resume() {
+	if e := m.entry(); e.paused != nil {
+		task := e.paused
+		e.paused = nil
+		task()
+	}
+}
+
+func (m *model) finish() {
+	if len(m.running) > 0 {
+		m.end(m.between(0, len(m.running)-1))
+	}
+}
+
+// cutOff parts an entry from the others, but not from the store, or joins it
+// again.
+func (m *model) cutOff() {
+	e := m.entry()
+	e.cut = !e.cut
+}
+
+func (m *model) restart() {
+	if m.between(0, 1) == 0 {
+		m.start(m.entry().index)
+	}
+}
