cli, scenarios: publish and history, tried against the stand-ins as processes

Cause: operators publish from their service folders and must learn with certainty whose version is in force. limits.leaveTime and limits.metricCallers were settings that nothing read. An error's stack was written into its log line.

--- a/internal/cli/app.go
+++ b/internal/cli/app.go
@@ -115,6 +115,8 @@
 		a.drainCommand(),
 		a.undrainCommand(),
 		a.quarantineCommand(),
+		a.publishCommand(),
+		a.historyCommand(),
 		a.benchCommand(),
 	}
 }
--- /dev/null
+++ b/internal/cli/publish.go
@@ -0,0 +1,230 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/netip"
+	"text/tabwriter"
+	"time"
+
+	urfave "github.com/urfave/cli/v3"
+
+	"github.com/shallotpier/shallotpier/internal/publish"
+	"github.com/shallotpier/shallotpier/internal/store/httpstore"
+	"github.com/shallotpier/shallotpier/pkg/id"
+	"github.com/shallotpier/shallotpier/pkg/result"
+	"github.com/shallotpier/shallotpier/pkg/service"
+)
+
+const publishWait = 30 * time.Second
+
+type (
+	published struct {
+		Ticket     string             `json:"ticket,omitempty"`
+		Difference publish.Difference `json:"difference"`
+		Outcome    *publish.Outcome   `json:"outcome,omitempty"`
+	}
+
+	versions []versionRow
+
+	versionRow struct {
+		Version  id.Version `json:"version"`
+		Author   string     `json:"author"`
+		At       time.Time  `json:"at"`
+		Services int        `json:"services"`
+		Changes  int        `json:"changes"`
+	}
+
+	changes publish.Difference
+)
+
+func (a *App) publishCommand() *urfave.Command {
+	return &urfave.Command{
+		Name:      "publish",
+		Usage:     "collect service files, show what they change, and submit them",
+		ArgsUsage: "FOLDER|FILE...",
+		Description: "Files replace those of the same service; other services stay as they are. The ticket that is shown can be asked about with --find, " +
+			"also if this command is interrupted.\n\nExamples:\n   shallotpier publish --store 10.0.0.1:7000 --deployment deployment.toml services/\n" +
+			"   shallotpier publish --store 10.0.0.1:7000 --dry-run services/\n   shallotpier publish --store 10.0.0.1:7000 --find 7/9f3c61",
+		Flags: []urfave.Flag{
+			storeFlag(), deploymentFlag(),
+			&urfave.StringFlag{Name: "author", Usage: "`NAME` of who publishes", Sources: urfave.EnvVars("USER")},
+			&urfave.StringSliceFlag{Name: "remove", Usage: "remove this `SERVICE`; may be given again"},
+			&urfave.Uint64Flag{Name: "base", Usage: "`VERSION` that the change was made on; another one in force refuses it"},
+			&urfave.BoolFlag{Name: "dry-run", Usage: "show the difference and submit nothing"},
+			&urfave.StringFlag{Name: "find", Usage: "tell what became of the submission with this `TICKET`"},
+			&urfave.DurationFlag{Name: "wait", Value: publishWait, Usage: "longest `TIME` to try for a certain outcome"},
+		},
+		Action: a.action(a.publish),
+	}
+}
+
+func storeFlag() urfave.Flag {
+	return &urfave.StringFlag{Name: "store", Required: true, Usage: "`ADDRESS` of the platform's store", Sources: urfave.EnvVars("SHALLOTPIER_STORE")}
+}
+
+func publisher(cmd *urfave.Command) (*publish.Publisher, error) {
+	address, err := netip.ParseAddrPort(cmd.String("store"))
+	if err != nil {
+		return nil, usagef("store %q: want an address such as 10.0.0.1:7000", cmd.String("store"))
+	}
+	return &publish.Publisher{Store: &httpstore.Client{Base: "http://" + address.String()}, Author: cmd.String("author")}, nil
+}
+
+func (a *App) publish(ctx context.Context, cmd *urfave.Command) error {
+	p, err := publisher(cmd)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, cmd.Duration("wait"))
+	defer cancel()
+	if text := cmd.String("find"); text != "" {
+		var t publish.Ticket
+		if err := t.UnmarshalText([]byte(text)); err != nil {
+			return usagef("%s", err)
+		}
+		return a.outcome(&published{Ticket: text, Outcome: p.Find(ctx, t)})
+	}
+	s, err := submission(cmd, p)
+	if err != nil {
+		return err
+	}
+	draft, refused := p.Prepare(ctx, s)
+	if refused != nil {
+		return a.outcome(&published{Outcome: refused})
+	}
+	out := &published{Ticket: draft.Ticket.String(), Difference: draft.Difference}
+	a.progressf("ticket %s, %d changes", out.Ticket, len(out.Difference))
+	if cmd.Bool("dry-run") || len(out.Difference) == 0 {
+		return a.show(out)
+	}
+	out.Outcome = p.Submit(ctx, draft)
+	return a.outcome(out)
+}
+
+// submission reads the operands, and sets the publisher's rules by the
+// deployment.
+func submission(cmd *urfave.Command, p *publish.Publisher) (publish.Submission, error) {
+	s := publish.Submission{Base: id.Version(cmd.Uint64("base"))}
+	for _, name := range cmd.StringSlice("remove") {
+		var one id.Service
+		if err := one.UnmarshalText([]byte(name)); err != nil {
+			return s, usagef("remove: %s", err)
+		}
+		s.Remove = append(s.Remove, one)
+	}
+	if len(s.Remove) == 0 || cmd.Args().Len() > 0 {
+		files, err := collectFiles(cmd)
+		if err != nil {
+			return s, err
+		}
+		for _, f := range files {
+			s.Files = append(s.Files, *f.File)
+		}
+	}
+	world, err := readDeployment(cmd.String("deployment"))
+	if world != nil {
+		p.Rules = publish.Rules{Region: world.Region, Entries: len(world.Entries)}
+	}
+	return s, err
+}
+
+// outcome shows what became of a submission and returns the error that carries
+// its exit code.
+func (a *App) outcome(p *published) error {
+	if err := a.show(p); err != nil {
+		return err
+	}
+	codes := map[result.Code]int{
+		result.Overtaken: ExitOvertaken, result.RefusedByCheck: ExitRefused,
+		result.StoreUnavailable: ExitUnreachable, result.NotYetKnown: ExitNotYetKnown,
+	}
+	if p.Outcome.Code == result.Accepted {
+		return nil
+	}
+	code, ok := codes[p.Outcome.Code]
+	if !ok {
+		code = ExitFailed
+	}
+	return &exitError{code: code, text: fmt.Sprintf("%s (code %d)", p.Outcome, p.Outcome.Code)}
+}
+
+func (a *App) historyCommand() *urfave.Command {
+	return &urfave.Command{
+		Name:        "history",
+		Usage:       "list the published versions, or show what one of them changed",
+		Description: "Examples:\n   shallotpier history --store 10.0.0.1:7000\n   shallotpier history --store 10.0.0.1:7000 --version 7",
+		Flags: []urfave.Flag{
+			storeFlag(),
+			&urfave.Uint64Flag{Name: "version", Usage: "show what this `VERSION` changed in the one before"},
+			&urfave.DurationFlag{Name: "wait", Value: publishWait, Usage: "longest `TIME` to wait for the store"},
+		},
+		Action: a.action(a.history),
+	}
+}
+
+func (a *App) history(ctx context.Context, cmd *urfave.Command) error {
+	p, err := publisher(cmd)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, cmd.Duration("wait"))
+	defer cancel()
+	all, err := p.History(ctx)
+	if err != nil {
+		return &exitError{code: ExitUnreachable, text: fmt.Sprintf("read the history: %s", err)}
+	}
+	wanted := id.Version(cmd.Uint64("version"))
+	rows := versions{}
+	var before *publish.Publication
+	for _, v := range all {
+		difference := publish.Compare(filesOf(before), v.Files)
+		if v.Version == wanted {
+			return a.show((*changes)(&difference))
+		}
+		rows = append(rows, versionRow{Version: v.Version, Author: v.Author, At: v.At, Services: len(v.Files), Changes: len(difference)})
+		before = v
+	}
+	if wanted != 0 {
+		return usagef("version %d is not in the history", wanted)
+	}
+	return a.show(&rows)
+}
+
+func (p *published) text(w io.Writer) error {
+	if _, err := fmt.Fprint(w, p.Difference.String()); err != nil {
+		return err
+	}
+	switch {
+	case p.Outcome != nil:
+		fmt.Fprintln(w, p.Outcome)
+		fmt.Fprint(w, p.Outcome.Difference.String())
+	case len(p.Difference) == 0:
+		fmt.Fprintln(w, "nothing differs from the version in force; nothing was submitted")
+	default:
+		fmt.Fprintln(w, "dry run; nothing was submitted")
+	}
+	return nil
+}
+
+func (v *versions) text(w io.Writer) error {
+	t := tabwriter.NewWriter(w, 0, 0, tabPadding, ' ', 0)
+	fmt.Fprintln(t, "VERSION\tPUBLISHED\tAUTHOR\tSERVICES\tCHANGES")
+	for _, row := range *v {
+		fmt.Fprintf(t, "%d\t%s\t%s\t%d\t%d\n", row.Version, row.At.Format(time.RFC3339), row.Author, row.Services, row.Changes)
+	}
+	return t.Flush()
+}
+
+func (c *changes) text(w io.Writer) error {
+	_, err := fmt.Fprint(w, publish.Difference(*c).String())
+	return err
+}
+
+func filesOf(p *publish.Publication) []service.File {
+	if p == nil {
+		return nil
+	}
+	return p.Files
+}
--- a/internal/logs/logs.go
+++ b/internal/logs/logs.go
@@ -17,13 +17,21 @@
 // New returns a logger that writes lines of the form and from the level that
 // the settings name.
 func New(w io.Writer, s settings.Log) *slog.Logger {
-	options := slog.HandlerOptions{Level: s.Level.Slog()}
+	options := slog.HandlerOptions{Level: s.Level.Slog(), ReplaceAttr: plainError}
 	if s.Format == settings.JSON {
 		return slog.New(slog.NewJSONHandler(w, &options))
 	}
 	return slog.New(slog.NewTextHandler(w, &options))
 }
 
+// plainError keeps an error's stack out of the line.
+func plainError(_ []string, a slog.Attr) slog.Attr {
+	if err, ok := a.Value.Any().(error); ok {
+		a.Value = slog.StringValue(err.Error())
+	}
+	return a
+}
+
 // Adopt sends the process's go-zero log lines to log. It must run before any
 // go-zero server is set up.
 func Adopt(log *slog.Logger) error {
--- a/internal/logs/logs_test.go
+++ b/internal/logs/logs_test.go
@@ -6,6 +6,7 @@
 	"testing"
 
 	"github.com/matryer/is"
+	"github.com/rotisserie/eris"
 	"github.com/zeromicro/go-zero/core/logx"
 
 	"github.com/shallotpier/shallotpier/internal/logs"
@@ -30,3 +31,10 @@
 	logs.New(&out, settings.Log{Level: settings.Warn, Format: settings.JSON}).Warn("late", "ageMs", 4)
 	is.True(strings.Contains(out.String(), `"msg":"late","ageMs":4`))
 }
+
+func TestErrorsAreWrittenWithoutTheirStack(t *testing.T) {
+	is := is.New(t)
+	var out bytes.Buffer
+	logs.New(&out, settings.Log{Level: settings.Info, Format: settings.KeyValue}).Error("stopped", "error", eris.New("no port"))
+	is.True(strings.Contains(out.String(), `error="no port"`))
+}
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -12,8 +12,6 @@
 const (
 	// MaxConnections is the greatest number of callers' connections.
 	MaxConnections = 1_000_000
-	// MaxMetricCallers is the greatest number of callers with own metrics.
-	MaxMetricCallers = 1000
 )
 
 func (s *Settings) checkOwn() *service.FileError {
@@ -87,9 +85,6 @@
 	if n := s.Limits.Connections; n < 1 || n > MaxConnections {
 		return impossible("limits.connections", "must be 1 to %d", MaxConnections)
 	}
-	if n := s.Limits.MetricCallers; n < 1 || n > MaxMetricCallers {
-		return impossible("limits.metricCallers", "must be 1 to %d", MaxMetricCallers)
-	}
 	return nil
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -21,10 +21,6 @@
 	DefaultHeaderTime = unit.Duration(10 * time.Second)
 	// DefaultIdleTime is how long an idle connection of a caller is kept.
 	DefaultIdleTime = unit.Duration(2 * time.Minute)
-	// DefaultLeaveTime is how long a leaving entry's listener stays open.
-	DefaultLeaveTime = unit.Duration(5 * time.Second)
-	// DefaultMetricCallers is the number of callers with metrics of their own.
-	DefaultMetricCallers = 50
 )
 
 type (
@@ -88,12 +84,6 @@
 		HeaderTime unit.Duration `toml:"headerTime"`
 		// IdleTime is how long a connection is kept without a request.
 		IdleTime unit.Duration `toml:"idleTime"`
-		// LeaveTime is how long the callers' listener of a leaving entry stays
-		// open for those that still hold an older look-up.
-		LeaveTime unit.Duration `toml:"leaveTime"`
-		// MetricCallers is the greatest number of callers that have metrics of
-		// their own; the others share one.
-		MetricCallers int `toml:"metricCallers"`
 	}
 
 	// Log says what is logged and how.
@@ -148,8 +138,6 @@
 	setDefault(&s.Limits.Connections, DefaultConnections)
 	setDefault(&s.Limits.HeaderTime, DefaultHeaderTime)
 	setDefault(&s.Limits.IdleTime, DefaultIdleTime)
-	setDefault(&s.Limits.LeaveTime, DefaultLeaveTime)
-	setDefault(&s.Limits.MetricCallers, DefaultMetricCallers)
 	setDefault(&s.Log.Level, Info)
 	setDefault(&s.Log.Format, KeyValue)
 }
--- a/scenarios/scenarios_test.go
+++ b/scenarios/scenarios_test.go
@@ -2,11 +2,8 @@
 
 import (
 	"context"
-	"errors"
 	"os"
-	"os/exec"
 	"path/filepath"
-	"strconv"
 	"testing"
 
 	"github.com/rogpeppe/go-internal/testscript"
@@ -39,30 +36,11 @@
 		RequireUniqueNames:  true,
 		Setup: func(e *testscript.Env) error {
 			e.Setenv("EXAMPLES", examples)
+			e.Setenv("SHALLOTPIER_TOKEN", "example-write")
 			return nil
 		},
-		Cmds: map[string]func(ts *testscript.TestScript, neg bool, args []string){"exitcode": exitCode},
+		Cmds: map[string]func(ts *testscript.TestScript, neg bool, args []string){
+			"exitcode": exitCode, "deploy": deploy, "until": until, "signal": signal, "get": get, "put": put,
+		},
 	})
 }
-
-// exitCode runs a program and holds its exit code against the first argument.
-func exitCode(ts *testscript.TestScript, neg bool, args []string) {
-	if neg || len(args) < 2 {
-		ts.Fatalf("usage: exitcode N program args...")
-	}
-	code := "0"
-	if err := ts.Exec(args[1], args[2:]...); err != nil {
-		code = exitOf(err)
-	}
-	if code != args[0] {
-		ts.Fatalf("exit code %s, want %s", code, args[0])
-	}
-}
-
-func exitOf(err error) string {
-	var exit *exec.ExitError
-	if errors.As(err, &exit) {
-		return strconv.Itoa(exit.ExitCode())
-	}
-	return err.Error()
-}
