shift: spread a gate's admissions over several counters

Cause: ten threads on one gate took 71 to 83 ns an admission, slower than one thread with 28 to 45 ns, since all changed the same counter.

Change: a bucket's admissions are spread over 16 counters, and each processor begins with its own.

--- a/internal/link/budget_test.go
+++ b/internal/link/budget_test.go
@@ -316,3 +316,14 @@
 		budget.Pass(now, 800)
 	}
 }
+
+func TestNextAndPassDoNotAllocate(t *testing.T) {
+	is := is.New(t)
+	var budget link.Budget
+	budget.SetRate(unit.GiB, 1)
+	body, _ := budget.Admit(1, time.Hour)
+	is.Equal(testing.AllocsPerRun(1000, func() {
+		body.Next(start, 1<<20)
+		budget.Pass(start, 800)
+	}), 0.0)
+}
--- a/internal/shift/gate.go
+++ b/internal/shift/gate.go
@@ -14,19 +14,25 @@
 	// and a bucket that a window cuts counts against the entry.
 	buckets = 128
 	ring    = 2*buckets + 2
-	// closed marks a bucket that takes no more admissions.
+	// stripes is the number of counters that a bucket's admissions are spread
+	// over, so that threads don't share one.
+	stripes = 16
+	// closed marks a stripe that gives no more admissions.
 	closed = math.MinInt64
+	// cacheLine is the size in bytes of what two processors contend for.
+	cacheLine = 64
 )
 
 type (
 	// Gate holds one entry's share of the cap toward one region. It is safe
-	// for concurrent use; an admission is one compare-and-swap, and a lock is
-	// taken once a bucket.
+	// for concurrent use; an admission is one compare-and-swap on a counter that
+	// few threads share, and a lock is taken once a bucket.
 	Gate struct {
 		window  time.Duration
 		width   time.Duration
 		epoch   time.Time
 		current atomic.Pointer[bucket]
+		hints   sync.Pool // of *hint, by processor
 
 		mu     sync.Mutex
 		floor  unit.Rate
@@ -36,11 +42,22 @@
 		shares [ring]unit.Rate
 	}
 
+	// bucket is a part of the window, or of a bucket after the share changed.
 	bucket struct {
-		index int64
-		allow atomic.Int64
-		used  atomic.Int64
+		index   int64
+		allow   int64
+		earlier int64 // admitted in the same part of the window before
+		empty   atomic.Bool
+		stripes [stripes]stripe
 	}
+
+	stripe struct {
+		left atomic.Int64
+		_    [cacheLine - 8]byte
+	}
+
+	// hint is the stripe that a processor begins with.
+	hint struct{ stripe uint32 }
 )
 
 // NewGate returns a gate that holds its floor, in requests a second. The floor
@@ -50,27 +67,31 @@
 func NewGate(window time.Duration, floor unit.Rate, now, reserved time.Time) *Gate {
 	g := &Gate{window: window, width: max(window/buckets, 1), floor: valid(floor)}
 	g.epoch = now.Add(-ring * g.width)
+	var next atomic.Uint32
+	g.hints.New = func() any { return &hint{next.Add(1) % stripes} }
 	k := g.index(now)
 	for i := max(k-ring, g.index(reserved)) + 1; i <= k; i++ {
 		g.shares[slot(i)] = g.floor
 	}
-	g.open(k)
+	g.open(k, 0)
 	return g
 }
 
 // Admit counts one request toward the region, or refuses it and tells after
 // which time the gate may admit more.
 func (g *Gate) Admit(now time.Time) (ok bool, retryAfter time.Duration) {
+	h, _ := g.hints.Get().(*hint)
+	defer g.hints.Put(h)
 	for {
 		b := g.at(now)
-		used := b.used.Load()
+		ok, again := b.take(h.stripe)
 		switch {
-		case used < 0:
+		case again:
 			continue
-		case used >= b.allow.Load():
-			return false, max(g.epoch.Add(time.Duration(b.index+1)*g.width).Sub(now), time.Millisecond)
-		case b.used.CompareAndSwap(used, used+1):
+		case ok:
 			return true, 0
+		default:
+			return false, max(g.epoch.Add(time.Duration(b.index+1)*g.width).Sub(now), time.Millisecond)
 		}
 	}
 }
@@ -105,7 +126,7 @@
 	i := slot(b.index)
 	if share := g.shareOf(b.index); share < g.shares[i] {
 		g.shares[i] = share
-		b.allow.Store(g.allowance(b.index))
+		g.open(b.index, b.close())
 	}
 }
 
@@ -131,21 +152,59 @@
 	if k <= b.index {
 		return b
 	}
-	g.counts[slot(b.index)] = b.used.Swap(closed)
+	g.counts[slot(b.index)] = b.close()
 	for i := max(b.index+1, k-ring+1); i <= k; i++ {
 		g.counts[slot(i)], g.shares[slot(i)] = 0, g.shareOf(i)
 	}
-	return g.open(k)
+	return g.open(k, 0)
 }
 
-func (g *Gate) open(k int64) *bucket {
+// open begins bucket k, of which some was admitted before.
+func (g *Gate) open(k, earlier int64) *bucket {
 	g.counts[slot(k)] = 0
-	b := &bucket{index: k}
-	b.allow.Store(g.allowance(k))
+	b := &bucket{index: k, earlier: earlier, allow: max(g.allowance(k)-earlier, 0)}
+	for i := range b.stripes {
+		n := b.allow / stripes
+		if int64(i) < b.allow%stripes {
+			n++
+		}
+		b.stripes[i].left.Store(n)
+	}
 	g.current.Store(b)
 	return b
 }
 
+// take takes one admission, from the given stripe if it has one left. It must
+// be tried again on the next bucket if this one is closed.
+func (b *bucket) take(first uint32) (ok, again bool) {
+	if b.empty.Load() {
+		return false, false
+	}
+	for k := range uint32(stripes) {
+		left := &b.stripes[(first+k)%stripes].left
+		for n := left.Load(); n != 0; n = left.Load() {
+			if n < 0 {
+				return false, true
+			}
+			if left.CompareAndSwap(n, n-1) {
+				return true, false
+			}
+		}
+	}
+	b.empty.Store(true)
+	return false, false
+}
+
+// close ends the bucket and returns all that was admitted in its part of the
+// window.
+func (b *bucket) close() int64 {
+	used := b.earlier + b.allow
+	for i := range b.stripes {
+		used -= b.stripes[i].left.Swap(closed)
+	}
+	return used
+}
+
 // allowance returns how many admissions bucket k may take: the smallest room
 // over all windows that start in one of the last buckets and reach into k.
 func (g *Gate) allowance(k int64) int64 {
