entry, caller: once-only requests at a leaving entry, callers that stop taking

Cause: a leaving entry refused resends whose outcome it still had; a caller that stopped taking its answer kept a slot in use for as long as it liked; and the caller's client said "unknown" where a leaving entry had proved "no".

Change: a leaving entry still tells outcomes and executes nothing new. A caller that takes nothing of its answer for 90 s is given up. The client takes a new ticket after a proved "no" of a leaving entry. A test stops three entries in turn while each carries an upload of 20 minutes over a weak signal.

--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -52,8 +52,7 @@
 	}
 	c.code = result.Served
 	c.head(ans.Status, ans.Header, ans.Length, ans.Trailer)
-	n, err := c.w.Write(held)
-	c.out += int64(n)
+	err := c.write(held)
 	if err == nil && !whole {
 		err = c.stream(ans)
 	}
@@ -129,9 +128,7 @@
 	for {
 		n, err := ans.Body.Read(*buf)
 		if n > 0 {
-			m, werr := c.w.Write((*buf)[:n])
-			c.out += int64(m)
-			if werr != nil {
+			if werr := c.write((*buf)[:n]); werr != nil {
 				return werr
 			}
 			if ans.Length < 0 {
@@ -147,6 +144,19 @@
 	}
 }
 
+// write writes a part of the answer, and fails if the caller takes nothing of
+// it for too long.
+func (c *call) write(p []byte) error {
+	control := http.NewResponseController(c.w)
+	_ = control.SetWriteDeadline(time.Now().Add(c.h.callerSilence()))
+	n, err := c.w.Write(p)
+	c.out += int64(n)
+	if err == nil {
+		_ = control.SetWriteDeadline(time.Time{})
+	}
+	return err
+}
+
 func (c *call) trail(trailer http.Header) {
 	for k, vs := range trailer {
 		if !isInternal(k) {
--- a/internal/entry/body.go
+++ b/internal/entry/body.go
@@ -24,11 +24,14 @@
 }
 
 func newCallerBody(c *call) *callerBody {
-	b := &callerBody{src: c.r.Body, req: c.r, control: http.NewResponseController(c.w), left: int64(c.class.BodyLimit), silence: c.h.CallerSilence}
-	if b.silence == 0 {
-		b.silence = callerSilent
+	return &callerBody{src: c.r.Body, req: c.r, control: http.NewResponseController(c.w), left: int64(c.class.BodyLimit), silence: c.h.callerSilence()}
+}
+
+func (h *Handler) callerSilence() time.Duration {
+	if h.CallerSilence == 0 {
+		return callerSilent
 	}
-	return b
+	return h.CallerSilence
 }
 
 // Read reads from the caller.
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -82,7 +82,7 @@
 	case c.r.ContentLength > int64(c.class.BodyLimit):
 		c.refuse(result.BodyTooLarge, 0)
 		return
-	case c.h.Leaving != nil && c.h.Leaving():
+	case c.class.Kind != service.Once && c.h.leaving():
 		c.refuse(result.EntryLeaving, 0)
 		return
 	}
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -79,7 +79,7 @@
 		// Table returns the configuration in force, nil if there is none yet.
 		Table func() *Table
 		// Leaving tells whether the entry must not begin anything new; nil is
-		// never.
+		// never. Resends of once-only requests still get their outcome.
 		Leaving func() bool
 		// Admitter permits sends.
 		Admitter admission.Admitter
@@ -99,7 +99,7 @@
 		// Budget limits what is sent again; nil sends nothing again.
 		Budget Budget
 		// CallerSilence is how long a caller may send nothing of a body that
-		// it has begun; 0 is 90 s.
+		// it has begun, or take nothing of its answer; 0 is 90 s.
 		CallerSilence time.Duration
 		// Log gets one line for each request.
 		Log *slog.Logger
@@ -153,5 +153,7 @@
 	return nil
 }
 
+func (h *Handler) leaving() bool { return h.Leaving != nil && h.Leaving() }
+
 // age returns the age of the entry's incarnation.
 func (h *Handler) age() time.Duration { return time.Since(h.Started) }
--- a/internal/entry/lookup.go
+++ b/internal/entry/lookup.go
@@ -33,7 +33,7 @@
 	if !c.known(name) {
 		return
 	}
-	if c.h.Leaving != nil && c.h.Leaving() {
+	if c.h.leaving() {
 		c.refuse(result.EntryLeaving, 0)
 		return
 	}
--- a/internal/entry/once.go
+++ b/internal/entry/once.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"bytes"
 	"context"
 	"crypto/sha256"
 	"errors"
@@ -49,6 +48,11 @@
 		use := c.h.Once.Begin(c.h.age(), c.file.Service, ticket, c.binding())
 		switch use.State {
 		case once.Run:
+			if c.h.leaving() {
+				c.h.Once.End(use, result.EntryLeaving, nil)
+				c.refuse(result.EntryLeaving, 0)
+				return
+			}
 			c.execute(use)
 			return
 		case once.Ended:
@@ -166,9 +170,7 @@
 	}
 	c.code, c.server = code, a.Server
 	c.head(a.Status, a.Header, int64(len(a.Body)), a.Trailer)
-	n, err := c.w.Write(a.Body)
-	c.out += int64(n)
-	if err != nil {
+	if err := c.write(a.Body); err != nil {
 		c.cut(err)
 		return
 	}
@@ -226,8 +228,10 @@
 	}
 	c.code, c.server = code, id.Server(ans.Header.Get(result.HeaderServer))
 	c.head(ans.Status, ans.Header, int64(len(body)), ans.Trailer)
-	n, _ := io.Copy(c.w, bytes.NewReader(body))
-	c.out += n
+	if err := c.write(body); err != nil {
+		c.cut(err)
+		return
+	}
 	c.trail(ans.Trailer)
 }
 
--- a/internal/entry/once_test.go
+++ b/internal/entry/once_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -85,6 +86,21 @@
 	}
 }
 
+// TestOnceAtALeavingEntry asks an entry that begins nothing new.
+func TestOnceAtALeavingEntry(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 1, 1)
+	var leaving atomic.Bool
+	w.entries[0].Leaving = leaving.Load
+	used, unused := w.ticket(w.entries[0]), w.ticket(w.entries[0])
+	is.Equal(w.issue(w.entries[0], used).code, result.Served)
+	leaving.Store(true)
+	is.Equal(w.issue(w.entries[0], used).code, result.Replayed)
+	is.Equal(w.issue(w.entries[0], unused).code, result.EntryLeaving)
+	is.Equal(w.do(w.entries[0], "GET", "/s/registry/a", "").code, result.EntryLeaving)
+	is.Equal(w.ran("r1"), 1)
+}
+
 // TestOnceOutlivesItsCaller lets the caller go away while its request runs.
 func TestOnceOutlivesItsCaller(t *testing.T) {
 	is := is.New(t)
--- a/internal/entry/stream_test.go
+++ b/internal/entry/stream_test.go
@@ -1,17 +1,21 @@
 package entry_test
 
 import (
+	"fmt"
 	"io"
 	"net/http"
 	"runtime"
+	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
 
 	standin "github.com/shallotpier/shallotpier/internal/standin/backend"
 	"github.com/shallotpier/shallotpier/pkg/result"
+	"github.com/shallotpier/shallotpier/pkg/unit"
 )
 
 // TestUploadIsStreamed lets the backend server see a request whose caller has
@@ -39,6 +43,71 @@
 	is.Equal(string(got), "r1 server-1 9\n")
 }
 
+// TestPlannedStopCutsNoUpload stops all entries in turn while each carries an
+// upload over a weak signal.
+func TestPlannedStopCutsNoUpload(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newPausedWorld(t, 1, 3)
+		var wg sync.WaitGroup
+		for i, e := range w.entries {
+			wg.Go(func() {
+				id := fmt.Sprint("upload-", i)
+				req, err := http.NewRequest("PUT", e.http.URL+"/s/registry/bundle", io.NopCloser(&weakSignal{left: 60}))
+				is.NoErr(err)
+				req.Header.Set(result.HeaderRequestID, id)
+				resp, err := w.transport().RoundTrip(req)
+				is.NoErr(err)
+				defer resp.Body.Close()
+				body, err := io.ReadAll(resp.Body)
+				is.NoErr(err)
+				is.Equal(string(body), id+" server-1 61440\n")
+			})
+		}
+		started := time.Now()
+		for _, e := range w.entries {
+			time.Sleep(time.Minute)
+			go func() { _ = e.http.Config.Shutdown(t.Context()) }()
+		}
+		wg.Wait()
+		is.True(time.Since(started) >= 20*time.Minute)
+	})
+}
+
+// weakSignal sends 1 KiB at a time with pauses of 20 s.
+type weakSignal struct{ left int }
+
+func (s *weakSignal) Read(p []byte) (int, error) {
+	if s.left == 0 {
+		return 0, io.EOF
+	}
+	time.Sleep(20 * time.Second)
+	s.left--
+	clear(p[:1024])
+	return 1024, nil
+}
+
+// TestCallerThatTakesNothing lets a caller stop in the middle of its answer.
+func TestCallerThatTakesNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newPausedWorld(t, 1, 1)
+		w.file.Classes[2].Deadline = unit.Duration(time.Hour)
+		req, err := http.NewRequest("GET", w.entries[0].http.URL+"/s/registry/a?size=10000000", nil)
+		is.NoErr(err)
+		started := time.Now()
+		resp, err := w.transport().RoundTrip(req)
+		is.NoErr(err)
+		defer resp.Body.Close()
+		time.Sleep(2 * time.Minute)
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		is.Equal(len(w.outcomes), 1)
+		is.Equal(w.outcomes[0].Code, result.CallerGone)
+		is.True(time.Since(started) < time.Hour)
+	})
+}
+
 func TestUnannouncedBodyOverItsLimit(t *testing.T) {
 	is := is.New(t)
 	w := newWorld(t, 1, 1)
--- a/pkg/caller/client_test.go
+++ b/pkg/caller/client_test.go
@@ -158,6 +158,9 @@
 		"unknown at the entry":       {first: refuse(result.AnswerCut), code: result.AnswerCut, ran: result.Unknown},
 		"shed, then served":          {first: lose(serve), code: result.Served, ran: result.Yes},
 		"lost, then refused unrun":   {first: lose(refuse(result.Quarantined)), code: result.Quarantined, ran: result.Unknown},
+		"entry leaves":               {first: refuse(result.EntryLeaving), code: result.Served, ran: result.Yes},
+		"ticket ended unused":        {first: refuse(result.TicketInvalid), code: result.Served, ran: result.Yes},
+		"lost, then entry leaves":    {first: lose(refuse(result.EntryLeaving)), code: result.EntryLeaving, ran: result.Unknown},
 		"refused unrun, never begun": {first: refuse(result.Quarantined), code: result.Quarantined, ran: result.No},
 	}
 	for name, tt := range tests {
--- a/pkg/caller/once.go
+++ b/pkg/caller/once.go
@@ -17,6 +17,7 @@
 const (
 	firstPause = 50 * time.Millisecond
 	maxPause   = 2 * time.Second
+	maxTickets = 3
 )
 
 // Once sends a once-only request. It gets a ticket from an entry and sends the
@@ -33,21 +34,44 @@
 	}
 	ctx, cancel := c.bound(ctx)
 	entries, err := c.entries(ctx, req.Service)
+	defer cancel()
 	if err != nil {
-		cancel()
 		return nil, err
 	}
-	minting, ticket, err := c.ticket(ctx, entries, req.Service)
-	if err != nil {
-		cancel()
-		return nil, err
+	var failed *Error
+	for range maxTickets {
+		minting, ticket, err := c.ticket(ctx, entries, req.Service)
+		if err != nil {
+			return nil, err
+		}
+		var ans *Answer
+		if ans, failed = c.execute(ctx, req, ticket, route(entries, minting)); failed == nil {
+			return ans, nil
+		}
+		if failed.Ran != result.No || !renew(failed.Code) || ctx.Err() != nil {
+			break
+		}
+		entries = without(entries, minting)
 	}
-	ans, failed := c.execute(ctx, req, ticket, route(entries, minting))
-	cancel()
-	if failed != nil {
-		return nil, failed
+	return nil, failed
+}
+
+// renew tells whether another ticket may do better after a proved "no".
+func renew(code result.Code) bool {
+	return code == 0 || code == result.EntryLeaving || code == result.NotReady || code == result.TicketInvalid
+}
+
+// without returns the entries with one moved to the end.
+func without(entries []lookup.Entry, addr netip.AddrPort) []lookup.Entry {
+	var first, last []lookup.Entry
+	for i := range entries {
+		if entries[i].Address == addr {
+			last = append(last, entries[i])
+		} else {
+			first = append(first, entries[i])
+		}
 	}
-	return ans, nil
+	return append(first, last...)
 }
 
 // execute sends the request until its outcome is known, or ctx or the sends
@@ -66,6 +90,9 @@
 		}
 		last = got.err
 		doubt = doubt || last.Ran == result.Unknown
+		if last.Ran == result.No && !doubt && renew(last.Code) {
+			break
+		}
 		if last.Ran == result.Yes && last.Err == nil || !open(last) || !wait(ctx, max(last.RetryAfter, pause)) {
 			break
 		}
@@ -80,7 +107,7 @@
 // open tells whether sending the request again with its ticket can tell more.
 func open(e *Error) bool {
 	switch e.Code {
-	case 0, result.Served, result.Replayed, result.EntryLeaving, result.NotReady, result.NoCapacity, result.ShiftCapped,
+	case 0, result.Served, result.Replayed, result.NoCapacity, result.ShiftCapped,
 		result.LinkFull, result.NoServer, result.ConnectFailed, result.ShedByServer, result.TicketElsewhere:
 		return true
 	default:
