--- /dev/null
+++ b/internal/capacity/peers.go
@@ -0,0 +1,115 @@
+package capacity
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"strings"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/shallotpier/shallotpier/internal/peer"
+	"github.com/shallotpier/shallotpier/internal/peer/rpc"
+	"github.com/shallotpier/shallotpier/pkg/id"
+)
+
+const (
+	calls        = 5_000
+	heartbeatLen = 300
+	methodEcho   = "capacity.echo"
+)
+
+// talking returns the measures of messages between entries. Both ends run in
+// one process, so that one call stands for sending and answering it.
+func talking() []Measure {
+	return []Measure{
+		{
+			Role: "between entries", Quantity: "one call, both ends, processor us", Size: "B of message",
+			Sizes: []int{100, 300, 1_000, 3_000, 10_000}, Target: heartbeatLen, Run: call,
+		},
+		{
+			Role: "between entries", Quantity: "connections' heap B, one end", Size: "peers",
+			Sizes: []int{10, 20, 40, 80, 160}, Target: 165, Run: connections,
+		},
+	}
+}
+
+func call(size int) (float64, error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	nodes, err := pair(ctx)
+	if err != nil {
+		return 0, err
+	}
+	defer nodes.close()
+	body := strings.Repeat("x", size)
+	var failed error
+	cost, err := processorMicros(calls, func(int) {
+		if err := nodes.a.Call(ctx, "b", methodEcho, body, nil); err != nil {
+			failed = err
+		}
+	})
+	if failed != nil {
+		return 0, eris.Wrap(failed, "call")
+	}
+	return cost, err
+}
+
+// connections returns the heap of one node that has called n others, less that
+// of the others' ends, which is as large.
+func connections(n int) (float64, error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	nodes, err := pair(ctx)
+	if err != nil {
+		return 0, err
+	}
+	defer nodes.close()
+	var failed error
+	both := heapBytes(func() any {
+		for i := range n {
+			node := &rpc.Node{Self: peer.Sender{Instance: "a", Incarnation: id.Incarnation(i + 1)}, Dial: nodes.a.Dial}
+			nodes.more = append(nodes.more, node)
+			if err := node.Call(ctx, "b", methodEcho, "", nil); err != nil {
+				failed = err
+			}
+		}
+		return nodes
+	})
+	return both / 2, failed
+}
+
+type nodePair struct {
+	a, b     *rpc.Node
+	listener net.Listener
+	more     []*rpc.Node
+}
+
+func pair(ctx context.Context) (*nodePair, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, eris.Wrap(err, "listen")
+	}
+	dial := func(ctx context.Context, _ id.Instance) (net.Conn, error) {
+		var d net.Dialer
+		return d.DialContext(ctx, "tcp", l.Addr().String())
+	}
+	p := &nodePair{
+		a: &rpc.Node{Self: peer.Sender{Instance: "a", Incarnation: 1}, Dial: dial},
+		b: &rpc.Node{Self: peer.Sender{Instance: "b", Incarnation: 1}}, listener: l,
+	}
+	p.b.Register(methodEcho, func(_ context.Context, _ peer.Sender, params json.RawMessage) (any, error) {
+		return struct{}{}, nil
+	})
+	go func() { _ = p.b.Serve(ctx, l) }()
+	return p, nil
+}
+
+func (p *nodePair) close() {
+	p.a.Close()
+	p.b.Close()
+	p.listener.Close()
+	for _, n := range p.more {
+		n.Close()
+	}
+}
