daemon: the parts of an entry in one process

Cause: the request path, the slots, the look-ups, the notices and the operators' listener existed side by side and served nobody.

--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,262 @@
+package daemon
+
+import (
+	"context"
+	"crypto/rand"
+	"log/slog"
+	mrand "math/rand/v2"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/rotisserie/eris"
+
+	"github.com/shallotpier/shallotpier/internal/admission/local"
+	"github.com/shallotpier/shallotpier/internal/backend"
+	"github.com/shallotpier/shallotpier/internal/entry"
+	"github.com/shallotpier/shallotpier/internal/httpserver"
+	"github.com/shallotpier/shallotpier/internal/leaving"
+	"github.com/shallotpier/shallotpier/internal/lookup"
+	"github.com/shallotpier/shallotpier/internal/notices"
+	"github.com/shallotpier/shallotpier/internal/once"
+	"github.com/shallotpier/shallotpier/internal/operator"
+	"github.com/shallotpier/shallotpier/internal/peer"
+	"github.com/shallotpier/shallotpier/internal/peer/rpc"
+	"github.com/shallotpier/shallotpier/internal/quarantine"
+	"github.com/shallotpier/shallotpier/internal/settings"
+	"github.com/shallotpier/shallotpier/internal/store"
+	"github.com/shallotpier/shallotpier/internal/store/httpstore"
+	"github.com/shallotpier/shallotpier/internal/store/observed"
+	"github.com/shallotpier/shallotpier/pkg/id"
+)
+
+const (
+	keySize     = 32
+	leaveCheck  = 50 * time.Millisecond
+	maxWaiting  = 4096
+	closeServer = 2 * time.Second
+)
+
+// Daemon is one entry instance. Its exported fields are set before Run.
+type Daemon struct {
+	// Settings are the entry's checked settings.
+	Settings *settings.Settings
+	// Log gets a line for each event.
+	Log *slog.Logger
+	// Store is the platform's store; nil is the one of the settings.
+	Store store.Store
+	// DialPeer connects to another entry; nil is TCP.
+	DialPeer func(ctx context.Context, to id.Instance) (net.Conn, error)
+	// DialBackend connects to a backend server; nil is TCP.
+	DialBackend func(ctx context.Context, addr netip.AddrPort) (net.Conn, error)
+	// Started is called once all listeners are open; nil is not called.
+	Started func()
+
+	incarnation id.Incarnation
+	started     time.Time
+	store       *observed.Store
+	node        *rpc.Node
+	view        atomic.Pointer[view]
+	lookups     lookups
+	slots       local.Admitter
+	board       notices.Board
+	exchange    *notices.Exchange
+	quarantine  quarantine.List
+	handler     *entry.Handler
+	callers     *httpserver.Server
+	operators   *httpserver.Server
+	metrics     *metrics.Set
+
+	mu   sync.Mutex
+	stop leaving.Stop
+	kill context.CancelCauseFunc
+}
+
+var errKilled = eris.New("killed")
+
+// Run serves until a planned stop has ended, and returns nil then. The end of
+// ctx begins the planned stop. Run returns an error if the entry can't start
+// or was killed.
+func (d *Daemon) Run(ctx context.Context) error {
+	if err := d.prepare(); err != nil {
+		return err
+	}
+	defer context.AfterFunc(ctx, d.Leave)()
+	ctx, cancel := context.WithCancelCause(context.WithoutCancel(ctx))
+	defer cancel(nil)
+	d.mu.Lock()
+	d.kill = cancel
+	d.mu.Unlock()
+	peers, err := net.Listen("tcp", d.Settings.Listeners.Peer.String())
+	if err != nil {
+		return eris.Wrap(err, "listen for entries")
+	}
+	defer d.node.Close()
+	defer peers.Close()
+	go func() { _ = d.node.Serve(ctx, peers) }()
+	go func() { _ = d.exchange.Run(ctx) }()
+	go d.watchConfig(ctx)
+	if err := d.operators.Start(); err != nil {
+		return err
+	}
+	defer func() { _ = d.operators.Close() }()
+	if err := d.callers.Start(); err != nil {
+		return err
+	}
+	defer func() { _ = d.callers.Close() }()
+	d.Log.Info("started", "instance", d.Settings.Instance, "zone", d.Settings.Zone, "incarnation", d.incarnation,
+		"caller", d.callers.Address, "peer", peers.Addr(), "operator", d.operators.Address)
+	if d.Started != nil {
+		d.Started()
+	}
+	return d.serve(ctx)
+}
+
+// Leave begins the planned stop; later calls do nothing.
+func (d *Daemon) Leave() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.stop.Phase(time.Now(), 1) == leaving.Serving {
+		d.Log.Info("leaving", "instance", d.Settings.Instance)
+	}
+	d.stop.Begin(time.Now())
+}
+
+// Kill ends Run at once and cuts what runs.
+func (d *Daemon) Kill() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.kill != nil {
+		d.kill(errKilled)
+	}
+}
+
+// phase returns the phase of the planned stop.
+func (d *Daemon) phase(running int) leaving.Phase {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.stop.Phase(time.Now(), running)
+}
+
+// closed tells whether new requests are refused.
+func (d *Daemon) closed() bool { return d.phase(1) >= leaving.Closed }
+
+// serve waits for the end of a planned stop.
+func (d *Daemon) serve(ctx context.Context) error {
+	tick := time.NewTicker(leaveCheck)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return context.Cause(ctx)
+		case <-tick.C:
+			if d.closed() {
+				return d.finish(ctx)
+			}
+		}
+	}
+}
+
+// finish closes the callers' listener and waits for what runs.
+func (d *Daemon) finish(ctx context.Context) error {
+	if err := d.callers.Shutdown(ctx); err != nil {
+		return err
+	}
+	if err := d.handler.Wait(ctx); err != nil {
+		return eris.Wrap(err, "wait for running requests")
+	}
+	d.Log.Info("stopped", "instance", d.Settings.Instance)
+	return nil
+}
+
+// prepare builds the parts. Nothing runs yet.
+func (d *Daemon) prepare() error {
+	d.started = time.Now()
+	d.incarnation = id.Incarnation(d.started.UnixNano())
+	d.metrics = metrics.NewSet()
+	d.stop = leaving.Stop{Validity: lookup.DefaultValidity, Spread: spreadTime}
+	base := d.Store
+	if base == nil {
+		base = &httpstore.Client{Base: "http://" + d.Settings.Platform.Store.String()}
+	}
+	d.store = &observed.Store{Store: base}
+	d.node = &rpc.Node{Self: peer.Sender{Instance: d.Settings.Instance, Incarnation: d.incarnation}, Dial: d.dialPeer}
+	d.node.Register(methodSighting, d.handleSighting)
+	d.exchange = &notices.Exchange{
+		Self: d.Settings.Instance, Board: &d.board, Peers: d.node, Others: d.others, Store: d.store,
+		Rand: mathrand(d.incarnation), Changed: d.noticed, Log: d.Log,
+	}
+	d.exchange.Register(d.node)
+	d.quarantine.Instance = d.Settings.Instance
+	d.prepareSlots()
+	d.rebuildLookups()
+	return d.prepareListeners()
+}
+
+func (d *Daemon) prepareListeners() error {
+	key := make([]byte, keySize)
+	if _, err := rand.Read(key); err != nil {
+		return eris.Wrap(err, "make a key for tickets")
+	}
+	d.handler = &entry.Handler{
+		Instance: d.Settings.Instance, Incarnation: d.incarnation, Started: d.started,
+		Table: d.table, Leaving: d.closed, Admitter: &d.slots,
+		Backend: &backend.Client{Dial: d.DialBackend, Entries: len(d.Settings.World.Entries)},
+		Lookup:  &d.lookups,
+		Once:    &once.Registry{Instance: d.Settings.Instance, Incarnation: d.incarnation, Key: key},
+		Entry:   d.callerAddress, Quarantine: &d.quarantine, Spread: spreader{d},
+		Log: d.Log, Metrics: d.metrics,
+	}
+	limits := &d.Settings.Limits
+	d.callers = &httpserver.Server{
+		Address: d.Settings.Listeners.Caller, Handler: d.handler, HeaderTime: limits.HeaderTime.Std(),
+		IdleTime: limits.IdleTime.Std(), Connections: limits.Connections,
+	}
+	d.operators = &httpserver.Server{
+		Address: d.Settings.Listeners.Operator,
+		Handler: &operator.Handler{Source: &source{d}, Operators: d.Settings.Operators, Log: d.Log},
+	}
+	return nil
+}
+
+// dialPeer connects to another entry at its address in the deployment.
+func (d *Daemon) dialPeer(ctx context.Context, to id.Instance) (net.Conn, error) {
+	if d.DialPeer != nil {
+		return d.DialPeer(ctx, to)
+	}
+	for _, e := range d.Settings.World.Entries {
+		if e.Name == to {
+			var dialer net.Dialer
+			return dialer.DialContext(ctx, "tcp", e.Peer.String())
+		}
+	}
+	return nil, eris.Errorf("instance %s is not in the deployment", to)
+}
+
+// callerAddress returns another entry's address for callers.
+func (d *Daemon) callerAddress(name id.Instance) (netip.AddrPort, bool) {
+	for _, e := range d.Settings.World.Entries {
+		if e.Name == name {
+			return e.Caller, true
+		}
+	}
+	return netip.AddrPort{}, false
+}
+
+// others returns the other entries of the deployment.
+func (d *Daemon) others() []id.Instance {
+	var out []id.Instance
+	for _, e := range d.Settings.World.Entries {
+		if e.Name != d.Settings.Instance {
+			out = append(out, e.Name)
+		}
+	}
+	return out
+}
+
+func mathrand(seed id.Incarnation) *mrand.Rand {
+	return mrand.New(mrand.NewPCG(uint64(seed), 0))
+}
--- /dev/null
+++ b/internal/daemon/daemon_test.go
@@ -0,0 +1,149 @@
+package daemon_test
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/shallotpier/shallotpier/internal/daemon"
+	"github.com/shallotpier/shallotpier/internal/publish"
+	"github.com/shallotpier/shallotpier/internal/settings"
+	"github.com/shallotpier/shallotpier/internal/standin/fleet"
+	"github.com/shallotpier/shallotpier/pkg/result"
+)
+
+// system is a deployment's entries over its stand-ins.
+type system struct {
+	fleet   *fleet.Fleet
+	entries []*daemon.Daemon
+	ended   []chan error
+}
+
+func start(t *testing.T, entries int) *system {
+	t.Helper()
+	is := is.New(t)
+	f, err := fleet.Load("../../examples/beridze")
+	is.NoErr(err)
+	f.Ephemeral = true
+	f.Platform = loopback()
+	f.World.Entries = f.World.Entries[:entries]
+	for i := range f.World.Entries {
+		f.World.Entries[i].Caller = free(t)
+		f.World.Entries[i].Peer = free(t)
+	}
+	is.NoErr(f.Start())
+	t.Cleanup(func() { f.Close() })
+	s := &system{fleet: f}
+	for i := range f.World.Entries {
+		s.start(t, i)
+	}
+	return s
+}
+
+func (s *system) start(t *testing.T, i int) {
+	t.Helper()
+	e := s.fleet.World.Entries[i]
+	region, _ := s.fleet.World.Region(e.Zone)
+	d := &daemon.Daemon{
+		Settings: &settings.Settings{
+			Instance: e.Name, Zone: e.Zone, Region: region, World: s.fleet.World,
+			Listeners: settings.Listeners{Caller: e.Caller, Peer: e.Peer, Operator: loopback()},
+			Platform:  settings.Platform{Store: s.fleet.Platform},
+		},
+		Log: slog.New(slog.DiscardHandler),
+	}
+	open := make(chan struct{})
+	d.Started = func() { close(open) }
+	ended := make(chan error, 1)
+	go func() { ended <- d.Run(context.Background()) }()
+	select {
+	case <-open:
+	case err := <-ended:
+		t.Fatal(err)
+	}
+	t.Cleanup(d.Kill)
+	s.entries, s.ended = append(s.entries, d), append(s.ended, ended)
+}
+
+func (s *system) publish(t *testing.T) {
+	t.Helper()
+	p := publish.Publisher{Store: &s.fleet.Store, Author: "nino"}
+	var submission publish.Submission
+	for _, f := range s.fleet.Files {
+		submission.Files = append(submission.Files, *f)
+	}
+	draft, refused := p.Prepare(context.Background(), submission)
+	if refused != nil {
+		t.Fatalf("%+v", refused)
+	}
+	if out := p.Submit(context.Background(), draft); out.Code != result.Accepted {
+		t.Fatalf("%+v", out)
+	}
+}
+
+func (s *system) url(i int, path string) string {
+	return "http://" + s.fleet.World.Entries[i].Caller.String() + path
+}
+
+// await calls f until it holds.
+func await(t *testing.T, f func() bool) {
+	t.Helper()
+	for !f() {
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+func get(t *testing.T, url string) (int, http.Header, string) {
+	t.Helper()
+	resp, err := http.Get(url)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	body, _ := io.ReadAll(resp.Body)
+	return resp.StatusCode, resp.Header, string(body)
+}
+
+func loopback() netip.AddrPort { return netip.MustParseAddrPort("127.0.0.1:0") }
+
+// free returns an address that was free just now.
+func free(t *testing.T) netip.AddrPort {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return netip.MustParseAddrPort(l.Addr().String())
+}
+
+func TestRequestGoesThroughEveryEntry(t *testing.T) {
+	is := is.New(t)
+	s := start(t, 3)
+	status, header, _ := get(t, s.url(0, "/s/registry/findings/8"))
+	is.Equal(status, http.StatusServiceUnavailable) // nothing is served before a version is known
+	is.Equal(header.Get(result.HeaderCode), result.NotReady.String())
+	is.Equal(header.Get(result.HeaderRan), "no")
+
+	s.publish(t)
+	for i := range s.entries {
+		await(t, func() bool {
+			status, _, _ := get(t, s.url(i, "/v1/lookup/registry"))
+			return status == http.StatusOK
+		})
+		status, header, _ := get(t, s.url(i, "/s/registry/findings/8"))
+		is.Equal(status, http.StatusOK)
+		is.Equal(header.Get(result.HeaderRan), "yes")
+		is.Equal(header.Get(result.HeaderVersion), "1")
+		_, _, body := get(t, s.url(i, "/v1/lookup/registry"))
+		is.True(strings.Contains(body, `"entry-1"`))
+	}
+}
--- /dev/null
+++ b/internal/daemon/lookups.go
@@ -0,0 +1,50 @@
+package daemon
+
+import (
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/shallotpier/shallotpier/internal/lookup"
+	"github.com/shallotpier/shallotpier/pkg/id"
+	wire "github.com/shallotpier/shallotpier/pkg/lookup"
+)
+
+// lookups answers look-ups from a table that is replaced as a whole.
+type lookups struct {
+	table atomic.Pointer[lookup.Table]
+}
+
+// Entries implements entry.Lookup.
+func (l *lookups) Entries(_ id.Service, caller netip.Addr) ([]wire.Entry, time.Duration) {
+	t := l.table.Load()
+	if t == nil {
+		return nil, 0
+	}
+	var buf [lookup.MaxChoices]lookup.Choice
+	choices := t.Lookup(caller, buf[:0])
+	out := make([]wire.Entry, 0, len(choices))
+	for _, c := range choices {
+		site := t.Site(c.Site)
+		e := wire.Entry{Instance: site.Instance, Address: site.Caller}
+		if c.Tier == choices[0].Tier {
+			e.Weight = int(c.Weight)
+		}
+		out = append(out, e)
+	}
+	return out, t.Validity()
+}
+
+// rebuildLookups makes a new table from what is known of the entries.
+func (d *Daemon) rebuildLookups() {
+	states := map[id.Instance]lookup.State{}
+	for _, e := range d.Settings.World.Entries {
+		states[e.Name] = lookup.Live
+	}
+	t, err := lookup.Near(d.Settings.World, d.Settings.Region, states).Build()
+	if err != nil {
+		d.Log.Error("look-up table", "error", err)
+		return
+	}
+	d.lookups.table.Store(t)
+}
--- /dev/null
+++ b/internal/daemon/source.go
@@ -0,0 +1,240 @@
+package daemon
+
+import (
+	"context"
+	"io"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/shallotpier/shallotpier/internal/admission"
+	"github.com/shallotpier/shallotpier/internal/admission/pool"
+	"github.com/shallotpier/shallotpier/internal/leaving"
+	"github.com/shallotpier/shallotpier/internal/operator"
+	"github.com/shallotpier/shallotpier/internal/quarantine"
+	"github.com/shallotpier/shallotpier/pkg/id"
+	"github.com/shallotpier/shallotpier/pkg/result"
+	"github.com/shallotpier/shallotpier/pkg/service"
+	"github.com/shallotpier/shallotpier/pkg/unit"
+)
+
+// source answers operators.
+type source struct{ *Daemon }
+
+var _ operator.Source = (*source)(nil)
+
+// Ready implements operator.Source.
+func (s *source) Ready() error {
+	switch {
+	case s.table() == nil:
+		return eris.New("no configuration yet")
+	case s.phase(1) != leaving.Serving:
+		return eris.New("leaving")
+	}
+	return nil
+}
+
+// WriteMetrics implements operator.Source.
+func (s *source) WriteMetrics(w io.Writer) { s.metrics.WritePrometheus(w) }
+
+// Status implements operator.Source.
+func (s *source) Status(context.Context) (operator.Status, error) {
+	out := operator.Status{
+		Instance: s.Settings.Instance, Zone: s.Settings.Zone, Region: s.Settings.Region,
+		Incarnation: s.incarnation, Ready: true, Leaving: s.phase(1) != leaving.Serving, Store: s.storeSeen(),
+	}
+	if err := s.Ready(); err != nil {
+		out.Ready, out.NotReady = false, err.Error()
+	}
+	out.Instances = s.instanceStatus()
+	if t := s.table(); t != nil {
+		out.Version = t.Version
+		for _, name := range serviceNames(t.Services) {
+			out.Services = append(out.Services, s.serviceStatus(t.Services[name]))
+		}
+	}
+	return out, nil
+}
+
+func (s *source) storeSeen() operator.Seen {
+	r := s.store.Report()
+	switch {
+	case r.LastAnswer.IsZero():
+		return operator.Seen{State: "missing"}
+	case !r.FailingSince.IsZero():
+		return operator.Seen{State: "stale", Age: unit.Duration(time.Since(r.LastAnswer))}
+	default:
+		return operator.Seen{State: "fresh", Age: unit.Duration(time.Since(r.LastAnswer))}
+	}
+}
+
+func (s *source) instanceStatus() []operator.InstanceStatus {
+	var out []operator.InstanceStatus
+	for _, e := range s.Settings.World.Entries {
+		region, _ := s.Settings.World.Region(e.Zone)
+		out = append(out, operator.InstanceStatus{Name: e.Name, Zone: e.Zone, Region: region, State: "unknown", Seen: operator.Seen{State: "missing"}})
+	}
+	return out
+}
+
+func (s *source) serviceStatus(f *service.File) operator.ServiceStatus {
+	out := operator.ServiceStatus{Name: f.Service}
+	regions := map[id.Region]*operator.Headroom{}
+	for _, r := range f.Regions {
+		out.Regions = append(out.Regions, operator.Headroom{Region: r.Name})
+	}
+	for i := range out.Regions {
+		regions[out.Regions[i].Region] = &out.Regions[i]
+	}
+	for i := range f.Servers {
+		b := &f.Servers[i]
+		used := s.used(f.Service, b.Name)
+		state := "taking"
+		if b.Leaving {
+			state = "leaving"
+		}
+		out.Servers = append(out.Servers, operator.ServerStatus{Name: b.Name, Zone: b.Zone, State: state, Slots: b.Slots, Used: used, Seen: operator.Seen{State: "missing"}})
+		region, _ := s.Settings.World.Region(b.Zone)
+		if h := regions[region]; h != nil {
+			h.Used += used
+			if !b.Leaving {
+				h.Slots += b.Slots
+			}
+		}
+	}
+	return out
+}
+
+// used returns the slots of a server that this entry has in use.
+func (s *source) used(name id.Service, server id.Server) int {
+	g := s.slots.Pool.Gate(pool.Key{Service: name, Server: server})
+	if g == nil {
+		return 0
+	}
+	_, used := g.Load()
+	return used
+}
+
+// Explain implements operator.Source.
+func (s *source) Explain(_ context.Context, q operator.Query) (operator.Explanation, error) {
+	t := s.table()
+	if t == nil {
+		return operator.Explanation{}, operator.Errorf(result.NotReady, "no configuration yet")
+	}
+	f := t.Services[q.Service]
+	if f == nil {
+		return operator.Explanation{}, operator.Errorf(result.NoService, "no service %q", q.Service)
+	}
+	out := operator.Explanation{Service: q.Service, Version: t.Version}
+	class := f.Match(q.Method, q.Path)
+	if class == nil {
+		out.Code = result.NoClass
+		return out, nil
+	}
+	out.Class = class.Name
+	entries, _ := s.lookups.Entries(q.Service, q.Caller)
+	for _, e := range entries {
+		out.Entries = append(out.Entries, operator.Choice{Name: string(e.Instance), Weight: float64(e.Weight), Why: "look-up table"})
+	}
+	for _, b := range s.order(&admission.Request{Service: f, Class: class, Caller: q.Caller}) {
+		why := "one-way delay " + s.Settings.World.Delay(s.Settings.Zone, b.Zone).String()
+		if b.Leaving {
+			why = "leaving"
+		}
+		out.Servers = append(out.Servers, operator.Choice{Name: string(b.Name), Zone: b.Zone, Why: why})
+	}
+	return out, nil
+}
+
+// Drain implements operator.Source.
+func (s *source) Drain(ctx context.Context, t operator.Target) (operator.Progress, error) {
+	return s.setLeaving(ctx, t, true)
+}
+
+// Undrain implements operator.Source.
+func (s *source) Undrain(ctx context.Context, t operator.Target) (operator.Progress, error) {
+	return s.setLeaving(ctx, t, false)
+}
+
+func (s *source) setLeaving(ctx context.Context, t operator.Target, leave bool) (operator.Progress, error) {
+	if t.Instance != "" {
+		return s.drainInstance(t, leave)
+	}
+	if err := s.known(t); err != nil {
+		return operator.Progress{}, err
+	}
+	if s.board.Leaving(t.Service, t.Server) != leave {
+		s.exchange.Post(ctx, noticeKey(t.Service, t.Server), leave)
+	}
+	return s.Progress(ctx, t)
+}
+
+func (s *source) drainInstance(t operator.Target, leave bool) (operator.Progress, error) {
+	switch {
+	case t.Instance != s.Settings.Instance:
+		return operator.Progress{}, operator.Errorf(result.BadCommand, "this is %s; ask %s itself", s.Settings.Instance, t.Instance)
+	case !leave:
+		return operator.Progress{}, operator.Errorf(result.BadCommand, "an entry that is leaving can't be kept; start it again")
+	}
+	s.Leave()
+	return operator.Progress{Target: t, Draining: true, Text: "waits for look-up answers to run out"}, nil
+}
+
+func (s *source) known(t operator.Target) error {
+	tab := s.table()
+	if tab == nil {
+		return operator.Errorf(result.NotReady, "no configuration yet")
+	}
+	f := tab.Services[t.Service]
+	if f == nil || f.Server(t.Server) == nil {
+		return operator.Errorf(result.BadCommand, "no backend server %q of service %q", t.Server, t.Service)
+	}
+	return nil
+}
+
+// Progress implements operator.Source.
+func (s *source) Progress(_ context.Context, t operator.Target) (operator.Progress, error) {
+	if t.Instance != "" {
+		return operator.Progress{Target: t, Draining: s.phase(1) != leaving.Serving}, nil
+	}
+	if err := s.known(t); err != nil {
+		return operator.Progress{}, err
+	}
+	out := operator.Progress{Target: t, Running: s.used(t.Service, t.Server)}
+	if n, ok := s.board.Get(noticeKey(t.Service, t.Server)); ok && n.Leaving {
+		out.Draining, out.Since = true, unit.Duration(max(time.Since(n.Since), 0))
+		out.Done = out.Running == 0
+	}
+	return out, nil
+}
+
+// Quarantined implements operator.Source.
+func (s *source) Quarantined(context.Context) ([]operator.Quarantined, error) {
+	now := time.Now()
+	var out []operator.Quarantined
+	for _, e := range s.quarantine.Entries(now) {
+		out = append(out, operator.Quarantined{ID: e.Fingerprint.String(), Service: e.Service, Crashes: e.Sightings, Left: unit.Duration(e.Until.Sub(now))})
+	}
+	return out, nil
+}
+
+// Lift implements operator.Source.
+func (s *source) Lift(ctx context.Context, name string) error {
+	var mark quarantine.Fingerprint
+	if err := mark.UnmarshalText([]byte(name)); err != nil {
+		return operator.Errorf(result.BadCommand, "%v", err)
+	}
+	spreader{s.Daemon}.Spread(ctx, s.quarantine.Lift(time.Now(), mark))
+	return nil
+}
+
+func serviceNames(services map[id.Service]*service.File) []id.Service {
+	var names []id.Service
+	for name := range services {
+		names = append(names, name)
+	}
+	slices.SortFunc(names, func(a, b id.Service) int { return strings.Compare(string(a), string(b)) })
+	return names
+}
