shared: an Admitter over slots granted by the homes

Cause: the daemon needs the slot shares behind admission.Admitter.

The tests run three entries over a network of 12 ms one way with lost messages, a cut-off home and lost entries, in paused time.

--- /dev/null
+++ b/internal/admission/shared/admitter_test.go
@@ -0,0 +1,318 @@
+package shared_test
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rotisserie/eris"
+
+	"github.com/shallotpier/shallotpier/internal/admission"
+	"github.com/shallotpier/shallotpier/internal/admission/shared"
+	"github.com/shallotpier/shallotpier/internal/peer"
+	"github.com/shallotpier/shallotpier/internal/slots/wire"
+	"github.com/shallotpier/shallotpier/pkg/id"
+	"github.com/shallotpier/shallotpier/pkg/service"
+	"github.com/shallotpier/shallotpier/pkg/unit"
+)
+
+const (
+	delay    = 12 * time.Millisecond
+	deadline = 2 * time.Second
+	leaseFor = time.Second
+)
+
+type (
+	// world is some entries, a store that knows the homes, and a network.
+	world struct {
+		mu      sync.Mutex
+		names   []id.Instance
+		entries map[id.Instance]*entry
+		terms   map[wire.Bucket]id.Term
+		homes   map[wire.Bucket]id.Instance
+		file    *service.File
+		running map[id.Server]int
+		over    int
+		rng     *rand.Rand
+		loss    float64
+	}
+
+	entry struct {
+		*shared.Admitter
+		world *world
+		name  id.Instance
+		stop  context.CancelFunc
+		cut   bool
+		dead  bool
+	}
+)
+
+func newWorld(t *testing.T, loss float64) *world {
+	w := &world{
+		entries: map[id.Instance]*entry{}, terms: map[wire.Bucket]id.Term{}, homes: map[wire.Bucket]id.Instance{},
+		running: map[id.Server]int{}, rng: rand.New(rand.NewPCG(1, 2)), loss: loss,
+		names: []id.Instance{"e-1", "e-2", "e-3"},
+		file: &service.File{
+			Service: "registry",
+			Classes: []service.Class{{Name: "lookup", Deadline: unit.Duration(deadline)}},
+			Servers: []service.Server{
+				{Name: "a", Zone: "z-1", Slots: 3, Connections: 30},
+				{Name: "b", Zone: "z-1", Slots: 3, Connections: 30},
+				{Name: "c", Zone: "z-2", Slots: 3, Connections: 30},
+			},
+		},
+	}
+	w.setHome("z-1", "e-1")
+	w.setHome("z-2", "e-2")
+	for _, name := range w.names {
+		w.start(t, name)
+	}
+	return w
+}
+
+func (w *world) start(t *testing.T, name id.Instance) {
+	e := &entry{world: w, name: name}
+	e.Admitter = &shared.Admitter{
+		Self:   peer.Sender{Instance: name, Incarnation: id.Incarnation(time.Now().UnixNano())},
+		Caller: e, Homes: e, Entries: len(w.names),
+	}
+	e.Pool.MaxWaiting = 100
+	e.Pool.Order = func(req *admission.Request) []*service.Server {
+		var order []*service.Server
+		for i := range req.Service.Servers {
+			order = append(order, &req.Service.Servers[i])
+		}
+		return order
+	}
+	e.Configure([]*service.File{w.file})
+	w.mu.Lock()
+	w.entries[name] = e
+	w.mu.Unlock()
+	ctx, stop := context.WithCancel(t.Context())
+	e.stop = stop
+	go e.Run(ctx)
+}
+
+func (w *world) setHome(zone id.Zone, name id.Instance) {
+	key := wire.Bucket{Service: "registry", Zone: zone}
+	w.terms[key]++
+	w.homes[key] = name
+}
+
+// Call carries a message to another entry and its answer back.
+func (e *entry) Call(ctx context.Context, to id.Instance, method string, params, out any) error {
+	time.Sleep(delay)
+	data, err := json.Marshal(params)
+	if err != nil {
+		return err
+	}
+	e.world.mu.Lock()
+	other := e.world.entries[to]
+	lost, lostAnswer := e.world.rng.Float64() < e.world.loss, e.world.rng.Float64() < e.world.loss
+	cut := e.cut || e.dead || other.cut || other.dead
+	e.world.mu.Unlock()
+	if lost || cut {
+		<-ctx.Done()
+		return eris.New("no answer")
+	}
+	answer, err := other.Handlers()[method](ctx, e.Self, data)
+	time.Sleep(delay)
+	if err != nil {
+		return err
+	}
+	if lostAnswer {
+		<-ctx.Done()
+		return eris.New("no answer")
+	}
+	if data, err = json.Marshal(answer); err != nil {
+		return err
+	}
+	return json.Unmarshal(data, out)
+}
+
+func (e *entry) Home(b wire.Bucket) (id.Instance, id.Term, bool) {
+	e.world.mu.Lock()
+	defer e.world.mu.Unlock()
+	return e.world.homes[b], e.world.terms[b], true
+}
+
+func (e *entry) Authority(b wire.Bucket) (id.Term, time.Time, bool) {
+	e.world.mu.Lock()
+	defer e.world.mu.Unlock()
+	return e.world.terms[b], time.Now().Add(leaseFor), e.world.homes[b] == e.name
+}
+
+func (e *entry) Confirmed(wire.Bucket) (id.Term, time.Time, bool) { return 0, time.Time{}, false }
+
+func (e *entry) Raise(b wire.Bucket) {
+	e.world.mu.Lock()
+	defer e.world.mu.Unlock()
+	e.world.terms[b]++
+}
+
+// admit gets a slot and counts it until done is called.
+func (e *entry) admit(within time.Duration) (done func(), err error) {
+	req := &admission.Request{Service: e.world.file, Class: &e.world.file.Classes[0], Deadline: time.Now().Add(within)}
+	p, err := e.Admit(context.Background(), req)
+	if err != nil {
+		return nil, err
+	}
+	name, w := p.Server().Name, e.world
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.running[name]++
+	if w.running[name] > p.Server().Slots {
+		w.over++
+	}
+	return func() {
+		w.mu.Lock()
+		w.running[name]--
+		w.mu.Unlock()
+		p.Release(admission.Outcome{})
+	}, nil
+}
+
+func (e *entry) kill() {
+	e.world.mu.Lock()
+	e.dead = true
+	e.world.mu.Unlock()
+	e.stop()
+}
+
+func (w *world) stop() {
+	for _, e := range w.entries {
+		e.stop()
+	}
+	time.Sleep(time.Minute)
+}
+
+func TestAdmitterUsesAllSlots(t *testing.T) {
+	for name, loss := range map[string]float64{"no loss": 0, "a third lost": 0.33} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				w := newWorld(t, loss)
+				defer w.stop()
+				var all []func()
+				for _, at := range w.names {
+					for range 9 {
+						done, err := w.entries[at].admit(time.Minute)
+						is.NoErr(err)
+						all = append(all, done)
+					}
+					_, err := w.entries[at].admit(time.Second)
+					is.True(err != nil) // the tenth has no slot
+					for _, done := range all {
+						done()
+					}
+					all = nil
+				}
+				is.Equal(w.over, 0)
+			})
+		})
+	}
+}
+
+func TestAdmitterSurvivesALoss(t *testing.T) {
+	tests := map[string]struct{ holder, home bool }{
+		"holder lost":       {holder: true},
+		"home lost":         {home: true},
+		"home and a holder": {holder: true, home: true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				w := newWorld(t, 0)
+				defer w.stop()
+				_, err := w.entries["e-3"].admit(time.Minute)
+				is.NoErr(err)
+				_, err = w.entries["e-1"].admit(time.Minute)
+				is.NoErr(err)
+				clear(w.running) // the lost entries' requests end with them
+				if tt.holder {
+					w.entries["e-3"].kill()
+				}
+				if tt.home {
+					w.entries["e-1"].kill()
+					w.mu.Lock()
+					w.setHome("z-1", "e-2")
+					w.mu.Unlock()
+				}
+				time.Sleep(10 * time.Second)
+				free := 9
+				if !tt.holder {
+					free--
+				}
+				if !tt.home {
+					free--
+				}
+				for range free {
+					_, err := w.entries["e-2"].admit(100 * time.Millisecond)
+					is.NoErr(err)
+				}
+				is.Equal(w.over, 0)
+			})
+		})
+	}
+}
+
+func TestAdmitterServesOnWhileHomeIsLost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t, 0)
+		defer w.stop()
+		time.Sleep(time.Second)
+		w.entries["e-1"].kill()
+		for range 50 {
+			done, err := w.entries["e-3"].admit(time.Second)
+			is.NoErr(err)
+			time.Sleep(100 * time.Millisecond)
+			done()
+		}
+	})
+}
+
+func TestAdmitterNeverOverloads(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t, 0.1)
+		defer w.stop()
+		rng := rand.New(rand.NewPCG(3, 4))
+		served := 0
+		for step := range 3000 {
+			e := w.entries[w.names[rng.IntN(3)]]
+			hold := time.Duration(rng.IntN(300)) * time.Millisecond
+			go func() {
+				if done, err := e.admit(deadline); err == nil {
+					time.Sleep(hold)
+					done()
+					w.mu.Lock()
+					served++
+					w.mu.Unlock()
+				}
+			}()
+			time.Sleep(time.Duration(rng.IntN(40)) * time.Millisecond)
+			switch step {
+			case 500, 1500:
+				w.mu.Lock()
+				w.entries["e-2"].cut = true
+				w.mu.Unlock()
+			case 1000, 2000:
+				w.mu.Lock()
+				w.entries["e-2"].cut = false
+				w.mu.Unlock()
+			}
+		}
+		time.Sleep(deadline)
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		is.Equal(w.over, 0)
+		is.True(served > 2400)
+	})
+}
