trial, scenarios, README: the main job on stand-ins, and the daemon as a process

Cause: the first thing that must work is the whole system on embedded stand-ins, with each promise held against what really happened.

Change: internal/trial and shallotpier trial: 7 entries, 42 backend servers and the platform with a deployment's delays; look-ups, reads, once-only writes sent twice, uploads, a squeeze past the slots, a drain and a planned stop under long uploads, two publications. scenarios/daemon.txtar runs daemon, stand-ins and commands as processes. The stand-ins take faults of backend servers over HTTP.

The trial's checks are tested by spoiling each of them once.

--- a/internal/cli/app.go
+++ b/internal/cli/app.go
@@ -118,6 +118,7 @@
 		a.publishCommand(),
 		a.historyCommand(),
 		a.benchCommand(),
+		a.trialCommand(),
 	}
 }
 
--- a/internal/standin/fleet/doc.go
+++ b/internal/standin/fleet/doc.go
@@ -2,6 +2,10 @@
 // platform with its store and instance list, and every backend server that the
 // service files name.
 //
+// Beside the platform's own paths, its address takes /servers/{service}/{server}:
+// GET tells what that backend server saw, PUT sets its faults, and PUT on
+// /silence and /stop below it silences its open connections and ends it.
+//
 // # Usage
 //
 //	f, err := fleet.Load("examples/beridze")
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"net/http"
 	"net/netip"
 	"os"
 	"path/filepath"
@@ -121,7 +122,10 @@
 }
 
 func (f *Fleet) start() error {
-	server := &httpserver.Server{Address: f.Platform, Handler: platform.NewHandler(&f.Store, &f.Instances)}
+	mux := http.NewServeMux()
+	mux.HandleFunc(controlPath, f.control)
+	mux.Handle("/", platform.NewHandler(&f.Store, &f.Instances))
+	server := &httpserver.Server{Address: f.Platform, Handler: mux}
 	if err := server.Start(); err != nil {
 		return eris.Wrap(err, "platform")
 	}
--- /dev/null
+++ b/internal/trial/load.go
@@ -0,0 +1,291 @@
+package trial
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/shallotpier/shallotpier/internal/openloop"
+	"github.com/shallotpier/shallotpier/internal/standin/backend"
+	"github.com/shallotpier/shallotpier/internal/standin/fleet"
+	"github.com/shallotpier/shallotpier/internal/standin/wan"
+	"github.com/shallotpier/shallotpier/pkg/id"
+	"github.com/shallotpier/shallotpier/pkg/result"
+	"github.com/shallotpier/shallotpier/pkg/service"
+	"github.com/shallotpier/shallotpier/pkg/unit"
+)
+
+// Rates and sizes of the load.
+const (
+	lookupRate     = unit.Rate(100)
+	onceRate       = unit.Rate(10)
+	uploadRate     = unit.Rate(1)
+	readsPerSlot   = 1.0 / 3
+	onceBytes      = 2 << 10
+	smallUpload    = 256 << 10
+	resendEvery    = 10
+	requestTimeout = 10 * time.Second
+	bitsPerByte    = 8
+)
+
+// The squeeze of the upload service.
+const (
+	squeezeAt       = 9 * time.Second
+	squeezeCount    = 120
+	squeezeSlower   = 700 * time.Millisecond
+	squeezeDeadline = time.Second
+)
+
+// load sends the whole load and returns when all of it has ended.
+func (r *run) load(ctx context.Context) {
+	var all sync.WaitGroup
+	rows := make(chan Latency, 16)
+	seed := r.Seed
+	begin := func(of id.Service, class id.Class, rate unit.Rate, do func(context.Context, int) error) {
+		seed++
+		l := openloop.Load{Rate: rate, Duration: loadTime, Seed: seed}
+		all.Go(func() {
+			result := l.Run(ctx, do)
+			rows <- row(of, class, &result)
+		})
+	}
+	for _, f := range r.system.fleet.Files {
+		begin(f.Service, "lookup", lookupRate, r.lookups(f.Service))
+		for i := range f.Classes {
+			c := &f.Classes[i]
+			begin(f.Service, c.Name, rate(f, c), r.requests(f.Service, c))
+		}
+	}
+	go func() {
+		all.Wait()
+		close(rows)
+	}()
+	for l := range rows {
+		r.report.Latency = append(r.report.Latency, l)
+	}
+	sort.Slice(r.report.Latency, func(i, j int) bool {
+		a, b := &r.report.Latency[i], &r.report.Latency[j]
+		return a.Service < b.Service || a.Service == b.Service && a.Class < b.Class
+	})
+}
+
+func row(of id.Service, class id.Class, result *openloop.Result) Latency {
+	l := Latency{Service: of, Class: class, Sent: result.Sent, Failed: result.Failed, Percentiles: result.Percentiles()}
+	if result.FirstError != nil {
+		l.FirstError = result.FirstError.Error()
+	}
+	return l
+}
+
+func rate(f *service.File, c *service.Class) unit.Rate {
+	switch c.Kind {
+	case service.Read:
+		return unit.Rate(float64(f.Slots()) * readsPerSlot)
+	case service.Upload:
+		return uploadRate
+	default:
+		return onceRate
+	}
+}
+
+// lookups returns the load of uncached look-ups, spread over the entries.
+func (r *run) lookups(of id.Service) func(context.Context, int) error {
+	return func(ctx context.Context, n int) error {
+		_, err := r.callers.ask(ctx, r.callers.first[n%len(r.callers.first)], of)
+		return err
+	}
+}
+
+func (r *run) requests(of id.Service, c *service.Class) func(context.Context, int) error {
+	return func(ctx context.Context, n int) error {
+		ctx, cancel := context.WithTimeout(ctx, requestTimeout)
+		defer cancel()
+		q := &request{name: fmt.Sprintf("%s-%s-%d", of, c.Name, n), service: of, class: c, near: n, size: size(c)}
+		if q.size > 0 {
+			body := make([]byte, q.size)
+			q.body = func() io.Reader { return bytes.NewReader(body) }
+		}
+		if c.Kind == service.Once && n%resendEvery == 0 {
+			return r.callers.sendTwice(ctx, q)
+		}
+		return r.callers.call(ctx, q)
+	}
+}
+
+// squeeze makes the backend servers of the upload service slow for a while and
+// sends more requests at once than they have slots, with short deadlines. Some
+// are refused, and what they are told is held against the servers' records.
+func (r *run) squeeze(ctx context.Context) error {
+	if !r.until(ctx, squeezeAt) {
+		return ctx.Err()
+	}
+	read := r.readClass()
+	if read == nil {
+		return nil
+	}
+	r.progress("%d requests at once on %d slots of slow backend servers", squeezeCount, r.uploads.Slots())
+	r.slowDown(squeezeSlower)
+	defer r.slowDown(0)
+	var all sync.WaitGroup
+	for n := range squeezeCount {
+		all.Go(func() {
+			q := &request{name: fmt.Sprintf("squeeze-%d", n), service: r.uploads.Service, class: read, near: n, deadline: squeezeDeadline}
+			// Many of them are meant to fail; their attempts are recorded.
+			if e, err := r.callers.choose(ctx, q); err == nil {
+				_ = r.callers.attempt(ctx, q, 1, e)
+			}
+		})
+	}
+	all.Wait()
+	return nil
+}
+
+func (r *run) readClass() *service.Class {
+	for i := range r.uploads.Classes {
+		if r.uploads.Classes[i].Kind == service.Read {
+			return &r.uploads.Classes[i]
+		}
+	}
+	return nil
+}
+
+func (r *run) slowDown(by time.Duration) {
+	for i := range r.uploads.Servers {
+		r.system.fleet.Server(r.uploads.Service, r.uploads.Servers[i].Name).SetFaults(backend.Faults{Slower: by})
+	}
+}
+
+func size(c *service.Class) int64 {
+	switch c.Kind {
+	case service.Read:
+		return 0
+	case service.Upload:
+		return smallUpload
+	default:
+		return onceBytes
+	}
+}
+
+// sample measures headroom until ctx ends.
+func (r *run) sample(ctx context.Context) {
+	r.report.Regions = regions(r.system.fleet)
+	r.observed.Links = links(r.system.fleet)
+	sent, at := r.system.network.Sent(), time.Now()
+	for pause(ctx, sampleTime) {
+		sampleRegions(r.system.fleet, r.report.Regions)
+		now, then := r.system.network.Sent(), time.Now()
+		for i := range r.observed.Links {
+			l := &r.observed.Links[i]
+			d := wan.Direction{From: l.From, To: l.To}
+			l.Peak = max(l.Peak, float64(now[d]-sent[d])*bitsPerByte/then.Sub(at).Seconds())
+			l.Headroom = 1 - l.Peak/l.Budget
+		}
+		sent, at = now, then
+	}
+}
+
+func regions(f *fleet.Fleet) []Region {
+	var out []Region
+	for _, file := range f.Files {
+		for _, g := range file.Regions {
+			row := Region{Service: file.Service, Region: g.Name, Headroom: 1}
+			for i := range file.Servers {
+				if in, _ := f.World.Region(file.Servers[i].Zone); in == g.Name {
+					row.Slots += file.Servers[i].Slots
+				}
+			}
+			out = append(out, row)
+		}
+	}
+	return out
+}
+
+func sampleRegions(f *fleet.Fleet, rows []Region) {
+	for i := range rows {
+		row := &rows[i]
+		used := 0
+		for _, s := range f.File(row.Service).Servers {
+			if in, _ := f.World.Region(s.Zone); in == row.Region {
+				used += f.Server(row.Service, s.Name).Load().Running
+			}
+		}
+		row.Peak = max(row.Peak, used)
+		row.Headroom = 1 - float64(row.Peak)/float64(row.Slots)
+	}
+}
+
+func links(f *fleet.Fleet) []Link {
+	var out []Link
+	for _, l := range f.World.Links {
+		budget := float64(l.Capacity) * l.Share
+		for i := range l.Between {
+			out = append(out, Link{From: l.Between[i], To: l.Between[1-i], Budget: budget, Headroom: 1})
+		}
+	}
+	return out
+}
+
+// recorded reads the stand-ins' records.
+func (r *run) recorded() (map[string]Ran, []Peak) {
+	ran := map[string]Ran{}
+	var peaks []Peak
+	for _, f := range r.system.fleet.Files {
+		for i := range f.Servers {
+			s := &f.Servers[i]
+			record := r.system.fleet.Server(f.Service, s.Name).Record()
+			peaks = append(peaks, Peak{
+				Service: f.Service, Server: s.Name, Slots: s.Slots, Running: record.MaxRunning, Overloads: record.Overloads,
+				Connections: s.Connections, Open: record.MaxConnections, Refused: record.Refused,
+			})
+			for attempt, count := range record.Ran {
+				one := ran[attempt]
+				one.Count += count
+				one.Servers = append(one.Servers, s.Name)
+				ran[attempt] = one
+			}
+		}
+	}
+	return ran, peaks
+}
+
+// rises returns the greatest rise toward each region: of the requests that
+// ended in two adjacent windows, the difference of the mean rates.
+func rises(f *fleet.Fleet, all []Attempt) []Rise {
+	var out []Rise
+	for _, file := range f.Files {
+		for _, g := range file.Regions {
+			var times []time.Duration
+			for _, a := range all {
+				if a.Service != file.Service || a.Server == "" || a.Code == result.Replayed {
+					continue
+				}
+				if s := file.Server(a.Server); s != nil {
+					if in, _ := f.World.Region(s.Zone); in == g.Name {
+						times = append(times, a.Ended)
+					}
+				}
+			}
+			window := file.ShiftCap.Window.Std()
+			out = append(out, Rise{Service: file.Service, Region: g.Name, Cap: float64(file.ShiftCap.Rise), Greatest: greatestRise(times, window)})
+		}
+	}
+	return out
+}
+
+func greatestRise(times []time.Duration, window time.Duration) float64 {
+	sort.Slice(times, func(i, j int) bool { return times[i] < times[j] })
+	within := func(from, to time.Duration) int {
+		first := sort.Search(len(times), func(i int) bool { return times[i] >= from })
+		last := sort.Search(len(times), func(i int) bool { return times[i] >= to })
+		return last - first
+	}
+	greatest := 0
+	for _, t := range times {
+		greatest = max(greatest, within(t, t+window)-within(t-window, t))
+	}
+	return float64(greatest) / window.Seconds()
+}
--- a/scenarios/scenarios_test.go
+++ b/scenarios/scenarios_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"os"
 	"path/filepath"
 	"testing"
@@ -9,7 +10,9 @@
 	"github.com/rogpeppe/go-internal/testscript"
 
 	"github.com/shallotpier/shallotpier/internal/cli"
+	"github.com/shallotpier/shallotpier/internal/daemon"
 	"github.com/shallotpier/shallotpier/internal/launch"
+	"github.com/shallotpier/shallotpier/internal/settings"
 )
 
 func TestMain(m *testing.M) {
@@ -18,6 +21,12 @@
 			app := cli.App{Stdout: os.Stdout, Stderr: os.Stderr}
 			os.Exit(app.Run(context.Background(), os.Args))
 		},
+		"shallotpierd": func() {
+			d := launch.Daemon{Stderr: os.Stderr, Run: func(ctx context.Context, s *settings.Settings, log *slog.Logger) error {
+				return (&daemon.Daemon{Settings: s, Log: log}).Run(ctx)
+			}}
+			os.Exit(d.Main(os.Args))
+		},
 		"shallotpier-standin": func() {
 			s := launch.StandIn{Stderr: os.Stderr}
 			os.Exit(s.Main(os.Args))
