health: judge late answers and servers without news

Cause: a server that takes connections and never answers stayed in by its probes, since a late answer said nothing; a trial whose caller went away blocked the next one for 30 s; and a server of which nothing is known could not be told from one with bad news.

Change: a late answer counts as silence; each outcome ends a trial; Unproven and Out tell the rest.

Conclusion: a hung server is down to one trial at a time after its first late answer.

--- a/internal/health/doc.go
+++ b/internal/health/doc.go
@@ -10,7 +10,7 @@
 //     whole answer) put the server out. So does one, if the server was on trial.
 //   - A shed request keeps requests away for a short time, which doubles while
 //     sheds go on.
-//   - A connection that went silent, a failed probe that is newer than the last
+//   - A connection that went silent, a late answer, a failed probe that is newer than the last
 //     answer, or no fresh word from any source, allow a trial only.
 //   - A fresh report that the server takes no more keeps it out.
 //   - A probe or report that is missing, stale, from the future or impossible
--- a/internal/health/opinion.go
+++ b/internal/health/opinion.go
@@ -30,7 +30,8 @@
 	ConnectFailed
 	// Cut means that the connection ended before the whole answer.
 	Cut
-	// Silent means that a connection made no progress.
+	// Silent means that a connection made no progress, or that no answer came
+	// within the deadline.
 	Silent
 )
 
@@ -89,7 +90,7 @@
 		return ConnectFailed
 	case result.AnswerCut:
 		return Cut
-	case result.ConnectionSilent:
+	case result.ConnectionSilent, result.AnswerLate:
 		return Silent
 	default:
 		return Nothing
@@ -99,17 +100,15 @@
 // Observe takes what a send met.
 func (o *Opinion) Observe(now time.Time, e Event) {
 	onTrial := o.onTrial(now)
+	o.trial = time.Time{} // another may begin
 	switch e {
 	case Answered:
 		o.answered = now
 		o.failures, o.wait, o.shed, o.out = 0, 0, 0, false
-		o.trial = time.Time{}
 	case Shed:
-		o.trial = time.Time{}
 		o.shed = grow(o.shed, firstShed, longestShed)
 		o.until = later(o.until, now.Add(o.shed))
 	case ConnectFailed, Cut:
-		o.trial = time.Time{}
 		o.failures++
 		if o.failures >= failuresOut || onTrial {
 			o.out = true
@@ -117,11 +116,13 @@
 			o.until = later(o.until, now.Add(o.wait))
 		}
 	case Silent:
-		o.trial = time.Time{}
 		o.doubted = now
 	}
 }
 
+// Out tells whether failures put the server out and no answer came since.
+func (o *Opinion) Out() bool { return o.out }
+
 // BeginTrial notes that a request is sent under the verdict Trial.
 func (o *Opinion) BeginTrial(now time.Time) { o.trial = now }
 
@@ -146,23 +147,32 @@
 	return !o.trial.IsZero() && now.Sub(o.trial) < trialTimeout
 }
 
+// Unproven tells whether nothing speaks against the server, so that only news
+// of it may be lacking.
+func (o *Opinion) Unproven(now time.Time, probe measured.Value[bool], report measured.Value[Report]) bool {
+	return !o.out && !now.Before(o.until) && !refuses(now, report) && !o.badNews(now, probe)
+}
+
 // doubtful tells whether the newest word on the server is a bad one, or there
 // is none that is fresh.
 func (o *Opinion) doubtful(now time.Time, probe measured.Value[bool], report measured.Value[Report]) bool {
+	if o.badNews(now, probe) {
+		return true
+	}
+	_, probed := probe.Read(now, MaxAge)
+	_, reported := sane(now, report)
+	return now.Sub(o.answered) > MaxAge && probed != measured.Fresh && !reported
+}
+
+// badNews tells whether a connection went silent, or the last probe failed,
+// after the last answer.
+func (o *Opinion) badNews(now time.Time, probe measured.Value[bool]) bool {
 	if o.answered.Before(o.doubted) {
 		return true
 	}
-	answers := now.Sub(o.answered) <= MaxAge
 	good, state := probe.Read(now, MaxAge)
-	if state == measured.Fresh {
-		age, _ := probe.Age(now)
-		if !good && now.Add(-age).After(o.answered) {
-			return true
-		}
-		return !good && !answers
-	}
-	_, reported := sane(now, report)
-	return !answers && !reported
+	age, _ := probe.Age(now)
+	return state == measured.Fresh && !good && now.Add(-age).After(o.answered)
 }
 
 func refuses(now time.Time, v measured.Value[Report]) bool {
