link: tell the largest small request

Cause: a request larger than 15 ms of the entry's rate never passes as a small one, so a write with such a body would always be refused.

Change: Budget.Small tells the size from which a body has to be admitted as one.

Figures: at 3 MB/s more than 40,000 bytes, which pass beside bodies that use the whole rate; a test holds it.

Conclusion: whoever charges a link chooses by size, not by class.

--- a/internal/link/budget.go
+++ b/internal/link/budget.go
@@ -73,8 +73,8 @@
 }
 
 // Pass counts a small request or answer, which is sent at once. It is false if
-// small ones alone use up the rate; then nothing may be sent. What takes more
-// than 15 ms at the entry's rate is not small, and must be admitted as a body.
+// small ones alone use up the rate; then nothing may be sent. What is larger than
+// Small must be admitted as a body.
 func (b *Budget) Pass(now time.Time, size unit.Bytes) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -84,6 +84,14 @@
 	return b.take(&b.bodies, now, size, b.bodyRate(), ahead)
 }
 
+// Small returns the largest size that Pass lets through when nothing else is
+// sent. What is larger must be admitted as a body.
+func (b *Budget) Small() unit.Bytes {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return unit.Bytes(b.bodyRate() * (ahead - time.Second/chunksPerSecond).Seconds())
+}
+
 // Next returns how many of the wanted bytes of the body may be sent now. If
 // none, wait tells when to ask again.
 func (b *Body) Next(now time.Time, want int) (n int, wait time.Duration) {
--- a/internal/link/budget_test.go
+++ b/internal/link/budget_test.go
@@ -327,3 +327,21 @@
 		budget.Pass(start, 800)
 	}), 0.0)
 }
+
+// A request of the size Small passes beside bodies that use the whole rate.
+func TestSmallPassesBesideBodies(t *testing.T) {
+	is := is.New(t)
+	var budget link.Budget
+	budget.SetRate(3_000_000, 1)
+	body, _ := budget.Admit(1, time.Hour)
+	now := start
+	for range 100 {
+		for n := 1; n > 0; {
+			n, _ = body.Next(now, 1<<20)
+		}
+		now = now.Add(10 * time.Millisecond)
+	}
+	is.True(budget.Small() > 40_000)
+	is.True(budget.Pass(now, budget.Small()))
+	is.True(!budget.Pass(now, budget.Small()))
+}
