routing: keep an entry's opinions, slow starts and orders

Cause: placement, health and slow start had no owner between requests, and a request that waited for a slot could get one on a server that was leaving by then.

Change: a router with a table of ready orders, stepped by ticks, and an admitter that looks at the server once more when the permit is there.

Breaking the check for leaving servers, the trial's limit, the slow start after failures, the single outcome of a permit or the least share of reports failed a test.

--- /dev/null
+++ b/internal/routing/router.go
@@ -0,0 +1,154 @@
+package routing
+
+import (
+	"maps"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/shallotpier/shallotpier/internal/admission"
+	"github.com/shallotpier/shallotpier/internal/health"
+	"github.com/shallotpier/shallotpier/internal/measured"
+	"github.com/shallotpier/shallotpier/internal/placement"
+	"github.com/shallotpier/shallotpier/pkg/deployment"
+	"github.com/shallotpier/shallotpier/pkg/id"
+	"github.com/shallotpier/shallotpier/pkg/service"
+)
+
+type (
+	// Router orders backend servers for the requests of one entry. Its
+	// exported fields are set before its first use. It is safe for concurrent
+	// use.
+	Router struct {
+		// World is the deployment.
+		World *deployment.Deployment
+		// Zone is the entry's own availability zone.
+		Zone id.Zone
+		// Draw returns evenly distributed numbers. It must be safe for
+		// concurrent use.
+		Draw func() uint64
+
+		mu       sync.Mutex // held by writers of services
+		services atomic.Pointer[map[id.Service]*routes]
+	}
+
+	// State is what a router knows of a server.
+	State struct {
+		// Server is the server's name.
+		Server id.Server
+		// Verdict tells whether it may get requests.
+		Verdict health.Verdict
+		// Ramp is its level in a slow start; 1 when it is warm.
+		Ramp float64
+		// Leaving is set if it gets nothing new.
+		Leaving bool
+	}
+)
+
+// Configure puts service files in force, in which the servers that leave are
+// marked. A server that is new to a service known before, has another address,
+// or comes back from leaving begins with a slow start.
+func (r *Router) Configure(now time.Time, files []*service.File) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	old := r.load()
+	next := make(map[id.Service]*routes, len(files))
+	for _, f := range files {
+		s := old[f.Service]
+		if s == nil {
+			s = newRoutes()
+		}
+		s.configure(now, r, f)
+		next[f.Service] = s
+	}
+	r.services.Store(&next)
+}
+
+// Tick steps the decisions and makes new tables where they changed.
+func (r *Router) Tick(now time.Time) {
+	for _, s := range r.load() {
+		s.tick(now, r)
+	}
+}
+
+// Order returns the servers that the request may be sent to, the best first.
+// The caller must not change the slice.
+func (r *Router) Order(req *admission.Request) []*service.Server {
+	s := r.load()[req.Service.Service]
+	if s == nil {
+		return nil
+	}
+	return s.order(r.Draw(), req.Tried)
+}
+
+// SetProbe notes whether a server answered its probe.
+func (r *Router) SetProbe(svc id.Service, name id.Server, v measured.Value[bool]) {
+	r.update(svc, name, func(s *server) { s.probe = v })
+}
+
+// SetReport notes a server's report of its load.
+func (r *Router) SetReport(svc id.Service, name id.Server, v measured.Value[health.Report]) {
+	r.update(svc, name, func(s *server) { s.report = v })
+}
+
+// SetWarmth notes how warm a server says that it is, 0 for cold to 1 for warm.
+func (r *Router) SetWarmth(svc id.Service, name id.Server, v measured.Value[float64]) {
+	r.update(svc, name, func(s *server) { s.warmth = v })
+}
+
+// Parts returns which part of a service's requests each region gets first.
+func (r *Router) Parts(svc id.Service) []placement.Part {
+	s := r.load()[svc]
+	if s == nil {
+		return nil
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.steer.Parts()
+}
+
+// States returns what is known of a service's servers, in the order of its
+// file.
+func (r *Router) States(now time.Time, svc id.Service) []State {
+	s := r.load()[svc]
+	if s == nil {
+		return nil
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	list := make([]State, 0, len(s.file.Servers))
+	for i := range s.file.Servers {
+		name := s.file.Servers[i].Name
+		list = append(list, s.servers[name].state(now, name))
+	}
+	return list
+}
+
+func (r *Router) load() map[id.Service]*routes {
+	if m := r.services.Load(); m != nil {
+		return *m
+	}
+	return nil
+}
+
+func (r *Router) server(svc id.Service, name id.Server) *server {
+	s := r.load()[svc]
+	if s == nil {
+		return nil
+	}
+	return (*s.lookup.Load())[name]
+}
+
+func (r *Router) update(svc id.Service, name id.Server, apply func(*server)) {
+	if s := r.server(svc, name); s != nil {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		apply(s)
+	}
+}
+
+// publish makes the servers known to the request path.
+func (s *routes) publish() {
+	known := maps.Clone(s.servers)
+	s.lookup.Store(&known)
+}
--- /dev/null
+++ b/internal/routing/router_test.go
@@ -0,0 +1,317 @@
+package routing_test
+
+import (
+	"context"
+	"errors"
+	"math"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/shallotpier/shallotpier/internal/admission"
+	"github.com/shallotpier/shallotpier/internal/health"
+	"github.com/shallotpier/shallotpier/internal/measured"
+	"github.com/shallotpier/shallotpier/internal/routing"
+	"github.com/shallotpier/shallotpier/pkg/deployment"
+	"github.com/shallotpier/shallotpier/pkg/id"
+	"github.com/shallotpier/shallotpier/pkg/result"
+	"github.com/shallotpier/shallotpier/pkg/service"
+	"github.com/shallotpier/shallotpier/pkg/unit"
+)
+
+// slots permits the first server of the router's order that was not tried. If
+// held is set, the order is that of the first call, as for a request that
+// waited since then.
+type slots struct {
+	router   *routing.Router
+	held     []*service.Server
+	released []result.Code
+}
+
+type permit struct {
+	slots  *slots
+	server *service.Server
+}
+
+func (s *slots) Admit(_ context.Context, req *admission.Request) (admission.Permit, error) {
+	order := s.held
+	if order == nil {
+		order = s.router.Order(req)
+	}
+	for _, server := range order {
+		if !slices.Contains(req.Tried, server.Name) {
+			return &permit{s, server}, nil
+		}
+	}
+	return nil, &admission.RefusedError{Code: result.NoServer, RetryAfter: time.Second}
+}
+
+func (p *permit) Server() *service.Server     { return p.server }
+func (p *permit) Release(o admission.Outcome) { p.slots.released = append(p.slots.released, o.Code) }
+
+func world() *deployment.Deployment {
+	return &deployment.Deployment{
+		Regions: []deployment.Region{{Name: "fyn", Zones: []id.Zone{"fyn-1", "fyn-2"}}, {Name: "jylland", Zones: []id.Zone{"jylland-1"}}},
+		Delays:  deployment.Delays{Zones: unit.Duration(time.Millisecond), Regions: unit.Duration(20 * time.Millisecond)},
+	}
+}
+
+func file(leaving ...id.Server) *service.File {
+	f := &service.File{Service: "register", Regions: []service.Region{{Name: "fyn", Weight: 1}, {Name: "jylland", Weight: 1}}}
+	for i, name := range []id.Server{"a", "b", "c", "d"} {
+		zone := []id.Zone{"fyn-1", "fyn-1", "fyn-2", "jylland-1"}[i]
+		f.Servers = append(f.Servers, service.Server{
+			Name: name, Zone: zone, Slots: 6, Connections: 6, Leaving: slices.Contains(leaving, name),
+			Address: netip.AddrPortFrom(netip.MustParseAddr("192.0.2.1"), uint16(1000+i)),
+		})
+	}
+	return f
+}
+
+func router() *routing.Router {
+	r := &routing.Router{World: world(), Zone: "fyn-1", Draw: rand.New(rand.NewPCG(1, 2)).Uint64}
+	r.Configure(time.Now(), []*service.File{file()})
+	return r
+}
+
+func request(tried ...id.Server) *admission.Request {
+	return &admission.Request{Service: file(), Tried: tried, Deadline: time.Now().Add(time.Minute)}
+}
+
+func send(a *routing.Admitter, code result.Code, tried ...id.Server) (id.Server, result.Code) {
+	p, err := a.Admit(context.Background(), request(tried...))
+	var refused *admission.RefusedError
+	if errors.As(err, &refused) {
+		return "", refused.Code
+	}
+	p.Release(admission.Outcome{Code: code, Latency: 10 * time.Millisecond})
+	return p.Server().Name, code
+}
+
+func state(r *routing.Router, name id.Server) routing.State {
+	states := r.States(time.Now(), "register")
+	return states[slices.IndexFunc(states, func(s routing.State) bool { return s.Server == name })]
+}
+
+func TestOrderIsNearestFirst(t *testing.T) {
+	is := is.New(t)
+	r := router()
+	first := map[id.Server]int{}
+	for range 1000 {
+		order := r.Order(request())
+		is.Equal(len(order), 4)
+		is.Equal(order[2].Name, id.Server("c"))
+		is.Equal(order[3].Name, id.Server("d"))
+		first[order[0].Name]++
+	}
+	is.True(first["a"] > 400)
+	is.True(first["b"] > 400)
+	is.Equal(r.Order(request("a"))[0].Name, id.Server("c")) // another zone first
+	is.Equal(len(r.Order(&admission.Request{Service: &service.File{Service: "other"}})), 0)
+}
+
+func TestLeavingServerGetsNothingAfterWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r := router()
+		inner := &slots{router: r, held: r.Order(request())} // waits since before the notice
+		r.Configure(time.Now(), []*service.File{file("a", "b")})
+		name, _ := send(&routing.Admitter{Router: r, Inner: inner}, result.Served)
+		is.Equal(name, id.Server("c"))
+		is.Equal(inner.released, []result.Code{result.NoServer, result.NoServer, result.Served})
+		is.Equal(r.Order(request())[0].Name, id.Server("c"))
+		r.Configure(time.Now(), []*service.File{file()})
+		is.True(state(r, "a").Ramp < 1) // it came back and is cold
+		is.Equal(state(r, "c").Ramp, 1.0)
+	})
+}
+
+func TestFailingServerIsOutAndComesBackByTrial(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r := router()
+		a := &routing.Admitter{Router: r, Inner: &slots{router: r}}
+		for range 20 { // all are warm and known to answer
+			send(a, result.Served)
+			send(a, result.Served, "a")
+			send(a, result.Served, "b")
+		}
+		for state(r, "a").Verdict != health.No {
+			send(a, result.ConnectFailed, "b", "c", "d")
+		}
+		r.Tick(time.Now())
+		is.Equal(len(r.Order(request())), 3)
+		for range 100 {
+			name, _ := send(a, result.Served)
+			is.True(name != "a")
+		}
+		_, code := send(a, result.Served, "b", "c", "d")
+		is.Equal(code, result.NoServer)
+		time.Sleep(2 * time.Second)
+		r.Tick(time.Now())
+		is.Equal(state(r, "a").Verdict, health.Trial)
+		for state(r, "a").Verdict != health.Yes {
+			send(a, result.Served)
+		}
+		is.True(state(r, "a").Ramp < 1) // most likely started anew
+		for range 60 {
+			for range 100 {
+				send(a, result.Served)
+			}
+			time.Sleep(time.Second)
+			r.Tick(time.Now())
+		}
+		is.Equal(state(r, "a").Ramp, 1.0)
+	})
+}
+
+func TestTrials(t *testing.T) {
+	bad := measured.At(false, time.Now())
+	tests := map[string]struct {
+		probe measured.Value[bool]
+		ok    bool // a second request while the trial runs
+	}{
+		"nothing known": {measured.Value[bool]{}, true},
+		"failed probe":  {bad, false},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			r := router()
+			r.SetProbe("register", "a", tt.probe)
+			a := &routing.Admitter{Router: r, Inner: &slots{router: r}}
+			first, err := a.Admit(context.Background(), request("b", "c", "d"))
+			is.NoErr(err)
+			for range 20 {
+				other, err := a.Admit(context.Background(), request("c", "d"))
+				is.NoErr(err)
+				is.Equal(other.Server().Name, id.Server("b")) // rather than the one on trial
+				other.Release(admission.Outcome{Code: result.CallerGone})
+			}
+			_, err = a.Admit(context.Background(), request("b", "c", "d"))
+			is.Equal(err == nil, tt.ok)
+			first.Release(admission.Outcome{Code: result.CallerGone})
+			for range 3 { // later releases count for nothing
+				first.Release(admission.Outcome{Code: result.ConnectFailed})
+			}
+			again, err := a.Admit(context.Background(), request("b", "c", "d"))
+			is.NoErr(err)
+			again.Release(admission.Outcome{Code: result.Served})
+			is.Equal(state(r, "a").Verdict, health.Yes)
+		})
+	}
+}
+
+func TestLoadInputsMoveParts(t *testing.T) {
+	full, calm := health.Report{Slots: 6, Running: 6}, health.Report{Slots: 6, Running: 1}
+	tests := map[string]struct {
+		home, other health.Report
+		age         time.Duration
+		reporting   int
+		less        bool
+	}{
+		"full home":       {full, calm, 0, 3, true},
+		"two of three":    {full, calm, 0, 2, true},
+		"one of three":    {full, calm, 0, 1, false},
+		"none report":     {full, calm, 0, 0, false},
+		"stale":           {full, calm, time.Minute, 3, false},
+		"future":          {full, calm, -time.Minute, 3, false},
+		"all full":        {full, full, 0, 3, false},
+		"negative":        {health.Report{Slots: 6, Running: -6}, calm, 0, 3, false},
+		"absurd":          {health.Report{Slots: 6, Running: 1 << 30}, calm, 0, 3, false},
+		"calm everywhere": {calm, calm, 0, 3, false},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				r := router()
+				time.Sleep(5 * time.Second)
+				at := time.Now().Add(-tt.age)
+				for _, name := range []id.Server{"a", "b", "c"}[:tt.reporting] {
+					r.SetReport("register", name, measured.At(tt.home, at))
+				}
+				r.SetReport("register", "d", measured.At(tt.other, at))
+				r.Tick(time.Now())
+				parts := r.Parts("register")
+				is.Equal(parts[0].Share < 1, tt.less)
+				first := 0
+				for range 10_000 {
+					if r.Order(request())[0].Name == "d" {
+						first++
+					}
+				}
+				is.True(math.Abs(float64(first)/10_000-parts[1].Share) < 0.02)
+			})
+		})
+	}
+}
+
+func TestNewServersAreCold(t *testing.T) {
+	is := is.New(t)
+	r := router()
+	is.Equal(state(r, "a").Ramp, 1.0)
+	moved := file()
+	moved.Servers[0].Address = netip.MustParseAddrPort("192.0.2.9:1")
+	moved.Servers = append(moved.Servers, service.Server{Name: "e", Zone: "fyn-1", Slots: 6})
+	r.Configure(time.Now(), []*service.File{moved})
+	is.True(state(r, "a").Ramp < 1)
+	is.True(state(r, "e").Ramp < 1)
+	is.Equal(state(r, "b").Ramp, 1.0)
+}
+
+func TestConcurrentUse(t *testing.T) {
+	is := is.New(t)
+	r := router()
+	r.Draw = rand.Uint64
+	var wg sync.WaitGroup
+	for i := range 8 {
+		wg.Go(func() {
+			a := &routing.Admitter{Router: r, Inner: &slots{router: r}}
+			for k := range 300 {
+				switch (k + i) % 10 {
+				case 0:
+					r.Tick(time.Now())
+				case 1:
+					r.Configure(time.Now(), []*service.File{file([]id.Server{"a", "b"}[k%2])})
+				case 2:
+					r.SetProbe("register", "c", measured.At(k%3 == 0, time.Now()))
+				default:
+					send(a, result.Served)
+				}
+			}
+		})
+	}
+	wg.Wait()
+	r.Configure(time.Now(), []*service.File{file()})
+	is.Equal(len(r.States(time.Now(), "register")), 4)
+}
+
+func TestOrderDoesNotAllocate(t *testing.T) {
+	is := is.New(t)
+	r, req := router(), request()
+	is.Equal(testing.AllocsPerRun(1000, func() { r.Order(req) }), 0.0)
+}
+
+func BenchmarkOrder(b *testing.B) {
+	r, req := router(), request()
+	b.ReportAllocs()
+	for b.Loop() {
+		r.Order(req)
+	}
+}
+
+func BenchmarkTick(b *testing.B) {
+	r := router()
+	now := time.Now()
+	b.ReportAllocs()
+	for b.Loop() {
+		r.Tick(now)
+	}
+}
--- /dev/null
+++ b/internal/routing/routes.go
@@ -0,0 +1,179 @@
+package routing
+
+import (
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/shallotpier/shallotpier/internal/health"
+	"github.com/shallotpier/shallotpier/internal/measured"
+	"github.com/shallotpier/shallotpier/internal/placement"
+	"github.com/shallotpier/shallotpier/pkg/id"
+	"github.com/shallotpier/shallotpier/pkg/service"
+)
+
+const (
+	// lists is the number of orders that a table keeps ready.
+	lists = 256
+	// trialRamp is how often a server on trial comes first.
+	trialRamp = 1.0 / 32
+	// reportedPart is the part of a region's slots whose reports make its load
+	// known.
+	reportedPart = 0.5
+)
+
+type (
+	// routes is one service.
+	routes struct {
+		orders atomic.Pointer[orders]
+		lookup atomic.Pointer[map[id.Server]*server]
+
+		mu      sync.Mutex
+		file    *service.File
+		steer   *placement.Steer
+		regions []placement.Region
+		servers map[id.Server]*server
+		members []placement.Member
+		warm    measured.Value[time.Duration]
+	}
+
+	// orders is immutable.
+	orders struct {
+		table *placement.Table
+		ready [lists][]*service.Server
+	}
+)
+
+func newRoutes() *routes {
+	s := &routes{servers: make(map[id.Server]*server)}
+	s.orders.Store(new(orders))
+	s.publish()
+	return s
+}
+
+func (s *routes) configure(now time.Time, r *Router, f *service.File) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	first := s.file == nil
+	s.file = f
+	if regions := placement.Regions(r.World, f, r.Zone); !slices.Equal(regions, s.regions) {
+		s.regions, s.steer = regions, placement.NewSteer(regions)
+	}
+	next := make(map[id.Server]*server, len(f.Servers))
+	for i := range f.Servers {
+		conf := &f.Servers[i]
+		old := s.servers[conf.Name]
+		if old == nil || old.moved(conf) {
+			old = new(server)
+			if !first {
+				old.ramp.Start(now)
+			}
+		}
+		old.configure(now, conf)
+		next[conf.Name] = old
+	}
+	s.servers = next
+	s.publish()
+	s.rebuild(now, r)
+}
+
+func (s *routes) tick(now time.Time, r *Router) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.measureWarm(now)
+	for _, server := range s.servers {
+		server.tick(now, s.warm)
+	}
+	changed := s.steer.Step(now, s.loads(now, r))
+	if changed || !slices.Equal(s.membersAt(now, r), s.members) {
+		s.rebuild(now, r)
+	}
+}
+
+// order returns a ready order, or one of its own for a request that was sent.
+func (s *routes) order(draw uint64, tried []id.Server) []*service.Server {
+	o := s.orders.Load()
+	if len(tried) == 0 || o.table == nil {
+		return o.ready[draw%lists]
+	}
+	return o.table.Order(draw, tried, make([]*service.Server, 0, len(o.ready[0])))
+}
+
+func (s *routes) rebuild(now time.Time, r *Router) {
+	s.members = s.membersAt(now, r)
+	o := &orders{table: placement.NewTable(s.steer.Parts(), s.members)}
+	const step = 1 << 32 / lists
+	for i := range uint64(lists) {
+		// The low half goes evenly through all regions' parts; the high half
+		// is spread without relation to it.
+		spin := (i * 0x9e3779b97f4a7c15) >> 32
+		o.ready[i] = o.table.Order(spin<<32|(i*step+step/2), nil, nil)
+	}
+	s.orders.Store(o)
+}
+
+// membersAt returns the servers that may get requests, in the file's order.
+func (s *routes) membersAt(now time.Time, r *Router) []placement.Member {
+	members := make([]placement.Member, 0, len(s.file.Servers))
+	for i := range s.file.Servers {
+		conf := &s.file.Servers[i]
+		state := s.servers[conf.Name].state(now, conf.Name)
+		region, ok := r.World.Region(conf.Zone)
+		if !ok || state.Leaving || state.Verdict == health.No {
+			continue
+		}
+		m := placement.Member{Server: conf, Region: region, Delay: r.World.Delay(r.Zone, conf.Zone), Ramp: state.Ramp}
+		if state.Verdict == health.Trial {
+			m.Ramp = min(m.Ramp, trialRamp)
+		}
+		members = append(members, m)
+	}
+	return members
+}
+
+// loads returns the load of each region of which enough servers report.
+func (s *routes) loads(now time.Time, r *Router) map[id.Region]measured.Value[float64] {
+	type sum struct {
+		slots, reported, running int
+		oldest                   time.Duration
+	}
+	sums := make(map[id.Region]sum)
+	for i := range s.file.Servers {
+		conf := &s.file.Servers[i]
+		region, ok := r.World.Region(conf.Zone)
+		if !ok || conf.Leaving {
+			continue
+		}
+		t := sums[region]
+		t.slots += conf.Slots
+		if report, age, ok := s.servers[conf.Name].reported(now); ok {
+			t.reported += conf.Slots
+			t.running += report.Running
+			t.oldest = max(t.oldest, age)
+		}
+		sums[region] = t
+	}
+	loads := make(map[id.Region]measured.Value[float64], len(sums))
+	for region, t := range sums {
+		if t.reported > 0 && float64(t.reported) >= reportedPart*float64(t.slots) {
+			loads[region] = measured.At(float64(t.running)/float64(t.reported), now.Add(-t.oldest))
+		}
+	}
+	return loads
+}
+
+// measureWarm takes the mean latency of the answers of warm servers since the
+// last tick.
+func (s *routes) measureWarm(now time.Time) {
+	var sum time.Duration
+	answers := 0
+	for _, server := range s.servers {
+		d, n := server.takeLatency()
+		sum += d
+		answers += n
+	}
+	if answers > 0 {
+		s.warm = measured.At(sum/time.Duration(answers), now)
+	}
+}
--- /dev/null
+++ b/internal/routing/server.go
@@ -0,0 +1,125 @@
+package routing
+
+import (
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/shallotpier/shallotpier/internal/admission"
+	"github.com/shallotpier/shallotpier/internal/health"
+	"github.com/shallotpier/shallotpier/internal/measured"
+	"github.com/shallotpier/shallotpier/internal/ramp"
+	"github.com/shallotpier/shallotpier/pkg/id"
+	"github.com/shallotpier/shallotpier/pkg/service"
+)
+
+// server is one backend server.
+type server struct {
+	mu      sync.Mutex
+	address netip.AddrPort
+	leaving bool
+	opinion health.Opinion
+	ramp    ramp.Ramp
+	probe   measured.Value[bool]
+	report  measured.Value[health.Report]
+	warmth  measured.Value[float64]
+	latency time.Duration
+	answers int
+}
+
+// moved tells whether the name stands for another server than before.
+func (s *server) moved(conf *service.Server) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.address != conf.Address
+}
+
+func (s *server) configure(now time.Time, conf *service.Server) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.leaving && !conf.Leaving {
+		s.ramp.Start(now)
+	}
+	s.address, s.leaving = conf.Address, conf.Leaving
+}
+
+func (s *server) state(now time.Time, name id.Server) State {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	v, _ := s.opinion.MaySend(now, s.probe, s.report)
+	return State{Server: name, Verdict: v, Ramp: s.ramp.Level(), Leaving: s.leaving}
+}
+
+// begin tells whether a request may be sent now, and notes it if it is a
+// trial. With lenient, a trial that runs keeps no request from a server that
+// nothing speaks against.
+func (s *server) begin(now time.Time, lenient bool) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.leaving {
+		return false
+	}
+	switch v, _ := s.opinion.MaySend(now, s.probe, s.report); v {
+	case health.Yes:
+		return true
+	case health.Trial:
+		s.opinion.BeginTrial(now)
+		return true
+	default:
+		return lenient && s.opinion.Unproven(now, s.probe, s.report)
+	}
+}
+
+// observe takes what a send met. A server that answers after it was out has
+// most likely been started anew.
+func (s *server) observe(now time.Time, o admission.Outcome) {
+	event := health.EventOf(o.Code)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := s.opinion.Out()
+	s.opinion.Observe(now, event)
+	if out && !s.opinion.Out() {
+		s.ramp.Start(now)
+	}
+	switch event {
+	case health.Answered:
+		s.answered(o.Latency)
+	case health.Nothing, health.Silent:
+	default:
+		s.ramp.Refused()
+	}
+}
+
+func (s *server) answered(latency time.Duration) {
+	if latency <= 0 {
+		return
+	}
+	s.ramp.Answered(latency)
+	if s.ramp.Level() == 1 {
+		s.latency += latency
+		s.answers++
+	}
+}
+
+func (s *server) tick(now time.Time, warm measured.Value[time.Duration]) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ramp.Step(now, warm, s.warmth)
+}
+
+func (s *server) takeLatency() (sum time.Duration, answers int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	sum, answers = s.latency, s.answers
+	s.latency, s.answers = 0, 0
+	return sum, answers
+}
+
+// reported returns the server's report and its age, if it may be used.
+func (s *server) reported(now time.Time) (health.Report, time.Duration, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	report, state := s.report.Read(now, health.MaxAge)
+	age, _ := s.report.Age(now)
+	return report, age, state == measured.Fresh && report.Running >= 0
+}
