node: what an entry decides in sharing slots, without clock or network

Cause: the trace replay has to drive the same decisions as the daemon, and shared mixed them with goroutines and calls.

Change: node holds the buckets, homes' books, and the exchange as pure steps that return the messages to send; shared keeps the mutex, the loop and the calls. No behaviour changes.

Conclusion: the replay can be built on node.

--- a/internal/admission/shared/admitter.go
+++ b/internal/admission/shared/admitter.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"log/slog"
-	"slices"
 	"sync"
 	"time"
 
@@ -11,6 +10,8 @@
 	"github.com/shallotpier/shallotpier/internal/admission/pool"
 	"github.com/shallotpier/shallotpier/internal/peer"
 	"github.com/shallotpier/shallotpier/internal/slots/demand"
+	"github.com/shallotpier/shallotpier/internal/slots/gate"
+	"github.com/shallotpier/shallotpier/internal/slots/node"
 	"github.com/shallotpier/shallotpier/internal/slots/wire"
 	"github.com/shallotpier/shallotpier/pkg/id"
 	"github.com/shallotpier/shallotpier/pkg/service"
@@ -24,9 +25,7 @@
 	DefaultLow      = 3
 	DefaultHigh     = 8
 
-	tick         = 10 * time.Millisecond
-	starvedRenew = 50 * time.Millisecond
-	minGap       = 5 * time.Millisecond
+	tick = 10 * time.Millisecond
 )
 
 type (
@@ -76,11 +75,10 @@
 		// Log gets a line for what fails; nil means none.
 		Log *slog.Logger
 
-		mu      sync.Mutex
-		buckets map[wire.Bucket]*bucket
-		order   []*bucket
-		closed  map[pool.Key]bool
-		wake    chan struct{}
+		mu     sync.Mutex
+		node   node.Node
+		closed map[pool.Key]bool
+		wake   chan struct{}
 	}
 )
 
@@ -95,18 +93,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.defaults()
-	plans := plan(files, a.Entries, a.Margin)
-	for key, p := range plans {
-		if a.buckets[key] == nil {
-			a.add(key)
-		}
-		a.buckets[key].configure(p, a.Pool.Now())
-	}
-	for key, b := range a.buckets {
-		if plans[key] == nil {
-			b.configure(&bucketPlan{longest: b.plan.longest}, a.Pool.Now())
-		}
-	}
+	a.node.Configure(node.Plan(files, a.Entries, a.Margin), a.Pool.Now())
 	a.close(files)
 	a.rouse()
 }
@@ -127,8 +114,8 @@
 	var calls sync.WaitGroup
 	defer calls.Wait()
 	for {
-		for _, call := range a.step() {
-			calls.Go(func() { call(ctx) })
+		for _, s := range a.step() {
+			calls.Go(func() { a.carry(ctx, s) })
 		}
 		select {
 		case <-ctx.Done():
@@ -144,7 +131,6 @@
 		return
 	}
 	a.wake = make(chan struct{}, 1)
-	a.buckets = map[wire.Bucket]*bucket{}
 	a.Lifetime = orDefault(a.Lifetime, DefaultLifetime)
 	a.Renew = orDefault(a.Renew, DefaultRenew)
 	a.Margin = orDefault(a.Margin, DefaultMargin)
@@ -156,14 +142,12 @@
 	}
 	a.Entries = max(a.Entries, 1)
 	a.Pool.Starved = func(*admission.Request) { a.rouse() }
-}
-
-// add makes the books of a bucket that was not known.
-func (a *Admitter) add(key wire.Bucket) {
-	b := newBucket(a, key)
-	a.buckets[key] = b
-	a.order = append(a.order, b)
-	slices.SortFunc(a.order, func(x, y *bucket) int { return x.compare(y) })
+	a.node = node.Node{
+		Self: a.Self, Homes: clocked{a}, Distance: a.Distance, Waiting: a.Pool.Waiting,
+		Lifetime: a.Lifetime, Renew: a.Renew, Demand: a.Demand,
+		Gate:  func(svc id.Service, s id.Server) *gate.Gate { return a.Pool.Set(pool.Key{Service: svc, Server: s}) },
+		Offer: func(svc id.Service, s id.Server) { a.Pool.Offer(pool.Key{Service: svc, Server: s}) },
+	}
 }
 
 // close shuts the gates of servers that are leaving or named no more.
--- a/internal/admission/shared/doc.go
+++ b/internal/admission/shared/doc.go
@@ -2,8 +2,7 @@
 // servers grant, and takes its part as home of some of them.
 //
 // An [Admitter] joins a pool.Pool, which serves the request path, to a
-// holder.Holder for each bucket, and to a ledger.Ledger for each bucket that
-// this entry is home of. Requests take slots from the pool and ask nobody.
+// node.Node, which decides what to ask, to grant and to give back. Requests take slots from the pool and ask nobody.
 // [Admitter.Run] exchanges the messages with the other entries: it renews the
 // grants, asks for more slots before they run short or when requests wait, and
 // gives back what it doesn't need.
--- a/internal/admission/shared/bucket.go
+++ b/internal/slots/node/bucket.go
@@ -1,10 +1,9 @@
-package shared
+package node
 
 import (
 	"cmp"
 	"time"
 
-	"github.com/shallotpier/shallotpier/internal/admission/pool"
 	"github.com/shallotpier/shallotpier/internal/slots/demand"
 	"github.com/shallotpier/shallotpier/internal/slots/gate"
 	"github.com/shallotpier/shallotpier/internal/slots/holder"
@@ -15,28 +14,32 @@
 )
 
 type (
+	// BucketPlan is what the service files say of one bucket.
+	BucketPlan struct {
+		// Slots is what its home divides.
+		Slots []ledger.Slots
+		// Longest is the longest time a request may run, with its margin.
+		Longest time.Duration
+	}
+
 	// bucket is what an entry keeps of one bucket.
 	bucket struct {
 		key      wire.Bucket
 		holder   holder.Holder
 		ledger   *ledger.Ledger
-		plan     *bucketPlan
+		plan     *BucketPlan
 		reported time.Duration
 		asked    int
 		busy     bool
 		urgent   bool
 	}
-
-	// bucketPlan is what the service files say of one bucket.
-	bucketPlan struct {
-		slots   []ledger.Slots
-		longest time.Duration
-	}
 )
 
-// plan sorts the servers of the files into buckets.
-func plan(files []*service.File, entries int, margin time.Duration) map[wire.Bucket]*bucketPlan {
-	plans := map[wire.Bucket]*bucketPlan{}
+// Plan sorts the servers of the files into buckets. A server's connections are
+// divided evenly among the entries, and margin is added to the longest deadline
+// of its service.
+func Plan(files []*service.File, entries int, margin time.Duration) map[wire.Bucket]*BucketPlan {
+	plans := map[wire.Bucket]*BucketPlan{}
 	for _, f := range files {
 		longest := margin
 		for i := range f.Classes {
@@ -46,27 +49,27 @@
 			s := &f.Servers[i]
 			key := wire.Bucket{Service: f.Service, Zone: s.Zone}
 			if plans[key] == nil {
-				plans[key] = &bucketPlan{longest: longest}
+				plans[key] = &BucketPlan{Longest: longest}
 			}
 			n := min(s.Slots, s.Connections)
 			if s.Leaving {
 				n = 0
 			}
-			plans[key].slots = append(plans[key].slots, ledger.Slots{Server: s.Name, Slots: n, Ceiling: s.Connections / entries})
+			plans[key].Slots = append(plans[key].Slots, ledger.Slots{Server: s.Name, Slots: n, Ceiling: s.Connections / max(entries, 1)})
 		}
 	}
 	return plans
 }
 
-func newBucket(a *Admitter, key wire.Bucket) *bucket {
+func newBucket(n *Node, key wire.Bucket) *bucket {
 	return &bucket{
 		key:      key,
-		reported: -a.Renew,
-		plan:     &bucketPlan{},
+		reported: -n.Renew,
+		plan:     &BucketPlan{},
 		holder: holder.Holder{
 			Bucket:   key,
-			Lifetime: a.Lifetime,
-			Gate:     func(s id.Server) *gate.Gate { return a.Pool.Set(pool.Key{Service: key.Service, Server: s}) },
+			Lifetime: n.Lifetime,
+			Gate:     func(s id.Server) *gate.Gate { return n.Gate(key.Service, s) },
 		},
 	}
 }
@@ -75,23 +78,23 @@
 	return cmp.Or(cmp.Compare(b.key.Service, other.key.Service), cmp.Compare(b.key.Zone, other.key.Zone))
 }
 
-func (b *bucket) configure(p *bucketPlan, now time.Duration) {
+func (b *bucket) configure(p *BucketPlan, now time.Duration) {
 	b.plan = p
-	names := make([]id.Server, 0, len(p.slots))
-	for _, s := range p.slots {
+	names := make([]id.Server, 0, len(p.Slots))
+	for _, s := range p.Slots {
 		names = append(names, s.Server)
 	}
 	b.holder.Configure(names)
 	if b.ledger != nil {
-		b.ledger.Longest = max(b.ledger.Longest, p.longest)
-		b.ledger.Configure(p.slots, now)
+		b.ledger.Longest = max(b.ledger.Longest, p.Longest)
+		b.ledger.Configure(p.Slots, now)
 	}
 }
 
 // govern keeps the ledger in step with this entry's authority. The books of a
 // home are kept after its authority has passed, in case its next term follows.
-func (b *bucket) govern(a *Admitter, now time.Duration) {
-	term, until, ok := a.Homes.Authority(b.key)
+func (b *bucket) govern(n *Node, now time.Duration) {
+	term, until, ok := n.Homes.Authority(b.key)
 	if !ok {
 		if b.ledger != nil {
 			b.ledger.SetAuthority(0)
@@ -99,59 +102,63 @@
 		return
 	}
 	if b.ledger == nil {
-		b.ledger = &ledger.Ledger{Bucket: b.key, Lifetime: a.Lifetime, Longest: b.plan.longest, Silence: a.Lifetime}
-		b.ledger.Configure(b.plan.slots, now)
+		b.ledger = &ledger.Ledger{Bucket: b.key, Lifetime: n.Lifetime, Longest: b.plan.Longest, Silence: n.Lifetime}
+		b.ledger.Configure(b.plan.Slots, now)
 	}
 	if term > b.ledger.Term() {
 		b.ledger.Begin(term, now)
 	}
 	if term == b.ledger.Term() {
-		b.ledger.SetAuthority(a.Pool.At(until))
+		b.ledger.SetAuthority(until)
 	}
 	if b.ledger.Tick(now) {
-		a.Homes.Raise(b.key)
+		n.Homes.Raise(b.key)
 	}
 }
 
 // follow keeps the holder in step with what is known of the home.
-func (b *bucket) follow(a *Admitter, now time.Duration) {
-	if _, term, ok := a.Homes.Home(b.key); ok {
+func (b *bucket) follow(n *Node, now time.Duration) {
+	if _, term, ok := n.Homes.Home(b.key); ok {
 		b.holder.Adopt(term, now)
 	}
-	if term, begun, ok := a.Homes.Confirmed(b.key); ok {
+	if term, begun, ok := n.Homes.Confirmed(b.key); ok {
 		before := b.holder.End()
-		b.holder.Confirm(term, a.Pool.At(begun))
+		b.holder.Confirm(term, begun)
 		if now >= before && now < b.holder.End() {
-			b.offer(a, nil)
+			b.offer(n, nil)
 		}
 	}
 }
 
 // view returns what the demand policy may know.
-func (b *bucket) view(a *Admitter, now time.Duration, waiting int) demand.Bucket {
+func (b *bucket) view(n *Node, now time.Duration, waiting int) demand.Bucket {
 	limit, used := b.holder.Counts()
-	renew := a.Renew
+	renew := n.Renew
 	if waiting > 0 {
 		renew = min(renew, starvedRenew)
 	}
-	v := demand.Bucket{Spare: b.holder.Spare(), Asked: b.asked, Busy: b.busy || now-b.reported < minGap, Due: b.urgent || now-b.reported >= renew}
+	v := demand.Bucket{
+		Spare: b.holder.Spare(), Asked: b.asked,
+		Busy: b.busy || now-b.reported < minGap,
+		Due:  b.urgent || now-b.reported >= renew,
+	}
 	if now < b.holder.End() {
 		v.Idle = max(0, limit-used)
 	}
-	if a.Distance != nil {
-		v.Distance = a.Distance(b.key.Zone)
+	if n.Distance != nil {
+		v.Distance = n.Distance(b.key.Zone)
 	}
 	return v
 }
 
 // offer hands slots of the servers to waiting requests; nil means all servers.
-func (b *bucket) offer(a *Admitter, servers []id.Server) {
+func (b *bucket) offer(n *Node, servers []id.Server) {
 	if servers == nil {
-		for _, s := range b.plan.slots {
-			servers = append(servers, s.Server)
+		for _, s := range b.plan.Slots {
+			n.Offer(b.key.Service, s.Server)
 		}
 	}
 	for _, s := range servers {
-		a.Pool.Offer(pool.Key{Service: b.key.Service, Server: s})
+		n.Offer(b.key.Service, s)
 	}
 }
