config: the configuration in force at an entry, which never falls

Cause: an entry learns versions from the store, which may show an older state, and from peers, which may be late, and must never go back.

AtLeast serves callers who saw a higher version elsewhere. The stand-in of the store delays the answer of a watch that had to wait, too.

TestVersionNeverFalls fails when the judgement forgets the version held. No test fails without the questions to peers at the start, since heartbeats bring the version as fast in them.

Conclusion: the version rises only, with restarts, outages, older states and slow peers tried in tests.

--- /dev/null
+++ b/internal/config/keeper_test.go
@@ -0,0 +1,318 @@
+package config_test
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/shallotpier/shallotpier/internal/config"
+	"github.com/shallotpier/shallotpier/internal/peer"
+	"github.com/shallotpier/shallotpier/internal/publish"
+	"github.com/shallotpier/shallotpier/internal/standin/peers"
+	"github.com/shallotpier/shallotpier/internal/standin/platform"
+	"github.com/shallotpier/shallotpier/pkg/id"
+	"github.com/shallotpier/shallotpier/pkg/result"
+	"github.com/shallotpier/shallotpier/pkg/unit"
+)
+
+const (
+	entries      = 7
+	publications = 30
+)
+
+// world is seven entries with heartbeats that name the held version.
+type world struct {
+	t     *testing.T
+	store *platform.Store
+	net   *peers.Network
+	names []id.Instance
+	nodes map[id.Instance]*node
+	beat  time.Duration
+}
+
+type node struct {
+	*config.Keeper
+	node *peers.Node
+	stop func()
+	held []id.Version
+	at   map[id.Version]time.Time
+}
+
+func newWorld(t *testing.T) *world {
+	w := &world{t: t, store: new(platform.Store), net: new(peers.Network), nodes: map[id.Instance]*node{}, beat: time.Second}
+	for i := range entries {
+		w.names = append(w.names, id.Instance(fmt.Sprint("entry-", i)))
+	}
+	return w
+}
+
+func (w *world) start(name id.Instance) *node {
+	n := &node{at: map[id.Version]time.Time{}}
+	n.node = w.net.Node(peer.Sender{Instance: name, Incarnation: 1})
+	others := slices.DeleteFunc(slices.Clone(w.names), func(o id.Instance) bool { return o == name })
+	n.Keeper = &config.Keeper{Store: &platform.Client{Store: w.store, Name: string(name)}, Caller: n.node,
+		Peers: func() []id.Instance { return slices.Clone(others) }, Log: slog.New(slog.DiscardHandler)}
+	n.OnChange(func(t *config.Table) {
+		n.held = append(n.held, t.Version())
+		n.at[t.Version()] = time.Now()
+	})
+	n.node.Register(config.FetchMethod, n.HandleFetch)
+	n.node.Register("beat", func(_ context.Context, from peer.Sender, params json) (any, error) {
+		var ref config.Ref
+		if err := decode(params, &ref); err != nil {
+			return nil, err
+		}
+		n.Heard(from.Instance, ref)
+		return nil, nil
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	wg.Go(func() { _ = n.Run(ctx) })
+	for _, to := range others {
+		wg.Go(func() {
+			for ctx.Err() == nil {
+				call, done := context.WithTimeout(ctx, time.Second)
+				_ = n.node.Call(call, to, "beat", n.Current().Ref(), nil)
+				done()
+				select {
+				case <-time.After(w.beat*4/5 + rand.N(w.beat*2/5)):
+				case <-ctx.Done():
+				}
+			}
+		})
+	}
+	n.stop = func() {
+		n.node.Resume()
+		cancel()
+		wg.Wait()
+		w.net.Remove(name)
+	}
+	w.nodes[name] = n
+	return n
+}
+
+func (w *world) startAll() {
+	for _, name := range w.names {
+		w.start(name)
+	}
+}
+
+func (w *world) stopAll() {
+	for _, n := range w.nodes {
+		n.stop()
+	}
+}
+
+func (w *world) publish(slots int) id.Version {
+	p := &publish.Publisher{Store: w.store, Author: "nino"}
+	f := file("registry", slots)
+	d, out := p.Prepare(w.t.Context(), publish.Submission{Files: f})
+	if out != nil {
+		w.t.Fatal(out)
+	}
+	if out = p.Submit(w.t.Context(), d); out.Code != result.Accepted {
+		w.t.Fatal(out)
+	}
+	return out.Ticket.Version
+}
+
+// verify checks that no entry's version ever fell and that all hold v.
+func (w *world) verify(v id.Version) {
+	w.t.Helper()
+	synctest.Wait()
+	is := is.New(w.t)
+	for name, n := range w.nodes {
+		is.True(slices.IsSorted(n.held)) // versions only rise
+		if n.Current().Version() != v || !n.Ready() {
+			w.t.Errorf("%s holds %d, want %d", name, n.Current().Version(), v)
+		}
+	}
+}
+
+func inWorld(t *testing.T, f func(w *world)) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t)
+		time.Sleep(time.Hour)
+		f(w)
+		w.stopAll()
+	})
+}
+
+func TestInForceEverywhereWithinSeconds(t *testing.T) {
+	tests := map[string]struct {
+		noStore int // entries that can't reach the store
+	}{
+		"store answers all": {0},
+		"one has the store": {entries - 1},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			inWorld(t, func(w *world) {
+				w.store.SetHook(func(c platform.Call) platform.Fault {
+					for i := range test.noStore {
+						if c.From == string(w.names[i]) {
+							return platform.Fault{Down: true}
+						}
+					}
+					return platform.Fault{Delay: unit.Duration(40 * time.Millisecond)}
+				})
+				w.net.SetHook(func(peers.Message) peers.Fate { return peers.Fate{Delay: 20 * time.Millisecond} })
+				w.publish(1)
+				w.startAll()
+				time.Sleep(time.Minute)
+				var last []time.Duration
+				for i := range publications {
+					v := w.publish(i + 2)
+					accepted := time.Now()
+					time.Sleep(time.Duration(5000+i*37) * time.Millisecond)
+					synctest.Wait()
+					slowest := time.Duration(0)
+					for _, n := range w.nodes {
+						slowest = max(slowest, n.at[v].Sub(accepted))
+					}
+					last = append(last, slowest)
+					w.verify(v)
+				}
+				slices.Sort(last)
+				t.Logf("acceptance to the last of %d entries: p50 %v, longest %v", entries, last[publications/2], last[publications-1])
+				is.New(t).True(last[publications-1] < 2*time.Second)
+			})
+		})
+	}
+}
+
+func TestVersionNeverFalls(t *testing.T) {
+	tests := map[string]func(w *world){
+		"store serves an older state": func(w *world) {
+			w.store.SetFault(platform.Fault{Stale: unit.Duration(30 * time.Second)})
+			time.Sleep(10 * time.Second)
+			w.store.SetFault(platform.Fault{})
+		},
+		"store down for hours": func(w *world) {
+			w.stopAll()
+			w.beat = time.Minute
+			w.startAll()
+			time.Sleep(5 * time.Second)
+			w.store.SetFault(platform.Fault{Down: true})
+			time.Sleep(3 * time.Hour)
+			w.store.SetFault(platform.Fault{})
+		},
+		"object removed by hand": func(w *world) {
+			o, _ := w.store.Get(w.t.Context(), publish.CurrentKey)
+			_ = w.store.Delete(w.t.Context(), publish.CurrentKey, ifVersion(o))
+			time.Sleep(time.Minute)
+		},
+		"slow peer with old news": func(w *world) {
+			n := w.nodes["entry-3"]
+			n.node.Pause()
+			w.publish(20)
+			time.Sleep(10 * time.Second)
+			n.node.Resume()
+		},
+		"all restarted": func(w *world) {
+			for _, name := range w.names {
+				w.nodes[name].stop()
+				w.start(name)
+				time.Sleep(time.Second)
+			}
+		},
+		"all restarted at once": func(w *world) {
+			w.stopAll()
+			w.startAll()
+		},
+	}
+	for name, fault := range tests {
+		t.Run(name, func(t *testing.T) {
+			inWorld(t, func(w *world) {
+				w.publish(1)
+				w.startAll()
+				time.Sleep(20 * time.Second)
+				v := w.publish(2)
+				time.Sleep(5 * time.Second)
+				w.verify(v)
+				fault(w)
+				for _, n := range w.nodes {
+					is.New(t).True(n.Current() == nil || n.Current().Version() >= v)
+				}
+				time.Sleep(20 * time.Second)
+				v = w.publish(3)
+				time.Sleep(10 * time.Second)
+				w.verify(v)
+			})
+		})
+	}
+}
+
+func TestFreshEntryWithTheStoreDown(t *testing.T) {
+	inWorld(t, func(w *world) {
+		is := is.New(w.t)
+		w.publish(1)
+		for _, name := range w.names[1:] {
+			w.start(name)
+		}
+		time.Sleep(10 * time.Second)
+		w.nodes["entry-1"].node.Pause() // a slow peer is not waited for beyond its call
+		w.store.SetFault(platform.Fault{Down: true})
+		fresh := w.start("entry-0")
+		is.True(!fresh.Ready())
+		time.Sleep(1500 * time.Millisecond)
+		is.True(fresh.Ready())
+		is.Equal(fresh.Current().Version(), id.Version(1))
+		is.True(fresh.Report().From != "")
+		w.nodes["entry-1"].node.Resume()
+	})
+}
+
+func TestNothingIsServedBeforeAVersionIsKnown(t *testing.T) {
+	inWorld(t, func(w *world) {
+		is := is.New(w.t)
+		w.publish(1)
+		w.store.SetFault(platform.Fault{Down: true})
+		w.beat = time.Minute
+		w.startAll()
+		time.Sleep(5 * time.Minute)
+		for _, n := range w.nodes {
+			is.True(!n.Ready())
+		}
+		before := w.store.Counts()
+		w.store.SetFault(platform.Fault{})
+		time.Sleep(10 * time.Second)
+		w.verify(1)
+		after := w.store.Counts()
+		calls := after[platform.Get] + after[platform.Watch] - before[platform.Get] - before[platform.Watch]
+		is.True(calls <= 4*entries) // no storm when the store is back
+	})
+}
+
+func TestAtLeast(t *testing.T) {
+	inWorld(t, func(w *world) {
+		is := is.New(w.t)
+		w.publish(1)
+		w.startAll()
+		time.Sleep(time.Minute)
+		n := w.nodes["entry-0"]
+		ctx, cancel := context.WithTimeout(w.t.Context(), 3*time.Second)
+		defer cancel()
+		is.True(n.AtLeast(ctx, 1))
+		go func() { time.Sleep(time.Second); w.publish(2) }()
+		is.True(n.AtLeast(ctx, 2))
+		is.True(!n.AtLeast(ctx, 3))
+	})
+}
+
+func TestContradictingPublicationIsIgnored(t *testing.T) {
+	is := is.New(t)
+	held := config.Ref{Version: 4, ID: "a"}
+	is.Equal(config.Judge(held, config.Ref{Version: 4, ID: "b"}), config.Contradicting)
+	is.Equal(config.Judge(held, held), config.Same)
+	is.Equal(config.Judge(held, config.Ref{Version: 3, ID: "a"}), config.Older)
+	is.Equal(config.Judge(held, config.Ref{Version: 5, ID: "b"}), config.Newer)
+}
--- a/internal/standin/platform/store.go
+++ b/internal/standin/platform/store.go
@@ -45,7 +45,8 @@
 	Fault struct {
 		// Down refuses the call; nothing is written.
 		Down bool `json:"down"`
-		// Delay passes before the call takes effect.
+		// Delay passes before the call takes effect, and again before the
+		// answer of a watch that had to wait.
 		Delay unit.Duration `json:"delay"`
 		// Lost lets the call take effect and loses its answer.
 		Lost bool `json:"lost"`
@@ -204,7 +205,7 @@
 	if err != nil {
 		return store.Object{}, err
 	}
-	for {
+	for waited := false; ; waited = true {
 		s.mu.Lock()
 		if s.fault.Down || f.Lost {
 			s.mu.Unlock()
@@ -215,6 +216,9 @@
 		changed := s.changes()
 		s.mu.Unlock()
 		if o.Version != seen {
+			if waited {
+				time.Sleep(f.Delay.Std())
+			}
 			return o, err
 		}
 		select {
