routing: take the methods that the daemon calls

Two packages for one job must not stay.

Change: Router is an admission.Admitter itself and has steering's methods, so that it can take its place by a change of the import and the type's name.

--- a/internal/routing/admitter.go
+++ b/internal/routing/permit.go
@@ -12,46 +12,36 @@
 	"github.com/shallotpier/shallotpier/pkg/result"
 )
 
-type (
-	// Admitter permits sends to servers that may get requests when the permit
-	// is given, and notes what they met. Its fields must not change after the
-	// first call.
-	Admitter struct {
-		// Router knows the servers.
-		Router *Router
-		// Inner permits slots, in the order of Router.Order.
-		Inner admission.Admitter
-	}
-
-	permit struct {
-		admission.Permit
-		server *server
-		once   sync.Once
-	}
-)
+// permit is an inner permit whose first outcome goes to its server's opinion.
+type permit struct {
+	admission.Permit
+	server *server
+	once   sync.Once
+}
 
-var _ admission.Admitter = (*Admitter)(nil)
+var _ admission.Admitter = (*Router)(nil)
 
-// Admit implements admission.Admitter. If the only servers left are such that
+// Admit implements admission.Admitter: a permit of Inner for a server that may
+// get requests when the permit is there. If the only servers left are such that
 // a trial runs on, those that nothing speaks against get the request all the
 // same: after a pause without any news, or at the start, all servers are such.
-func (a *Admitter) Admit(ctx context.Context, req *admission.Request) (admission.Permit, error) {
-	p, err := a.admit(ctx, req, false)
+func (r *Router) Admit(ctx context.Context, req *admission.Request) (admission.Permit, error) {
+	p, err := r.admit(ctx, req, false)
 	var refused *admission.RefusedError
 	if errors.As(err, &refused) && refused.Code == result.NoServer {
-		return a.admit(ctx, req, true)
+		return r.admit(ctx, req, true)
 	}
 	return p, err
 }
 
-func (a *Admitter) admit(ctx context.Context, req *admission.Request, lenient bool) (admission.Permit, error) {
+func (r *Router) admit(ctx context.Context, req *admission.Request, lenient bool) (admission.Permit, error) {
 	for {
-		p, err := a.Inner.Admit(ctx, req)
+		p, err := r.Inner.Admit(ctx, req)
 		if err != nil {
 			return nil, err
 		}
 		name := p.Server().Name
-		s := a.Router.server(req.Service.Service, name)
+		s := r.server(req.Service.Service, name)
 		if s != nil && s.begin(time.Now(), lenient) {
 			return &permit{Permit: p, server: s}, nil
 		}
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -24,31 +25,21 @@
 		World *deployment.Deployment
 		// Zone is the entry's own availability zone.
 		Zone id.Zone
-		// Draw returns evenly distributed numbers. It must be safe for
-		// concurrent use.
+		// Inner permits slots, in the order of Order.
+		Inner admission.Admitter
+		// Draw returns evenly distributed numbers, and must be safe for
+		// concurrent use; nil is rand.Uint64.
 		Draw func() uint64
 
 		mu       sync.Mutex // held by writers of services
 		services atomic.Pointer[map[id.Service]*routes]
 	}
-
-	// State is what a router knows of a server.
-	State struct {
-		// Server is the server's name.
-		Server id.Server
-		// Verdict tells whether it may get requests.
-		Verdict health.Verdict
-		// Ramp is its level in a slow start; 1 when it is warm.
-		Ramp float64
-		// Leaving is set if it gets nothing new.
-		Leaving bool
-	}
 )
 
 // Configure puts service files in force, in which the servers that leave are
 // marked. A server that is new to a service known before, has another address,
 // or comes back from leaving begins with a slow start.
-func (r *Router) Configure(now time.Time, files []*service.File) {
+func (r *Router) Configure(files []*service.File, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	old := r.load()
@@ -64,10 +55,12 @@
 	r.services.Store(&next)
 }
 
-// Tick steps the decisions and makes new tables where they changed.
-func (r *Router) Tick(now time.Time) {
+// Step moves the decisions on and makes new tables where they changed. Loads
+// returns the loads of a service's regions, each a share of the region's slots;
+// nil takes them from the servers' reports.
+func (r *Router) Step(now time.Time, loads func(*service.File) map[id.Region]measured.Value[float64]) {
 	for _, s := range r.load() {
-		s.tick(now, r)
+		s.step(now, r, loads)
 	}
 }
 
@@ -78,9 +71,23 @@
 	if s == nil {
 		return nil
 	}
+	if r.Draw == nil {
+		return s.order(rand.Uint64(), req.Tried)
+	}
 	return s.order(r.Draw(), req.Tried)
 }
 
+// Verdict returns the opinion on a server at now, and the level of its slow
+// start, above 0 to 1; No and 0 for a server that is not known.
+func (r *Router) Verdict(svc id.Service, name id.Server, now time.Time) (v health.Verdict, level float64) {
+	s := r.server(svc, name)
+	if s == nil {
+		return health.No, 0
+	}
+	state := s.state(now)
+	return state.verdict, state.ramp
+}
+
 // SetProbe notes whether a server answered its probe.
 func (r *Router) SetProbe(svc id.Service, name id.Server, v measured.Value[bool]) {
 	r.update(svc, name, func(s *server) { s.probe = v })
@@ -107,23 +114,6 @@
 	return s.steer.Parts()
 }
 
-// States returns what is known of a service's servers, in the order of its
-// file.
-func (r *Router) States(now time.Time, svc id.Service) []State {
-	s := r.load()[svc]
-	if s == nil {
-		return nil
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	list := make([]State, 0, len(s.file.Servers))
-	for i := range s.file.Servers {
-		name := s.file.Servers[i].Name
-		list = append(list, s.servers[name].state(now, name))
-	}
-	return list
-}
-
 func (r *Router) load() map[id.Service]*routes {
 	if m := r.services.Load(); m != nil {
 		return *m
--- a/internal/routing/router_test.go
+++ b/internal/routing/router_test.go
@@ -31,6 +31,7 @@
 type slots struct {
 	router   *routing.Router
 	held     []*service.Server
+	mu       sync.Mutex
 	released []result.Code
 }
 
@@ -52,8 +53,12 @@
 	return nil, &admission.RefusedError{Code: result.NoServer, RetryAfter: time.Second}
 }
 
-func (p *permit) Server() *service.Server     { return p.server }
-func (p *permit) Release(o admission.Outcome) { p.slots.released = append(p.slots.released, o.Code) }
+func (p *permit) Server() *service.Server { return p.server }
+func (p *permit) Release(o admission.Outcome) {
+	p.slots.mu.Lock()
+	defer p.slots.mu.Unlock()
+	p.slots.released = append(p.slots.released, o.Code)
+}
 
 func world() *deployment.Deployment {
 	return &deployment.Deployment{
@@ -76,7 +81,7 @@
 
 func router() *routing.Router {
 	r := &routing.Router{World: world(), Zone: "fyn-1", Draw: rand.New(rand.NewPCG(1, 2)).Uint64}
-	r.Configure(time.Now(), []*service.File{file()})
+	r.Configure([]*service.File{file()}, time.Now())
 	return r
 }
 
@@ -84,8 +89,8 @@
 	return &admission.Request{Service: file(), Tried: tried, Deadline: time.Now().Add(time.Minute)}
 }
 
-func send(a *routing.Admitter, code result.Code, tried ...id.Server) (id.Server, result.Code) {
-	p, err := a.Admit(context.Background(), request(tried...))
+func send(r *routing.Router, code result.Code, tried ...id.Server) (id.Server, result.Code) {
+	p, err := r.Admit(context.Background(), request(tried...))
 	var refused *admission.RefusedError
 	if errors.As(err, &refused) {
 		return "", refused.Code
@@ -94,9 +99,14 @@
 	return p.Server().Name, code
 }
 
-func state(r *routing.Router, name id.Server) routing.State {
-	states := r.States(time.Now(), "register")
-	return states[slices.IndexFunc(states, func(s routing.State) bool { return s.Server == name })]
+func verdict(r *routing.Router, name id.Server) health.Verdict {
+	v, _ := r.Verdict("register", name, time.Now())
+	return v
+}
+
+func level(r *routing.Router, name id.Server) float64 {
+	_, l := r.Verdict("register", name, time.Now())
+	return l
 }
 
 func TestOrderIsNearestFirst(t *testing.T) {
@@ -121,14 +131,15 @@
 		is := is.New(t)
 		r := router()
 		inner := &slots{router: r, held: r.Order(request())} // waits since before the notice
-		r.Configure(time.Now(), []*service.File{file("a", "b")})
-		name, _ := send(&routing.Admitter{Router: r, Inner: inner}, result.Served)
+		r.Inner = inner
+		r.Configure([]*service.File{file("a", "b")}, time.Now())
+		name, _ := send(r, result.Served)
 		is.Equal(name, id.Server("c"))
 		is.Equal(inner.released, []result.Code{result.NoServer, result.NoServer, result.Served})
 		is.Equal(r.Order(request())[0].Name, id.Server("c"))
-		r.Configure(time.Now(), []*service.File{file()})
-		is.True(state(r, "a").Ramp < 1) // it came back and is cold
-		is.Equal(state(r, "c").Ramp, 1.0)
+		r.Configure([]*service.File{file()}, time.Now())
+		is.True(level(r, "a") < 1) // it came back and is cold
+		is.Equal(level(r, "c"), 1.0)
 	})
 }
 
@@ -136,38 +147,38 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		r := router()
-		a := &routing.Admitter{Router: r, Inner: &slots{router: r}}
+		r.Inner = &slots{router: r}
 		for range 20 { // all are warm and known to answer
-			send(a, result.Served)
-			send(a, result.Served, "a")
-			send(a, result.Served, "b")
+			send(r, result.Served)
+			send(r, result.Served, "a")
+			send(r, result.Served, "b")
 		}
-		for state(r, "a").Verdict != health.No {
-			send(a, result.ConnectFailed, "b", "c", "d")
+		for verdict(r, "a") != health.No {
+			send(r, result.ConnectFailed, "b", "c", "d")
 		}
-		r.Tick(time.Now())
+		r.Step(time.Now(), nil)
 		is.Equal(len(r.Order(request())), 3)
 		for range 100 {
-			name, _ := send(a, result.Served)
+			name, _ := send(r, result.Served)
 			is.True(name != "a")
 		}
-		_, code := send(a, result.Served, "b", "c", "d")
+		_, code := send(r, result.Served, "b", "c", "d")
 		is.Equal(code, result.NoServer)
 		time.Sleep(2 * time.Second)
-		r.Tick(time.Now())
-		is.Equal(state(r, "a").Verdict, health.Trial)
-		for state(r, "a").Verdict != health.Yes {
-			send(a, result.Served)
+		r.Step(time.Now(), nil)
+		is.Equal(verdict(r, "a"), health.Trial)
+		for verdict(r, "a") != health.Yes {
+			send(r, result.Served)
 		}
-		is.True(state(r, "a").Ramp < 1) // most likely started anew
+		is.True(level(r, "a") < 1) // most likely started anew
 		for range 60 {
 			for range 100 {
-				send(a, result.Served)
+				send(r, result.Served)
 			}
 			time.Sleep(time.Second)
-			r.Tick(time.Now())
+			r.Step(time.Now(), nil)
 		}
-		is.Equal(state(r, "a").Ramp, 1.0)
+		is.Equal(level(r, "a"), 1.0)
 	})
 }
 
@@ -185,25 +196,25 @@
 			is := is.New(t)
 			r := router()
 			r.SetProbe("register", "a", tt.probe)
-			a := &routing.Admitter{Router: r, Inner: &slots{router: r}}
-			first, err := a.Admit(context.Background(), request("b", "c", "d"))
+			r.Inner = &slots{router: r}
+			first, err := r.Admit(context.Background(), request("b", "c", "d"))
 			is.NoErr(err)
 			for range 20 {
-				other, err := a.Admit(context.Background(), request("c", "d"))
+				other, err := r.Admit(context.Background(), request("c", "d"))
 				is.NoErr(err)
 				is.Equal(other.Server().Name, id.Server("b")) // rather than the one on trial
 				other.Release(admission.Outcome{Code: result.CallerGone})
 			}
-			_, err = a.Admit(context.Background(), request("b", "c", "d"))
+			_, err = r.Admit(context.Background(), request("b", "c", "d"))
 			is.Equal(err == nil, tt.ok)
 			first.Release(admission.Outcome{Code: result.CallerGone})
 			for range 3 { // later releases count for nothing
 				first.Release(admission.Outcome{Code: result.ConnectFailed})
 			}
-			again, err := a.Admit(context.Background(), request("b", "c", "d"))
+			again, err := r.Admit(context.Background(), request("b", "c", "d"))
 			is.NoErr(err)
 			again.Release(admission.Outcome{Code: result.Served})
-			is.Equal(state(r, "a").Verdict, health.Yes)
+			is.Equal(verdict(r, "a"), health.Yes)
 		})
 	}
 }
@@ -238,7 +249,7 @@
 					r.SetReport("register", name, measured.At(tt.home, at))
 				}
 				r.SetReport("register", "d", measured.At(tt.other, at))
-				r.Tick(time.Now())
+				r.Step(time.Now(), nil)
 				parts := r.Parts("register")
 				is.Equal(parts[0].Share < 1, tt.less)
 				first := 0
@@ -256,41 +267,40 @@
 func TestNewServersAreCold(t *testing.T) {
 	is := is.New(t)
 	r := router()
-	is.Equal(state(r, "a").Ramp, 1.0)
+	is.Equal(level(r, "a"), 1.0)
 	moved := file()
 	moved.Servers[0].Address = netip.MustParseAddrPort("192.0.2.9:1")
 	moved.Servers = append(moved.Servers, service.Server{Name: "e", Zone: "fyn-1", Slots: 6})
-	r.Configure(time.Now(), []*service.File{moved})
-	is.True(state(r, "a").Ramp < 1)
-	is.True(state(r, "e").Ramp < 1)
-	is.Equal(state(r, "b").Ramp, 1.0)
+	r.Configure([]*service.File{moved}, time.Now())
+	is.True(level(r, "a") < 1)
+	is.True(level(r, "e") < 1)
+	is.Equal(level(r, "b"), 1.0)
 }
 
 func TestConcurrentUse(t *testing.T) {
 	is := is.New(t)
 	r := router()
-	r.Draw = rand.Uint64
+	r.Draw, r.Inner = nil, &slots{router: r}
 	var wg sync.WaitGroup
 	for i := range 8 {
 		wg.Go(func() {
-			a := &routing.Admitter{Router: r, Inner: &slots{router: r}}
 			for k := range 300 {
 				switch (k + i) % 10 {
 				case 0:
-					r.Tick(time.Now())
+					r.Step(time.Now(), nil)
 				case 1:
-					r.Configure(time.Now(), []*service.File{file([]id.Server{"a", "b"}[k%2])})
+					r.Configure([]*service.File{file([]id.Server{"a", "b"}[k%2])}, time.Now())
 				case 2:
 					r.SetProbe("register", "c", measured.At(k%3 == 0, time.Now()))
 				default:
-					send(a, result.Served)
+					send(r, result.Served)
 				}
 			}
 		})
 	}
 	wg.Wait()
-	r.Configure(time.Now(), []*service.File{file()})
-	is.Equal(len(r.States(time.Now(), "register")), 4)
+	r.Configure([]*service.File{file()}, time.Now())
+	is.Equal(level(r, "nobody"), 0.0)
 }
 
 func TestOrderDoesNotAllocate(t *testing.T) {
@@ -307,11 +317,11 @@
 	}
 }
 
-func BenchmarkTick(b *testing.B) {
+func BenchmarkStep(b *testing.B) {
 	r := router()
 	now := time.Now()
 	b.ReportAllocs()
 	for b.Loop() {
-		r.Tick(now)
+		r.Step(now, nil)
 	}
 }
--- a/internal/routing/routes.go
+++ b/internal/routing/routes.go
@@ -78,14 +78,20 @@
 	s.rebuild(now, r)
 }
 
-func (s *routes) tick(now time.Time, r *Router) {
+func (s *routes) step(now time.Time, r *Router, loads func(*service.File) map[id.Region]measured.Value[float64]) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.measureWarm(now)
 	for _, server := range s.servers {
-		server.tick(now, s.warm)
+		server.step(now, s.warm)
 	}
-	changed := s.steer.Step(now, s.loads(now, r))
+	var current map[id.Region]measured.Value[float64]
+	if loads != nil {
+		current = loads(s.file)
+	} else {
+		current = s.reported(now, r)
+	}
+	changed := s.steer.Step(now, current)
 	if changed || !slices.Equal(s.membersAt(now, r), s.members) {
 		s.rebuild(now, r)
 	}
@@ -118,13 +124,13 @@
 	members := make([]placement.Member, 0, len(s.file.Servers))
 	for i := range s.file.Servers {
 		conf := &s.file.Servers[i]
-		state := s.servers[conf.Name].state(now, conf.Name)
+		state := s.servers[conf.Name].state(now)
 		region, ok := r.World.Region(conf.Zone)
-		if !ok || state.Leaving || state.Verdict == health.No {
+		if !ok || state.leaving || state.verdict == health.No {
 			continue
 		}
-		m := placement.Member{Server: conf, Region: region, Delay: r.World.Delay(r.Zone, conf.Zone), Ramp: state.Ramp}
-		if state.Verdict == health.Trial {
+		m := placement.Member{Server: conf, Region: region, Delay: r.World.Delay(r.Zone, conf.Zone), Ramp: state.ramp}
+		if state.verdict == health.Trial {
 			m.Ramp = min(m.Ramp, trialRamp)
 		}
 		members = append(members, m)
@@ -132,8 +138,8 @@
 	return members
 }
 
-// loads returns the load of each region of which enough servers report.
-func (s *routes) loads(now time.Time, r *Router) map[id.Region]measured.Value[float64] {
+// reported returns the load of each region of which enough servers report.
+func (s *routes) reported(now time.Time, r *Router) map[id.Region]measured.Value[float64] {
 	type sum struct {
 		slots, reported, running int
 		oldest                   time.Duration
@@ -164,7 +170,7 @@
 }
 
 // measureWarm takes the mean latency of the answers of warm servers since the
-// last tick.
+// last step.
 func (s *routes) measureWarm(now time.Time) {
 	var sum time.Duration
 	answers := 0
--- a/internal/routing/server.go
+++ b/internal/routing/server.go
@@ -9,10 +9,16 @@
 	"github.com/shallotpier/shallotpier/internal/health"
 	"github.com/shallotpier/shallotpier/internal/measured"
 	"github.com/shallotpier/shallotpier/internal/ramp"
-	"github.com/shallotpier/shallotpier/pkg/id"
 	"github.com/shallotpier/shallotpier/pkg/service"
 )
 
+// serverState is what a table needs to know of a server.
+type serverState struct {
+	verdict health.Verdict
+	ramp    float64
+	leaving bool
+}
+
 // server is one backend server.
 type server struct {
 	mu      sync.Mutex
@@ -43,11 +49,11 @@
 	s.address, s.leaving = conf.Address, conf.Leaving
 }
 
-func (s *server) state(now time.Time, name id.Server) State {
+func (s *server) state(now time.Time) serverState {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	v, _ := s.opinion.MaySend(now, s.probe, s.report)
-	return State{Server: name, Verdict: v, Ramp: s.ramp.Level(), Leaving: s.leaving}
+	return serverState{verdict: v, ramp: s.ramp.Level(), leaving: s.leaving}
 }
 
 // begin tells whether a request may be sent now, and notes it if it is a
@@ -101,7 +107,7 @@
 	}
 }
 
-func (s *server) tick(now time.Time, warm measured.Value[time.Duration]) {
+func (s *server) step(now time.Time, warm measured.Value[time.Duration]) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.ramp.Step(now, warm, s.warmth)
