capacity: measures of carrying, membership, homes, relays, configuration and news

Change: measures, five sizes or more each, of requests through an entry against straight to the stand-in, open uploads and connections, HTTP look-ups against a bare handler, beats, a home's ledger, publications, relays, notices and fingerprints.

--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -22,7 +22,7 @@
 
 // Measures returns the measures of all roles.
 func Measures() []Measure {
-	return slices.Concat(answering(), spreading(), talking())
+	return slices.Concat(answering(), carrying(), belonging(), dividing(), configuring(), spreading(), news(), talking())
 }
 
 // Measured runs one measure and fits its line.
--- /dev/null
+++ b/internal/capacity/configuration.go
@@ -0,0 +1,227 @@
+package capacity
+
+import (
+	"context"
+	"encoding/json"
+	"log/slog"
+	"net/netip"
+	"runtime"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/shallotpier/shallotpier/internal/config"
+	"github.com/shallotpier/shallotpier/internal/peer"
+	"github.com/shallotpier/shallotpier/internal/publish"
+	"github.com/shallotpier/shallotpier/internal/standin/peers"
+	"github.com/shallotpier/shallotpier/internal/standin/platform"
+	"github.com/shallotpier/shallotpier/internal/store"
+	"github.com/shallotpier/shallotpier/pkg/id"
+	"github.com/shallotpier/shallotpier/pkg/service"
+	"github.com/shallotpier/shallotpier/pkg/unit"
+)
+
+const (
+	fileServers  = 20
+	decodes      = 30
+	adoptTimeout = 20 * time.Second
+	treeFanout   = 8
+)
+
+// configuring returns the measures of configuration as it is passed on today:
+// whole publications, read by relays and fetched by the others.
+func configuring() []Measure {
+	services := []int{2, 4, 8, 16, 32}
+	servers := []int{10, 20, 40, 80, 160}
+	return []Measure{
+		{
+			Role: "configuration", Quantity: "publication B", Size: "services of 20 servers", Sizes: services, Target: targetSites / fileServers,
+			Run: func(n int) (float64, error) { return publicationBytes(n, fileServers) },
+		},
+		{
+			Role: "configuration", Quantity: "decode and check, processor us", Size: "services of 20 servers", Sizes: services, Target: targetSites / fileServers,
+			Run: func(n int) (float64, error) { return decodePublication(n, fileServers) },
+		},
+		{
+			Role: "configuration", Quantity: "publication B", Size: "servers of one service", Sizes: servers, Target: targetSites,
+			Run: func(n int) (float64, error) { return publicationBytes(1, n) },
+		},
+		{
+			Role: "configuration", Quantity: "decode and check, processor us", Size: "servers of one service", Sizes: servers, Target: targetSites,
+			Run: func(n int) (float64, error) { return decodePublication(1, n) },
+		},
+		{
+			Role: "configuration", Quantity: "publication in force, heap B", Size: "services of 20 servers", Sizes: services, Target: targetSites / fileServers,
+			Run: publicationHeap,
+		},
+		{
+			Role: "relay", Quantity: "store calls at a change, over all", Size: "children", Sizes: []int{1, 2, 4, 8, 16}, Target: treeFanout,
+			Run: func(n int) (float64, error) { r, err := relayChange(n); return float64(r.storeCalls), err },
+		},
+		{
+			Role: "relay", Quantity: "calls between entries at a change", Size: "children", Sizes: []int{1, 2, 4, 8, 16}, Target: treeFanout,
+			Run: func(n int) (float64, error) { r, err := relayChange(n); return float64(r.calls), err },
+		},
+		{
+			Role: "relay", Quantity: "B between entries at a change, 4 services of 20 servers", Size: "children", Sizes: []int{1, 2, 4, 8, 16}, Target: treeFanout,
+			Run: func(n int) (float64, error) { r, err := relayChange(n); return float64(r.bytes), err },
+		},
+	}
+}
+
+func publicationBytes(services, servers int) (float64, error) {
+	data, err := json.Marshal(publication(1, services, servers))
+	return float64(len(data)), err
+}
+
+func decodePublication(services, servers int) (float64, error) {
+	data, err := json.Marshal(publication(1, services, servers))
+	if err != nil {
+		return 0, err
+	}
+	var failed error
+	cost, err := processorMicros(decodes, func(int) {
+		if _, err := publish.Decode(store.Object{Value: data}); err != nil {
+			failed = err
+		}
+	})
+	if failed != nil {
+		return 0, failed
+	}
+	return cost, err
+}
+
+// publicationHeap returns the heap of a decoded publication with its encoded
+// form, both of which an entry keeps.
+func publicationHeap(services int) (float64, error) {
+	data, err := json.Marshal(publication(1, services, fileServers))
+	if err != nil {
+		return 0, err
+	}
+	defer runtime.KeepAlive(data)
+	var failed error
+	size := heapBytes(func() any {
+		p, err := publish.Decode(store.Object{Value: data})
+		failed = err
+		return p
+	})
+	return size + float64(len(data)), failed
+}
+
+type changeCost struct {
+	storeCalls, calls, bytes int
+}
+
+// relayChange counts what one change costs when one entry reads the store and
+// n others learn of the version by its heartbeats.
+func relayChange(n int) (changeCost, error) {
+	s := new(platform.Store)
+	network := new(peers.Network)
+	if err := putPublication(s, 1); err != nil {
+		return changeCost{}, err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	defer running.Wait()
+	defer cancel()
+	keepers := make([]*config.Keeper, n+1)
+	for i := range keepers {
+		keepers[i] = relayedKeeper(s, network, i)
+		running.Go(func() { _ = keepers[i].Run(ctx) })
+	}
+	if err := adopted(ctx, keepers, 1); err != nil {
+		return changeCost{}, err
+	}
+	storeBefore, callsBefore, bytesBefore := countCalls(s), 0, 0
+	callsBefore, bytesBefore = network.Sent()
+	if err := putPublication(s, 2); err != nil {
+		return changeCost{}, err
+	}
+	if err := adopted(ctx, keepers[:1], 2); err != nil {
+		return changeCost{}, err
+	}
+	for _, k := range keepers[1:] {
+		k.Heard(entryName(0), keepers[0].Current().Ref())
+	}
+	if err := adopted(ctx, keepers, 2); err != nil {
+		return changeCost{}, err
+	}
+	calls, bytes := network.Sent()
+	return changeCost{storeCalls: countCalls(s) - storeBefore - 1, calls: calls - callsBefore, bytes: bytes - bytesBefore}, nil
+}
+
+func relayedKeeper(s *platform.Store, network *peers.Network, i int) *config.Keeper {
+	node := network.Node(peer.Sender{Instance: entryName(i), Incarnation: 1})
+	k := &config.Keeper{Store: s, Caller: node, Relay: func() bool { return i == 0 }, Log: slog.New(slog.DiscardHandler)}
+	node.Register(config.FetchMethod, k.HandleFetch)
+	return k
+}
+
+func adopted(ctx context.Context, keepers []*config.Keeper, v id.Version) error {
+	ctx, cancel := context.WithTimeout(ctx, adoptTimeout)
+	defer cancel()
+	for _, k := range keepers {
+		if !k.AtLeast(ctx, v) {
+			return eris.Errorf("version %d was not adopted within %s", v, adoptTimeout)
+		}
+	}
+	return nil
+}
+
+func countCalls(s *platform.Store) int {
+	sum := 0
+	for _, n := range s.Counts() {
+		sum += n
+	}
+	return sum
+}
+
+func putPublication(s store.Store, v id.Version) error {
+	data, err := json.Marshal(publication(v, 4, fileServers))
+	if err != nil {
+		return err
+	}
+	ctx := context.Background()
+	cond := store.IfAbsent()
+	if old, err := s.Get(ctx, publish.CurrentKey); err == nil {
+		cond = store.IfVersion(old.Version)
+	}
+	_, err = s.Put(ctx, publish.CurrentKey, data, cond)
+	return err
+}
+
+func entryName(i int) id.Instance { return id.Instance("entry-" + strconv.Itoa(i)) }
+
+func publication(v id.Version, services, servers int) *publish.Publication {
+	p := &publish.Publication{ID: publish.ID("id-" + strconv.Itoa(int(v))), Version: v, Author: "nino", At: time.Unix(1_796_000_000, 0).UTC()}
+	for i := range services {
+		p.Files = append(p.Files, *serviceFile(i, servers))
+	}
+	return p
+}
+
+func serviceFile(number, servers int) *service.File {
+	f := &service.File{
+		Service: id.Service("service-" + strconv.Itoa(number)), DrainTime: unit.Duration(time.Minute),
+		ShiftCap: service.ShiftCap{Rise: 20, Window: unit.Duration(10 * time.Second)},
+		Retry:    service.Retry{Attempts: 3, Budget: 0.2},
+		Classes: []service.Class{
+			{Name: "issue", Kind: service.Once, Methods: []string{"POST"}, PathPrefix: "/certificates", Deadline: unit.Duration(5 * time.Second), BodyLimit: unit.MiB},
+			{Name: "vault", Kind: service.Upload, Methods: []string{"PUT"}, PathPrefix: "/", Deadline: unit.Duration(time.Hour), BodyLimit: 2 * unit.GiB},
+			{Name: "read", Kind: service.Read, Methods: []string{"GET", "HEAD"}, PathPrefix: "/", Deadline: unit.Duration(3 * time.Second)},
+		},
+	}
+	for r := range 3 {
+		f.Regions = append(f.Regions, service.Region{Name: id.Region("region-" + strconv.Itoa(r)), Weight: 1, HeadroomFloor: 0.1})
+	}
+	for i := range servers {
+		f.Servers = append(f.Servers, service.Server{
+			Name:    id.Server("server-" + strconv.Itoa(i)),
+			Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(number), byte(i >> 8), byte(i)}), 8080),
+			Zone:    id.Zone("region-" + strconv.Itoa(i%3) + "-1"), Slots: 6, Connections: 400,
+		})
+	}
+	return f
+}
--- a/internal/capacity/peers.go
+++ b/internal/capacity/peers.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"net"
 	"strings"
+	"sync/atomic"
 
 	"github.com/rotisserie/eris"
 
@@ -83,6 +84,25 @@
 	a, b     *rpc.Node
 	listener net.Listener
 	more     []*rpc.Node
+	bytes    atomic.Int64
+}
+
+// countingConn counts the bytes that pass one end of a connection.
+type countingConn struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+func (c *countingConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+func (c *countingConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.bytes.Add(int64(n))
+	return n, err
 }
 
 func pair(ctx context.Context) (*nodePair, error) {
@@ -90,14 +110,17 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "listen")
 	}
+	p := &nodePair{listener: l}
 	dial := func(ctx context.Context, _ id.Instance) (net.Conn, error) {
 		var d net.Dialer
-		return d.DialContext(ctx, "tcp", l.Addr().String())
-	}
-	p := &nodePair{
-		a: &rpc.Node{Self: peer.Sender{Instance: "a", Incarnation: 1}, Dial: dial},
-		b: &rpc.Node{Self: peer.Sender{Instance: "b", Incarnation: 1}}, listener: l,
+		c, err := d.DialContext(ctx, "tcp", l.Addr().String())
+		if err != nil {
+			return nil, err
+		}
+		return &countingConn{Conn: c, bytes: &p.bytes}, nil
 	}
+	p.a = &rpc.Node{Self: peer.Sender{Instance: "a", Incarnation: 1}, Dial: dial}
+	p.b = &rpc.Node{Self: peer.Sender{Instance: "b", Incarnation: 1}}
 	p.b.Register(methodEcho, func(_ context.Context, _ peer.Sender, params json.RawMessage) (any, error) {
 		return struct{}{}, nil
 	})
--- a/internal/capacity/spread.go
+++ b/internal/capacity/spread.go
@@ -10,6 +10,7 @@
 )
 
 const (
+	targetNodes  = 6_600
 	targetBlocks = 100_000
 	targetSites  = 2_100
 	sitesOfBlock = 3
