entry, backend: give a slot back when the server has ended the connection

Cause: a slot stayed in use for 2 s after each cancellation or late answer, which cost a third of the capacity when an overload began; and each cut answer counted as a crash, which put frequent reads in quarantine.

Change: a connection whose answer is not waited for is closed for writing, and the slot is given back when the server ends it in turn; only if it doesn't within 2 s is a time given until which it may be running. A break in the middle of an answer counts as a crash only if the server takes no new connection, and sends that were under way together count as one sighting. Bodies are sent at the rate of a paced permit. Budgets count admitted sends alone. The in-memory network can close each direction by itself.

--- a/internal/backend/body.go
+++ b/internal/backend/body.go
@@ -52,7 +52,10 @@
 	case nil:
 		return n, nil
 	case io.EOF:
-		b.answer.Trailer = b.resp.Trailer
+		b.answer.Trailer, b.answer.whole = b.resp.Trailer, true
+		if c := b.answer.send.conn.Load(); c != nil {
+			c.busy.Store(false)
+		}
 		return n, io.EOF
 	default:
 		return n, b.answer.send.fail(err)
--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -26,6 +26,7 @@
 	defaultStall     = 30 * time.Second
 	defaultIdle      = 4 * time.Second
 	continueTimeout  = time.Second
+	aliveWait        = 20 * time.Millisecond
 	maxAnswerHeaders = 64 << 10
 	copyBuffer       = 16 << 10
 )
@@ -80,8 +81,9 @@
 		// Latency is the time to the answer's header.
 		Latency time.Duration
 
-		send *send
-		raw  io.ReadCloser
+		send  *send
+		raw   io.ReadCloser
+		whole bool
 	}
 
 	// SendError says how a send ended without a whole answer.
@@ -94,6 +96,10 @@
 		// Broken tells whether the server ended the connection after it had
 		// been sent bytes, as it does when it crashes.
 		Broken bool
+		// Answering tells whether any byte of an answer had come.
+		Answering bool
+		// Ending is the end of the connection; nil if nothing was sent.
+		Ending *Ending
 		// Err is the cause.
 		Err error
 	}
@@ -116,6 +122,7 @@
 		ctx    context.Context
 		conn   atomic.Pointer[conn]
 		base   int64
+		got    int64
 		body   *requestBody
 
 		mu    sync.Mutex
@@ -180,15 +187,43 @@
 }
 
 // Close ends the answer. A connection whose answer has not come whole is
-// closed, which cancels the request at the backend server.
-func (a *Answer) Close() {
+// closed, which cancels the request at the backend server; its end is returned
+// then, and nil otherwise.
+func (a *Answer) Close() *Ending {
 	_ = a.raw.Close()
 	a.send.end()
+	if c := a.send.conn.Load(); c != nil && !a.whole {
+		_ = c.Close()
+		return &c.ending
+	}
+	return nil
 }
 
 // Distrust closes the kept connections to a server that no request is using.
 func (c *Client) Distrust(server *service.Server) { c.peer(server).kept.CloseIdleConnections() }
 
+// Alive tells whether the server takes a new connection, a moment after it
+// ended another.
+func (c *Client) Alive(ctx context.Context, server *service.Server) bool {
+	ctx, cancel := context.WithTimeout(ctx, aliveWait+orDefault(c.Connect, defaultConnect))
+	defer cancel()
+	select {
+	case <-time.After(aliveWait):
+	case <-ctx.Done():
+		return false
+	}
+	dial := c.Dial
+	if dial == nil {
+		dial = dialTCP
+	}
+	conn, err := dial(ctx, server.Address)
+	if err != nil {
+		return false
+	}
+	_ = conn.Close()
+	return true
+}
+
 // CloseIdle closes the connections that no request is using.
 func (c *Client) CloseIdle() {
 	c.servers.Range(func(_, v any) bool {
@@ -230,7 +265,7 @@
 			if err != nil {
 				return nil, err
 			}
-			return &conn{Conn: raw, stall: stall}, nil
+			return &conn{Conn: raw, stall: stall, ending: Ending{done: make(chan struct{})}}, nil
 		},
 		DisableCompression:     true,
 		MaxConnsPerHost:        limit,
@@ -285,7 +320,7 @@
 	if !ok {
 		return
 	}
-	s.base = c.written.Load()
+	s.base, s.got = c.written.Load(), c.received.Load()
 	s.conn.Store(c)
 	c.begin(0)
 	s.mu.Lock()
@@ -349,7 +384,7 @@
 	s.end()
 	sent := s.sent()
 	code := s.code(err, cause, sent)
-	return &SendError{Code: code, Sent: sent, Broken: code == result.AnswerCut && !errors.Is(err, errUnfit), Err: err}
+	return &SendError{Ending: s.ending(sent), Code: code, Sent: sent, Broken: code == result.AnswerCut && !errors.Is(err, errUnfit), Answering: s.answered(), Err: err}
 }
 
 func (s *send) code(err, cause error, sent bool) result.Code {
@@ -382,6 +417,20 @@
 	return c != nil && c.settled() > s.base
 }
 
+// ending returns the end of the connection, which has been closed.
+func (s *send) ending(sent bool) *Ending {
+	c := s.conn.Load()
+	if c == nil || !sent {
+		return nil
+	}
+	return &c.ending
+}
+
+func (s *send) answered() bool {
+	c := s.conn.Load()
+	return c != nil && c.received.Load() > s.got
+}
+
 func (s *send) end() {
 	s.cancel(context.Canceled)
 	s.mu.Lock()
--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -23,21 +23,35 @@
 	stall    time.Duration
 	patience atomic.Int64
 	written  atomic.Int64
+	received atomic.Int64
 	// writing and moved are in nanoseconds of the wall clock; writing is 0
 	// while no write is under way.
 	writing atomic.Int64
 	moved   atomic.Int64
 	waiting atomic.Bool
 	write   sync.Mutex
+	reading sync.Mutex
+	// busy tells that a request is unanswered; closed, that it is not waited
+	// for.
+	busy    atomic.Bool
+	closed  atomic.Bool
+	closing sync.Once
+	ending  Ending
 }
 
 // Write counts what the connection took.
 func (c *conn) Write(p []byte) (int, error) {
 	c.write.Lock()
 	defer c.write.Unlock()
+	if c.closed.Load() {
+		return 0, net.ErrClosed
+	}
 	c.writing.Store(time.Now().UnixNano())
 	n, err := c.Conn.Write(p)
 	c.written.Add(int64(n))
+	if n > 0 {
+		c.busy.Store(true)
+	}
 	c.writing.Store(0)
 	c.moved.Store(time.Now().UnixNano())
 	return n, err
@@ -45,8 +59,14 @@
 
 // Read notes when bytes arrive.
 func (c *conn) Read(p []byte) (int, error) {
+	c.reading.Lock()
+	defer c.reading.Unlock()
+	if c.closed.Load() {
+		return 0, net.ErrClosed
+	}
 	c.waiting.Store(true)
 	n, err := c.Conn.Read(p)
+	c.received.Add(int64(n))
 	c.waiting.Store(false)
 	c.moved.Store(time.Now().UnixNano())
 	return n, err
--- a/internal/entry/body.go
+++ b/internal/entry/body.go
@@ -1,11 +1,20 @@
 package entry
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net/http"
 	"sync/atomic"
 	"time"
+
+	"github.com/shallotpier/shallotpier/internal/admission"
+)
+
+const (
+	// paceSize is the greatest number of bytes that wait for their permit.
+	paceSize = 16 << 10
+	minPause = time.Millisecond
 )
 
 var errOverLimit = errors.New("body is over the class's limit")
@@ -23,6 +32,31 @@
 	read    atomic.Int64
 }
 
+// pacedBody passes a body on at the rate of its permit.
+type pacedBody struct {
+	io.ReadCloser
+	ctx    context.Context
+	permit admission.Paced
+}
+
+// Read reads from the body, and returns when all that it read may be sent.
+func (b *pacedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p[:min(len(p), paceSize)])
+	for left := n; left > 0; {
+		granted, wait := b.permit.Next(time.Now(), left)
+		left -= granted
+		if left <= 0 {
+			break
+		}
+		select {
+		case <-time.After(max(wait, minPause)):
+		case <-b.ctx.Done():
+			return 0, b.ctx.Err()
+		}
+	}
+	return n, err
+}
+
 func newCallerBody(c *call) *callerBody {
 	return &callerBody{src: c.r.Body, req: c.r, control: http.NewResponseController(c.w), left: int64(c.class.BodyLimit), silence: c.h.callerSilence()}
 }
--- a/internal/entry/carry.go
+++ b/internal/entry/carry.go
@@ -24,8 +24,13 @@
 
 	// ending is how one send ended.
 	ending struct {
-		code   result.Code
-		broken bool
+		code result.Code
+		// broken tells that the server ended the connection; answering, that
+		// it had begun to answer.
+		broken, answering bool
+		// end is the end of the connection, if the server may still be running
+		// the request.
+		end *backend.Ending
 		// passed tells that an answer was passed on, whole or not.
 		passed  bool
 		latency time.Duration
@@ -87,12 +92,14 @@
 	var e ending
 	if f.err == nil {
 		e = c.take(t, f.ans)
-		f.ans.Close()
+		if end := f.ans.Close(); end != nil {
+			e.end = end
+		}
 	} else {
 		e = c.failure(f.err)
 	}
-	f.permit.Release(c.outcome(&e))
-	c.judge(&e, f.send)
+	c.release(f, &e)
+	c.judge(&e, f)
 	if !e.passed && e.code.Ran() != result.No {
 		c.doubt = e.code
 	}
@@ -106,7 +113,7 @@
 		e.latency = ans.Latency
 		return e
 	}
-	return ending{code: c.code, broken: c.broken, passed: true, latency: ans.Latency}
+	return ending{code: c.code, broken: c.broken, answering: true, passed: true, latency: ans.Latency}
 }
 
 // refusal turns a refused admission into an ending.
@@ -129,7 +136,7 @@
 	if !errors.As(err, &failed) {
 		return ending{code: result.CallerGone}
 	}
-	e := ending{code: failed.Code, broken: failed.Broken}
+	e := ending{code: failed.Code, broken: failed.Broken, answering: failed.Answering, end: failed.Ending}
 	if over := c.body.over.Load(); over && failed.Sent {
 		e.code = result.BodyOverLimit
 	} else if over {
@@ -141,19 +148,24 @@
 	return e
 }
 
-// outcome tells the admitter what the send showed, and until when the server
-// may still be running it.
-func (c *call) outcome(e *ending) admission.Outcome {
+// release gives the permit back: at once if the server can't be running the
+// request, and otherwise when it has ended the connection.
+func (c *call) release(f *flight, e *ending) {
 	out := admission.Outcome{Code: e.code, Latency: e.latency}
-	now := time.Now()
-	switch e.code {
-	case result.ConnectionSilent:
-		// The server may not hear that the connection has ended.
-		out.Running = latest(c.deadline, now.Add(cancelTime))
-	case result.AnswerLate, result.CallerGone, result.BodyOverLimit:
-		out.Running = now.Add(cancelTime)
-	}
-	return out
+	if e.end == nil {
+		f.permit.Release(out)
+		return
+	}
+	c.h.running.Add(1)
+	deadline := c.deadline
+	go func() {
+		defer c.h.running.Add(-1)
+		if !e.end.Wait() {
+			// The server may not have heard that nobody waits.
+			out.Running = latest(deadline, time.Now().Add(cancelTime))
+		}
+		f.permit.Release(out)
+	}()
 }
 
 func latest(a, b time.Time) time.Time {
@@ -163,15 +175,18 @@
 	return b
 }
 
-// judge tells the quarantine, and the other entries, what the send showed.
-func (c *call) judge(e *ending, send string) {
+// judge tells the quarantine, and the other entries, what the send showed. A
+// server that ends the connection before it answers counts as crashed; one
+// that does in the middle of an answer only if it takes no new connection.
+func (c *call) judge(e *ending, f *flight) {
 	q := c.h.Quarantine
-	if q == nil {
-		return
-	}
 	switch {
+	case q == nil:
 	case e.broken:
-		c.spread(q.Sight(time.Now(), c.print, c.file.Service, c.class.Name, send))
+		if e.answering && c.h.Backend.Alive(context.WithoutCancel(c.ctx), f.permit.Server()) {
+			return
+		}
+		c.spread(q.Sight(time.Now(), c.print, quarantine.Origin{Service: c.file.Service, Class: c.class.Name, Send: f.send, Began: f.began}))
 	case e.code == result.Served:
 		if news, ok := q.Clear(time.Now(), c.print); ok {
 			c.spread(news)
--- a/internal/entry/fault_test.go
+++ b/internal/entry/fault_test.go
@@ -56,6 +56,14 @@
 	is.True(time.Since(started) > 100*time.Millisecond)     // silent connections were in use
 	got := w.do(w.entries[0], "POST", "/s/registry/a", "x") // a connection of its own
 	is.Equal(got.code, result.Served)
+	is.NoErr(w.entries[0].Wait(t.Context()))
+	unheard := 0
+	for _, out := range w.outcomes {
+		if !out.Running.IsZero() {
+			unheard++
+		}
+	}
+	is.True(unheard > 0) // slots on silent connections stay in use
 }
 
 // TestCrashIsSpreadBeforeTheAnswer lets the news take a while.
@@ -120,9 +128,10 @@
 		time.Sleep(time.Millisecond)
 	}
 	w.entries[0].http.Close()
+	is.NoErr(w.entries[0].Wait(t.Context()))
 	is.Equal(len(w.outcomes), 1)
 	is.Equal(w.outcomes[0].Code, result.CallerGone)
-	is.True(!w.outcomes[0].Running.IsZero()) // the slot outlives the request
+	is.Equal(w.early, 0)
 }
 
 // TestRequestShapes sends what is no clean request. None may reach a backend
--- a/internal/entry/flight.go
+++ b/internal/entry/flight.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 
 	"github.com/shallotpier/shallotpier/internal/admission"
@@ -14,6 +13,7 @@
 // flight is one send under way. Its results may be read once done has ended.
 type flight struct {
 	send     string
+	began    time.Time
 	patience time.Duration
 	cancel   context.CancelFunc
 	// admitted ends when permit is set.
@@ -27,10 +27,8 @@
 // launch starts a send to a server that was not tried.
 func (c *call) launch(tried []id.Server) *flight {
 	c.attempts++
-	if c.attempts == 1 && c.h.Budget != nil {
-		c.h.Budget.First(time.Now(), c.file)
-	}
-	f := &flight{send: c.h.sendID(), patience: c.patience(), admitted: make(chan struct{}), done: make(chan struct{})}
+	first := c.attempts == 1 && c.h.Budget != nil
+	f := &flight{send: c.h.sendID(), began: time.Now(), patience: c.patience(), admitted: make(chan struct{}), done: make(chan struct{})}
 	ctx, cancel := context.WithCancel(c.ctx)
 	f.cancel = cancel
 	req, adm := c.outgoing(), c.admission(tried)
@@ -42,7 +40,14 @@
 			f.permit = nil
 			return
 		}
+		f.began = time.Now()
 		close(f.admitted)
+		if first {
+			c.h.Budget.First(f.began, c.file)
+		}
+		if p, ok := f.permit.(admission.Paced); ok && req.Body != nil {
+			req.Body = &pacedBody{ReadCloser: req.Body, ctx: ctx, permit: p}
+		}
 		f.ans, f.err = c.h.Backend.Send(ctx, &backend.Request{Server: f.permit.Server(), HTTP: req, ID: f.send, Patience: f.patience})
 	}()
 	return f
@@ -89,11 +94,9 @@
 }
 
 // abandon ends a flight whose answer is not waited for. Its connection may be
-// silent, so that its server may not hear of it; the kept connections to the
-// server are not trusted any more.
+// silent, so that the kept connections to its server are not trusted any more.
 func (c *call) abandon(f *flight) {
 	f.cancel()
-	deadline := c.deadline
 	c.h.running.Add(1)
 	go func() {
 		defer c.h.running.Add(-1)
@@ -101,17 +104,14 @@
 		if f.permit == nil {
 			return
 		}
-		out := admission.Outcome{Code: result.ConnectionSilent, Running: latest(deadline, time.Now().Add(cancelTime))}
-		var failed *backend.SendError
-		switch {
-		case f.err == nil:
-			f.ans.Close()
-			out.Latency = f.ans.Latency
-		case errors.As(f.err, &failed) && !failed.Sent:
-			out = admission.Outcome{Code: result.CallerLeft}
+		e := ending{code: result.ConnectionSilent}
+		if f.err == nil {
+			e.latency, e.end = f.ans.Latency, f.ans.Close()
+		} else if e = c.failure(f.err); e.code == result.CallerGone {
+			e.code = result.ConnectionSilent
 		}
 		c.h.Backend.Distrust(f.permit.Server())
-		f.permit.Release(out)
+		c.release(f, &e)
 	}()
 }
 
--- a/internal/entry/handler_test.go
+++ b/internal/entry/handler_test.go
@@ -155,7 +155,7 @@
 				if name == "no answer" {
 					is.NoErr(w.entries[0].Wait(t.Context()))
 					is.Equal(len(w.outcomes), 2)
-					is.True(w.outcomes[0].Running.IsZero() != w.outcomes[1].Running.IsZero()) // one slot stays in use
+					is.Equal(w.early, 0) // the slot was in use until the server had stopped
 				}
 			})
 		})
--- a/internal/entry/setup_test.go
+++ b/internal/entry/setup_test.go
@@ -40,6 +40,7 @@
 		servers  []*standin.Server
 		entries  []*entryServer
 		outcomes []admission.Outcome
+		early    int // slots given back while the server ran the request
 		mu       sync.Mutex
 		log      strings.Builder
 	}
@@ -85,8 +86,17 @@
 func (p *permit) Server() *service.Server { return p.server }
 
 func (p *permit) Release(out admission.Outcome) {
+	running := 0
+	for _, s := range p.w.servers {
+		if s.Name == p.server.Name {
+			running = s.Load().Running
+		}
+	}
 	p.w.mu.Lock()
 	defer p.w.mu.Unlock()
+	if running > 0 && out.Running.IsZero() {
+		p.w.early++
+	}
 	p.w.outcomes = append(p.w.outcomes, out)
 }
 
--- a/internal/entry/stream_test.go
+++ b/internal/entry/stream_test.go
@@ -1,10 +1,12 @@
 package entry_test
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net/http"
 	"runtime"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -13,6 +15,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/shallotpier/shallotpier/internal/admission"
 	standin "github.com/shallotpier/shallotpier/internal/standin/backend"
 	"github.com/shallotpier/shallotpier/pkg/result"
 	"github.com/shallotpier/shallotpier/pkg/unit"
@@ -74,6 +77,44 @@
 	})
 }
 
+// pacedAdmitter permits bodies at a rate.
+type pacedAdmitter struct {
+	firstFree
+	rate int // in bytes a second
+}
+
+type pacedPermit struct {
+	admission.Permit
+	start time.Time
+	rate  int
+	taken int
+}
+
+func (a pacedAdmitter) Admit(ctx context.Context, req *admission.Request) (admission.Permit, error) {
+	p, err := a.firstFree.Admit(ctx, req)
+	return &pacedPermit{Permit: p, start: time.Now(), rate: a.rate}, err
+}
+
+func (p *pacedPermit) Next(now time.Time, want int) (int, time.Duration) {
+	n := min(want, int(now.Sub(p.start).Seconds()*float64(p.rate))-p.taken)
+	p.taken += n
+	return n, 100 * time.Millisecond
+}
+
+// TestUploadIsPaced sends 1 MiB at 100 KiB/s.
+func TestUploadIsPaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newPausedWorld(t, 1, 1)
+		w.entries[0].Admitter = pacedAdmitter{firstFree: firstFree{w}, rate: 100 << 10}
+		started := time.Now()
+		got := w.do(w.entries[0], "PUT", "/s/registry/bundle", strings.Repeat("x", 1<<20))
+		is.Equal(got.code, result.Served)
+		took := time.Since(started)
+		is.True(took > 10*time.Second && took < 11*time.Second)
+	})
+}
+
 // weakSignal sends 1 KiB at a time with pauses of 20 s.
 type weakSignal struct{ left int }
 
--- a/internal/quarantine/doc.go
+++ b/internal/quarantine/doc.go
@@ -6,9 +6,10 @@
 // A [List] counts the sends of a fingerprint after which a backend server
 // ended the connection without an answer. After the first such sighting the
 // fingerprint is on probation: the entry that saw it may send it once more,
-// one send at a time, and every other entry refuses it for a while. After the
-// second it is quarantined by all. A whole answer ends the probation, and
-// either state ends by itself.
+// one send at a time, and every other entry refuses it for a while. When a
+// send breaks that was begun after the first sighting, the fingerprint is
+// quarantined by all. A whole answer ends the probation, and either state ends
+// by itself.
 //
 // The entry that sees a crash tells all others before it answers its caller,
 // so that a caller that sends again after an answer meets entries that know.
@@ -24,5 +25,5 @@
 //		defer l.Done(fp)
 //	}
 //	// a send that broke:
-//	spread(l.Sight(now, fp, sendID))
+//	spread(l.Sight(now, fp, origin))
 package quarantine
--- a/internal/quarantine/list.go
+++ b/internal/quarantine/list.go
@@ -11,7 +11,8 @@
 )
 
 const (
-	// Crashes is how many backend servers a fingerprint may cost.
+	// Crashes is how many backend servers a request may cost that is sent
+	// again after it has failed.
 	Crashes = 2
 
 	defaultHold   = 30 * time.Second
@@ -34,12 +35,26 @@
 		Service id.Service `json:"service,omitempty"`
 		// Class is the request's class.
 		Class id.Class `json:"class,omitempty"`
+		// Began is when the send was begun.
+		Began time.Time `json:"began,omitzero"`
 		// At is when it was seen.
 		At time.Time `json:"at"`
 		// Lifted ends the state of the fingerprint as of At.
 		Lifted bool `json:"lifted,omitempty"`
 	}
 
+	// Origin tells of the send that broke.
+	Origin struct {
+		// Service is the request's service.
+		Service id.Service
+		// Class is the request's class.
+		Class id.Class
+		// Send is the id of the send.
+		Send string
+		// Began is when it was begun.
+		Began time.Time
+	}
+
 	// Verdict tells whether a request may be sent.
 	Verdict struct {
 		// Refused tells that it may not.
@@ -113,7 +128,7 @@
 		return Verdict{}
 	}
 	switch held := s.at.Add(l.hold()).Sub(now); {
-	case len(s.sightings) >= Crashes:
+	case s.quarantined():
 		return Verdict{Refused: true, RetryAfter: s.at.Add(l.memory()).Sub(now)}
 	case len(s.sightings) == 0:
 		return Verdict{}
@@ -134,7 +149,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	s := l.listed[fp]
-	return s != nil && len(s.sightings) >= Crashes && now.Sub(s.at) < l.memory()
+	return s != nil && s.quarantined() && now.Sub(s.at) < l.memory()
 }
 
 // Done notes the end of a send that Check allowed on probation.
@@ -147,8 +162,8 @@
 }
 
 // Sight notes that a send broke and returns the news for the other entries.
-func (l *List) Sight(now time.Time, fp Fingerprint, service id.Service, class id.Class, send string) Sighting {
-	news := Sighting{Fingerprint: fp, Send: send, Instance: l.Instance, Service: service, Class: class, At: now}
+func (l *List) Sight(now time.Time, fp Fingerprint, o Origin) Sighting {
+	news := Sighting{Fingerprint: fp, Send: o.Send, Instance: l.Instance, Service: o.Service, Class: o.Class, Began: o.Began, At: now}
 	l.Learn(now, news)
 	return news
 }
@@ -161,7 +176,7 @@
 	}
 	l.mu.Lock()
 	s := l.listed[fp]
-	probation := s != nil && len(s.sightings) > 0 && len(s.sightings) < Crashes
+	probation := s != nil && len(s.sightings) > 0 && !s.quarantined()
 	l.mu.Unlock()
 	if !probation {
 		return Sighting{}, false
@@ -203,6 +218,28 @@
 	}
 }
 
+// quarantined tells whether a send broke that was begun after another had
+// broken. Sends that were under way together count as one: they may have met
+// the same stop of several servers.
+func (s *state) quarantined() bool {
+	for i := range s.sightings {
+		if s.sightings[i].Began.After(s.earliest()) {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *state) earliest() time.Time {
+	first := s.sightings[0].At
+	for i := range s.sightings {
+		if at := s.sightings[i].At; at.Before(first) {
+			first = at
+		}
+	}
+	return first
+}
+
 func (s *state) knows(send string) bool {
 	return slices.ContainsFunc(s.sightings, func(n Sighting) bool { return n.Send == send })
 }
@@ -239,7 +276,7 @@
 			continue
 		}
 		first := &s.sightings[0]
-		all = append(all, Entry{Fingerprint: fp, Service: first.Service, Class: first.Class, Sightings: len(s.sightings), Quarantined: len(s.sightings) >= Crashes, Until: until})
+		all = append(all, Entry{Fingerprint: fp, Service: first.Service, Class: first.Class, Sightings: len(s.sightings), Quarantined: s.quarantined(), Until: until})
 	}
 	slices.SortFunc(all, func(a, b Entry) int { return slices.Compare(a.Fingerprint[:], b.Fingerprint[:]) })
 	return all
--- a/internal/quarantine/list_test.go
+++ b/internal/quarantine/list_test.go
@@ -17,7 +17,8 @@
 	now := start()
 	own := quarantine.Sighting{Fingerprint: fp, Instance: "entry-1", Send: "a", At: now}
 	foreign := quarantine.Sighting{Fingerprint: fp, Instance: "entry-2", Send: "a", At: now}
-	second := quarantine.Sighting{Fingerprint: fp, Instance: "entry-3", Send: "b", At: now}
+	second := quarantine.Sighting{Fingerprint: fp, Instance: "entry-3", Send: "b", Began: now.Add(1), At: now.Add(2)}
+	together := quarantine.Sighting{Fingerprint: fp, Instance: "entry-3", Send: "c", Began: now.Add(-time.Second), At: now.Add(2)}
 	lifted := quarantine.Sighting{Fingerprint: fp, Instance: "entry-3", Lifted: true, At: now.Add(time.Second)}
 	future := quarantine.Sighting{Fingerprint: fp, Instance: "entry-3", Send: "c", At: now.Add(time.Hour)}
 	tests := map[string]struct {
@@ -31,9 +32,11 @@
 		"own first crash, one runs":  {news: []quarantine.Sighting{own}, busy: true, want: quarantine.Verdict{Refused: true, RetryAfter: time.Second}},
 		"another's first crash":      {news: []quarantine.Sighting{foreign}, after: 10 * time.Second, want: quarantine.Verdict{Refused: true, RetryAfter: 20 * time.Second}},
 		"another's hold has ended":   {news: []quarantine.Sighting{foreign}, after: 30 * time.Second, want: quarantine.Verdict{Probation: true}},
-		"two crashes":                {news: []quarantine.Sighting{own, second}, after: time.Minute, want: quarantine.Verdict{Refused: true, RetryAfter: 29 * time.Minute}},
+		"two crashes":                {news: []quarantine.Sighting{own, second}, after: time.Minute, want: quarantine.Verdict{Refused: true, RetryAfter: 29*time.Minute + 2}},
+		"two in one stop":            {news: []quarantine.Sighting{own, together}, after: time.Minute, want: quarantine.Verdict{Probation: true}},
+		"two, the later heard first": {news: []quarantine.Sighting{second, own}, after: time.Minute, want: quarantine.Verdict{Refused: true, RetryAfter: 29*time.Minute + 2}},
 		"the same news twice":        {news: []quarantine.Sighting{own, own}, want: quarantine.Verdict{Probation: true}},
-		"ends by itself":             {news: []quarantine.Sighting{own, second}, after: 30 * time.Minute},
+		"ends by itself":             {news: []quarantine.Sighting{own, second}, after: 30*time.Minute + 2},
 		"lifted":                     {news: []quarantine.Sighting{own, second, lifted}, after: 2 * time.Second},
 		"lifted, old news afterward": {news: []quarantine.Sighting{lifted, own, second}, after: 2 * time.Second},
 		"news from the future":       {news: []quarantine.Sighting{own, future}, want: quarantine.Verdict{Probation: true}},
@@ -61,7 +64,7 @@
 		fp := quarantine.Fingerprint{9}
 		now, crashes, last := start(), 0, time.Time{}
 		for i := range rapid.IntRange(1, 40).Draw(rt, "resends") {
-			now = now.Add(time.Duration(rapid.Int64Range(0, int64(time.Minute)).Draw(rt, "pause")))
+			now = now.Add(time.Duration(rapid.Int64Range(2, int64(time.Minute)).Draw(rt, "pause")))
 			l := lists[rapid.IntRange(0, 2).Draw(rt, "entry")]
 			v := l.Check(now, fp)
 			if v.Refused {
@@ -71,7 +74,7 @@
 				crashes = 0 // it ended by itself
 			}
 			crashes, last = crashes+1, now
-			news := l.Sight(now, fp, "registry", "lookup", string(rune('a'+i)))
+			news := l.Sight(now.Add(1), fp, quarantine.Origin{Send: string(rune('a' + i)), Began: now})
 			for _, other := range lists {
 				other.Learn(now, news)
 			}
@@ -89,7 +92,7 @@
 	is := is.New(t)
 	l := &quarantine.List{Instance: "entry-1", Listed: 100}
 	for i := range 300 {
-		l.Sight(start().Add(time.Duration(i)), quarantine.Fingerprint{byte(i), byte(i >> 8)}, "registry", "lookup", "a")
+		l.Sight(start().Add(time.Duration(i)), quarantine.Fingerprint{byte(i), byte(i >> 8)}, quarantine.Origin{Service: "registry", Send: "a"})
 	}
 	is.Equal(len(l.Entries(start().Add(time.Second))), 100)
 }
--- a/internal/sightings/exchange_test.go
+++ b/internal/sightings/exchange_test.go
@@ -104,7 +104,7 @@
 					n.cut[c] = true
 				}
 				fp, now := quarantine.Fingerprint{1}, time.Now()
-				all["a"].Spread(t.Context(), all["a"].List.Sight(now, fp, "registry", "lookup", "s1"))
+				all["a"].Spread(t.Context(), all["a"].List.Sight(now, fp, quarantine.Origin{Service: "registry", Class: "lookup", Send: "s1"}))
 				is.True(time.Since(now) <= time.Second)
 				is.Equal(all["c"].List.Check(now, fp).Refused, tt.want)
 			})
@@ -120,8 +120,11 @@
 		fp := quarantine.Fingerprint{1}
 		lifted := quarantine.Fingerprint{2}
 		for _, send := range []string{"s1", "s2"} {
-			all["a"].List.Sight(time.Now(), fp, "registry", "lookup", send)
-			all["b"].List.Sight(time.Now(), lifted, "registry", "lookup", send)
+			o := quarantine.Origin{Service: "registry", Class: "lookup", Send: send, Began: time.Now()}
+			time.Sleep(time.Millisecond)
+			all["a"].List.Sight(time.Now(), fp, o)
+			all["b"].List.Sight(time.Now(), lifted, o)
+			time.Sleep(time.Millisecond)
 		}
 		time.Sleep(time.Second)
 		all["a"].List.Lift(time.Now(), lifted)
--- a/internal/standin/pipe/doc.go
+++ b/internal/standin/pipe/doc.go
@@ -1,8 +1,9 @@
 // Package pipe is a network in memory for tests with a paused clock, where
 // loopback sockets can't be used.
 //
-// A [Network] joins listeners and dialers by address. Its connections are
-// those of net.Pipe: they have deadlines and no buffer.
+// A [Network] joins listeners and dialers by address. Its connections have
+// deadlines and no buffer, as those of net.Pipe, and can be closed for each
+// direction by itself.
 //
 // # Usage
 //
--- a/internal/standin/pipe/network.go
+++ b/internal/standin/pipe/network.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"time"
 
 	"github.com/rotisserie/eris"
 )
@@ -17,6 +18,13 @@
 		listeners map[netip.AddrPort]*listener
 	}
 
+	// duplex is a connection of two pipes, one for each direction, so that
+	// each can be closed by itself.
+	duplex struct {
+		r, w  net.Conn
+		local net.Addr
+	}
+
 	listener struct {
 		addr   netip.AddrPort
 		conns  chan net.Conn
@@ -54,7 +62,7 @@
 	if l == nil {
 		return nil, eris.Errorf("dial %s: connection refused", addr)
 	}
-	near, far := net.Pipe()
+	near, far := join(addr)
 	select {
 	case l.conns <- far:
 		return near, nil
@@ -86,3 +94,43 @@
 
 // Addr returns the address that was listened on.
 func (l *listener) Addr() net.Addr { return net.TCPAddrFromAddrPort(l.addr) }
+
+func join(addr netip.AddrPort) (near, far *duplex) {
+	at := net.TCPAddrFromAddrPort(addr)
+	there, here := net.Pipe()
+	back, forth := net.Pipe()
+	return &duplex{r: back, w: there, local: at}, &duplex{r: here, w: forth, local: at}
+}
+
+// Read reads from the other side.
+func (d *duplex) Read(p []byte) (int, error) { return d.r.Read(p) }
+
+// Write writes to the other side.
+func (d *duplex) Write(p []byte) (int, error) { return d.w.Write(p) }
+
+// CloseWrite lets the other side read to an end.
+func (d *duplex) CloseWrite() error { return d.w.Close() }
+
+// Close closes both directions.
+func (d *duplex) Close() error {
+	_ = d.w.Close()
+	return d.r.Close()
+}
+
+// LocalAddr returns the address that was dialled.
+func (d *duplex) LocalAddr() net.Addr { return d.local }
+
+// RemoteAddr returns the address that was dialled.
+func (d *duplex) RemoteAddr() net.Addr { return d.local }
+
+// SetDeadline sets both deadlines.
+func (d *duplex) SetDeadline(t time.Time) error {
+	_ = d.r.SetReadDeadline(t)
+	return d.w.SetWriteDeadline(t)
+}
+
+// SetReadDeadline sets the deadline of reads.
+func (d *duplex) SetReadDeadline(t time.Time) error { return d.r.SetReadDeadline(t) }
+
+// SetWriteDeadline sets the deadline of writes.
+func (d *duplex) SetWriteDeadline(t time.Time) error { return d.w.SetWriteDeadline(t) }
