entry: tests of what counts as a crash

The stand-in ends the request before it closes everything. The capacity measures follow the new form of quarantine.List.Sight.

What a comparison of sightings costs in bytes has not been measured again since sightings also say when the send was begun.

--- a/internal/capacity/news.go
+++ b/internal/capacity/news.go
@@ -109,7 +109,7 @@
 	for i := range n {
 		var fp quarantine.Fingerprint
 		binary.BigEndian.PutUint32(fp[:], uint32(i))
-		l.Sight(now, fp, "registry", "issue", "entry-3-1796000000-"+strconv.Itoa(i))
+		l.Sight(now, fp, quarantine.Origin{Service: "registry", Class: "issue", Send: "entry-3-1796000000-" + strconv.Itoa(i), Began: now})
 	}
 	return l
 }
--- a/internal/quarantine/list.go
+++ b/internal/quarantine/list.go
@@ -218,12 +218,12 @@
 	}
 }
 
-// quarantined tells whether a send broke that was begun after another had
+// quarantined tells whether a send broke that was begun once another had
 // broken. Sends that were under way together count as one: they may have met
 // the same stop of several servers.
 func (s *state) quarantined() bool {
 	for i := range s.sightings {
-		if s.sightings[i].Began.After(s.earliest()) {
+		if !s.sightings[i].Began.Before(s.earliest()) {
 			return true
 		}
 	}
--- a/internal/standin/backend/server.go
+++ b/internal/standin/backend/server.go
@@ -33,6 +33,8 @@
 	// Stuck stops in the middle of the announced body and keeps the
 	// connection open.
 	Stuck
+	// Nothing ends the connection without an answer.
+	Nothing
 )
 
 type (
@@ -244,11 +246,12 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	defer s.end()
 	if faults.Crash != nil && faults.Crash(r) {
+		s.end()
 		s.crash()
 		panic(http.ErrAbortHandler)
 	}
+	defer s.end()
 	body, err := io.Copy(io.Discard, r.Body)
 	if err != nil {
 		panic(http.ErrAbortHandler)
