--- a/internal/admission/steered/admitter.go
+++ b/internal/admission/steered/admitter.go
@@ -104,22 +104,22 @@
 	return a.Link(region)
 }
 
-// pass admits what the request sends over a link: an upload as a paced body, a
-// smaller one at once. A body without an announced size counts as the largest
-// that its class takes.
+// pass admits what the request sends over a link: an upload, or a body that is
+// too large to go at once, as a paced body, others at once. A body without an
+// announced size counts as the largest that its class takes.
 func pass(now time.Time, req *admission.Request, budget *link.Budget) (*link.Body, *admission.RefusedError) {
-	if req.Class.Kind == service.Upload {
-		size := req.Body
-		if size < 0 {
-			size = req.Class.BodyLimit
-		}
-		body, after := budget.Admit(size, req.Deadline.Sub(now))
+	size := req.Body
+	if size < 0 {
+		size = req.Class.BodyLimit
+	}
+	if req.Class.Kind == service.Upload || size+smallRequest > budget.Small() {
+		body, after := budget.Admit(size+smallRequest, req.Deadline.Sub(now))
 		if body == nil {
 			return nil, &admission.RefusedError{Code: result.LinkFull, RetryAfter: after}
 		}
 		return body, nil
 	}
-	if !budget.Pass(now, max(req.Body, 0)+smallRequest) {
+	if !budget.Pass(now, size+smallRequest) {
 		return nil, &admission.RefusedError{Code: result.LinkFull, RetryAfter: time.Second}
 	}
 	return nil, nil
--- a/internal/admission/steered/admitter_test.go
+++ b/internal/admission/steered/admitter_test.go
@@ -68,6 +68,7 @@
 		"all capped: the first's reason": {class: read, capped: []id.Region{"a", "b"}, rate: unit.MiB, code: result.ShiftCapped, released: 2},
 		"upload over the link is paced":  {class: upload, body: unit.MiB, capped: []id.Region{"a"}, rate: unit.MiB, want: "far", released: 1, paced: true},
 		"upload too large for the link":  {class: upload, body: unit.GiB, capped: []id.Region{"a"}, rate: unit.MiB, code: result.ShiftCapped, released: 2},
+		"large body of a write is paced": {class: &service.Class{Kind: service.Write}, body: 256 * unit.KiB, capped: []id.Region{"a"}, rate: unit.MiB, want: "far", released: 1, paced: true},
 		"unannounced counts as largest":  {class: upload, body: -1, capped: []id.Region{"a"}, rate: unit.MiB, code: result.ShiftCapped, released: 2},
 		"no link budget at all":          {class: read, capped: []id.Region{"a"}, code: result.ShiftCapped, released: 2},
 	}
--- a/internal/capacity/membership.go
+++ b/internal/capacity/membership.go
@@ -9,6 +9,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/shallotpier/shallotpier/internal/config"
 	"github.com/shallotpier/shallotpier/internal/membership"
 	"github.com/shallotpier/shallotpier/pkg/id"
 	"github.com/shallotpier/shallotpier/pkg/unit"
@@ -28,7 +29,7 @@
 		{
 			Role: "membership", Quantity: "beat B", Size: "peers heard", Sizes: peers, Target: zonePeers,
 			Run: func(n int) (float64, error) {
-				data, err := json.Marshal(heardTable("a", n).Beat(time.Now(), 1, membership.Own{Version: 4_380_000}))
+				data, err := json.Marshal(heardTable("a", n).Beat(time.Now(), 1, membership.Own{Config: config.Ref{Version: 4_380_000}}))
 				return float64(len(data)), err
 			},
 		},
@@ -95,7 +96,7 @@
 	}
 	h := &membership.Heartbeat{
 		Table: heardTable("b", n), Incarnation: 1, Log: slog.New(slog.DiscardHandler),
-		Own: func() membership.Own { return membership.Own{Version: 4_380_000} },
+		Own: func() membership.Own { return membership.Own{Config: config.Ref{Version: 4_380_000}} },
 	}
 	h.Register(p.b)
 	return p, heardTable("a", n), nil
@@ -107,7 +108,7 @@
 	defer cancel()
 	var answer membership.Beat
 	sent := time.Now()
-	if err := p.a.Call(ctx, "b", membership.Method, a.Beat(sent, 1, membership.Own{Version: 4_380_000}), &answer); err != nil {
+	if err := p.a.Call(ctx, "b", membership.Method, a.Beat(sent, 1, membership.Own{Config: config.Ref{Version: 4_380_000}}), &answer); err != nil {
 		return eris.Wrap(err, "beat")
 	}
 	if err := answer.Check(); err != nil {
@@ -127,7 +128,7 @@
 	for i := range n {
 		b := membership.Beat{
 			Instance: id.Instance("entry-" + strconv.Itoa(i)), Incarnation: id.Incarnation(1_796_000_000_000_000_000 + i),
-			Own:   membership.Own{Version: 4_380_000},
+			Own:   membership.Own{Config: config.Ref{Version: 4_380_000}},
 			Heard: []membership.Heard{{Instance: self, Incarnation: 1, Age: unit.Duration(beatAge)}},
 		}
 		t.Take(now, &b, true, 0)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -14,19 +14,26 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/rotisserie/eris"
 
+	"github.com/shallotpier/shallotpier/internal/admission"
 	"github.com/shallotpier/shallotpier/internal/admission/local"
 	"github.com/shallotpier/shallotpier/internal/backend"
+	"github.com/shallotpier/shallotpier/internal/config"
 	"github.com/shallotpier/shallotpier/internal/entry"
 	"github.com/shallotpier/shallotpier/internal/httpserver"
+	"github.com/shallotpier/shallotpier/internal/instances"
 	"github.com/shallotpier/shallotpier/internal/leaving"
+	"github.com/shallotpier/shallotpier/internal/loads"
 	"github.com/shallotpier/shallotpier/internal/lookup"
+	"github.com/shallotpier/shallotpier/internal/membership"
 	"github.com/shallotpier/shallotpier/internal/notices"
 	"github.com/shallotpier/shallotpier/internal/once"
 	"github.com/shallotpier/shallotpier/internal/operator"
 	"github.com/shallotpier/shallotpier/internal/peer"
 	"github.com/shallotpier/shallotpier/internal/peer/rpc"
 	"github.com/shallotpier/shallotpier/internal/quarantine"
+	"github.com/shallotpier/shallotpier/internal/routing"
 	"github.com/shallotpier/shallotpier/internal/settings"
+	"github.com/shallotpier/shallotpier/internal/sightings"
 	"github.com/shallotpier/shallotpier/internal/store"
 	"github.com/shallotpier/shallotpier/internal/store/httpstore"
 	"github.com/shallotpier/shallotpier/internal/store/observed"
@@ -48,6 +55,9 @@
 	Log *slog.Logger
 	// Store is the platform's store; nil is the one of the settings.
 	Store store.Store
+	// Instances is the platform's list of instances; nil is the one of the
+	// settings.
+	Instances instances.Lister
 	// DialPeer connects to another entry; nil is TCP.
 	DialPeer func(ctx context.Context, to id.Instance) (net.Conn, error)
 	// DialBackend connects to a backend server; nil is TCP.
@@ -65,6 +75,15 @@
 	board       notices.Board
 	exchange    *notices.Exchange
 	quarantine  quarantine.List
+	config      *config.Keeper
+	sightings   *sightings.Exchange
+	members     membership.Table
+	heartbeat   *membership.Heartbeat
+	loads       loads.Board
+	steering    *routing.Router
+	limits      limits
+	budgets     budgets
+	admitter    admission.Admitter
 	handler     *entry.Handler
 	callers     *httpserver.Server
 	operators   *httpserver.Server
@@ -97,8 +116,10 @@
 	defer d.node.Close()
 	defer peers.Close()
 	go func() { _ = d.node.Serve(ctx, peers) }()
-	go func() { _ = d.exchange.Run(ctx) }()
-	go d.watchConfig(ctx)
+	for _, run := range []func(context.Context) error{d.exchange.Run, d.sightings.Run, d.heartbeat.Run, d.config.Run} {
+		go func() { _ = run(ctx) }()
+	}
+	go d.steer(ctx)
 	if err := d.operators.Start(); err != nil {
 		return err
 	}
@@ -123,6 +144,7 @@
 		d.Log.Info("leaving", "instance", d.Settings.Instance)
 	}
 	d.stop.Begin(time.Now())
+	go d.rebuildLookups()
 }
 
 // Kill ends Run at once and cuts what runs.
@@ -184,18 +206,37 @@
 	}
 	d.store = &observed.Store{Store: base}
 	d.node = &rpc.Node{Self: peer.Sender{Instance: d.Settings.Instance, Incarnation: d.incarnation}, Dial: d.dialPeer}
-	d.node.Register(methodSighting, d.handleSighting)
 	d.exchange = &notices.Exchange{
 		Self: d.Settings.Instance, Board: &d.board, Peers: d.node, Others: d.others, Store: d.store,
 		Rand: mathrand(d.incarnation), Changed: d.noticed, Log: d.Log,
 	}
 	d.exchange.Register(d.node)
 	d.quarantine.Instance = d.Settings.Instance
+	d.sightings = &sightings.Exchange{List: &d.quarantine, Peers: d.node, Others: d.others, Rand: mathrand(d.incarnation + 1)}
+	d.sightings.Register(d.node)
+	d.config = &config.Keeper{Store: d.store, Caller: d.node, Peers: d.others, Log: d.Log}
+	d.config.OnChange(d.apply)
+	d.node.Register(config.FetchMethod, d.config.HandleFetch)
+	d.prepareMembers()
 	d.prepareSlots()
 	d.rebuildLookups()
 	return d.prepareListeners()
 }
 
+// prepareMembers builds the heartbeats.
+func (d *Daemon) prepareMembers() {
+	d.members.Self = d.Settings.Instance
+	list := d.Instances
+	if list == nil {
+		list = &instances.Client{Base: "http://" + d.Settings.Platform.Store.String()}
+	}
+	d.heartbeat = &membership.Heartbeat{
+		Table: &d.members, Incarnation: d.incarnation, Peers: d.node, Entries: d.others(), Own: d.own,
+		Instances: list, Took: d.took, Changed: d.rebuildLookups, Rand: mathrand(d.incarnation + 2), Log: d.Log,
+	}
+	d.heartbeat.Register(d.node)
+}
+
 func (d *Daemon) prepareListeners() error {
 	key := make([]byte, keySize)
 	if _, err := rand.Read(key); err != nil {
@@ -203,11 +244,11 @@
 	}
 	d.handler = &entry.Handler{
 		Instance: d.Settings.Instance, Incarnation: d.incarnation, Started: d.started,
-		Table: d.table, Leaving: d.closed, Admitter: &d.slots,
+		Table: d.table, Leaving: d.closed, Admitter: d.admitter, Budget: &d.budgets,
 		Backend: &backend.Client{Dial: d.DialBackend, Entries: len(d.Settings.World.Entries)},
 		Lookup:  &d.lookups,
 		Once:    &once.Registry{Instance: d.Settings.Instance, Incarnation: d.incarnation, Key: key},
-		Entry:   d.callerAddress, Quarantine: &d.quarantine, Spread: spreader{d},
+		Entry:   d.callerAddress, Quarantine: &d.quarantine, Spread: d.sightings,
 		Log: d.Log, Metrics: d.metrics,
 	}
 	limits := &d.Settings.Limits
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -136,7 +136,7 @@
 	s.publish(t)
 	for i := range s.entries {
 		await(t, func() bool {
-			status, _, _ := get(t, s.url(i, "/v1/lookup/registry"))
+			status, _, _ := get(t, s.url(i, "/s/registry/findings/8"))
 			return status == http.StatusOK
 		})
 		status, header, _ := get(t, s.url(i, "/s/registry/findings/8"))
--- a/internal/daemon/lookups.go
+++ b/internal/daemon/lookups.go
@@ -34,17 +34,3 @@
 	}
 	return out, t.Validity()
 }
-
-// rebuildLookups makes a new table from what is known of the entries.
-func (d *Daemon) rebuildLookups() {
-	states := map[id.Instance]lookup.State{}
-	for _, e := range d.Settings.World.Entries {
-		states[e.Name] = lookup.Live
-	}
-	t, err := lookup.Near(d.Settings.World, d.Settings.Region, states).Build()
-	if err != nil {
-		d.Log.Error("look-up table", "error", err)
-		return
-	}
-	d.lookups.table.Store(t)
-}
--- /dev/null
+++ b/internal/daemon/members.go
@@ -0,0 +1,145 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"github.com/shallotpier/shallotpier/internal/admission/pool"
+	"github.com/shallotpier/shallotpier/internal/leaving"
+	"github.com/shallotpier/shallotpier/internal/loads"
+	"github.com/shallotpier/shallotpier/internal/lookup"
+	"github.com/shallotpier/shallotpier/internal/measured"
+	"github.com/shallotpier/shallotpier/internal/membership"
+	"github.com/shallotpier/shallotpier/pkg/id"
+	"github.com/shallotpier/shallotpier/pkg/service"
+)
+
+const stepTime = time.Second
+
+// own is what this entry says of itself in its heartbeats.
+func (d *Daemon) own() membership.Own {
+	own := membership.Own{Leaving: d.phase(1) != leaving.Serving, Starting: d.starting()}
+	t := d.table()
+	if t == nil {
+		return own
+	}
+	own.Config = d.config.Current().Ref()
+	for _, f := range t.Services {
+		own.Uses = append(own.Uses, d.uses(f)...)
+	}
+	return own
+}
+
+// uses returns the slots that this entry uses of a service, by region.
+func (d *Daemon) uses(f *service.File) []loads.Use {
+	sums := map[id.Region]int{}
+	for i := range f.Servers {
+		region, _ := d.Settings.World.Region(f.Servers[i].Zone)
+		sums[region] += d.used(f.Service, f.Servers[i].Name)
+	}
+	var out []loads.Use
+	for region, n := range sums {
+		if n > 0 {
+			out = append(out, loads.Use{Service: f.Service, Region: region, Slots: n})
+		}
+	}
+	return out
+}
+
+// used returns the slots of a server that this entry has in use.
+func (d *Daemon) used(of id.Service, server id.Server) int {
+	g := d.slots.Pool.Gate(pool.Key{Service: of, Server: server})
+	if g == nil {
+		return 0
+	}
+	_, used := g.Load()
+	return used
+}
+
+// took takes in what a heartbeat says of loads and of the configuration.
+func (d *Daemon) took(b *membership.Beat) {
+	d.config.Heard(b.Instance, b.Config)
+	d.loads.Take(b.Instance, time.Now(), b.Uses)
+}
+
+// rebuildLookups makes a new look-up table from what is known of the entries.
+func (d *Daemon) rebuildLookups() {
+	now := time.Now()
+	states := map[id.Instance]lookup.State{}
+	for _, e := range d.Settings.World.Entries {
+		if e.Name == d.Settings.Instance {
+			states[e.Name] = d.ownState()
+			continue
+		}
+		m := d.members.Member(e.Name, now)
+		states[e.Name] = m.Lookup()
+	}
+	t, err := lookup.Near(d.Settings.World, d.Settings.Region, states).Build()
+	if err != nil {
+		d.Log.Error("lookupTable", "error", err)
+		return
+	}
+	d.lookups.table.Store(t)
+}
+
+func (d *Daemon) ownState() lookup.State {
+	switch {
+	case d.phase(1) != leaving.Serving:
+		return lookup.Leaving
+	case d.starting():
+		return lookup.Doubtful
+	default:
+		return lookup.Live
+	}
+}
+
+// starting tells whether the entry can't take its part of the load yet.
+func (d *Daemon) starting() bool {
+	return d.table() == nil || time.Now().Before(d.limits.readyAt())
+}
+
+// steer moves the steering on until ctx ends.
+func (d *Daemon) steer(ctx context.Context) {
+	tick := time.NewTicker(stepTime)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+			now := time.Now()
+			d.loads.Take(d.Settings.Instance, now, d.own().Uses)
+			d.steering.Step(now, d.regionLoads)
+			d.rebuildLookups()
+		}
+	}
+}
+
+// regionLoads returns the load of each region of a service.
+func (d *Daemon) regionLoads(f *service.File) map[id.Region]measured.Value[float64] {
+	alive := d.alive()
+	slots := map[id.Region]int{}
+	for i := range f.Servers {
+		if s := &f.Servers[i]; !s.Leaving {
+			region, _ := d.Settings.World.Region(s.Zone)
+			slots[region] += s.Slots
+		}
+	}
+	out := map[id.Region]measured.Value[float64]{}
+	for _, r := range f.Regions {
+		out[r.Name] = d.loads.Region(f.Service, r.Name, slots[r.Name], alive)
+	}
+	return out
+}
+
+// alive returns the entries that are heard, this one included.
+func (d *Daemon) alive() []id.Instance {
+	now := time.Now()
+	out := []id.Instance{d.Settings.Instance}
+	for _, name := range d.others() {
+		if m := d.members.Member(name, now); m.Heard {
+			out = append(out, name)
+		}
+	}
+	return out
+}
--- a/internal/daemon/slots.go
+++ b/internal/daemon/slots.go
@@ -1,15 +1,13 @@
 package daemon
 
 import (
-	"cmp"
-	"slices"
-
-	"github.com/shallotpier/shallotpier/internal/admission"
+	"github.com/shallotpier/shallotpier/internal/admission/steered"
 	"github.com/shallotpier/shallotpier/internal/notices"
+	"github.com/shallotpier/shallotpier/internal/routing"
 	"github.com/shallotpier/shallotpier/pkg/id"
-	"github.com/shallotpier/shallotpier/pkg/service"
 )
 
+// prepareSlots builds what permits requests.
 func (d *Daemon) prepareSlots() {
 	entries := d.Settings.World.Entries
 	d.slots.Entries = len(entries)
@@ -18,37 +16,15 @@
 			d.slots.Index = i
 		}
 	}
-	d.slots.Pool.Order = d.order
-	d.slots.Pool.MaxWaiting = maxWaiting
-}
-
-// order returns the servers that may run the request, nearest first.
-func (d *Daemon) order(req *admission.Request) []*service.Server {
-	v := d.view.Load()
-	if v == nil {
-		return nil
-	}
-	return v.order[req.Service.Service]
-}
-
-// nearest returns the servers of a service in allowed regions by delay.
-func (d *Daemon) nearest(f *service.File) []*service.Server {
-	allowed := map[id.Region]bool{}
-	for _, r := range f.Regions {
-		allowed[r.Name] = true
-	}
 	world := d.Settings.World
-	var out []*service.Server
-	for i := range f.Servers {
-		s := &f.Servers[i]
-		if region, ok := world.Region(s.Zone); ok && allowed[region] {
-			out = append(out, s)
-		}
+	d.steering = &routing.Router{World: world, Zone: d.Settings.Zone, Inner: &d.slots}
+	d.slots.Pool.Order = d.steering.Order
+	d.slots.Pool.MaxWaiting = maxWaiting
+	d.limits = limits{world: world, region: d.Settings.Region, started: d.started}
+	d.limits.prepare(d.started)
+	d.admitter = &steered.Admitter{
+		Inner: d.steering, Self: d.Settings.Region, Region: world.Region, Cap: d.limits.Cap, Link: d.limits.Link,
 	}
-	slices.SortStableFunc(out, func(a, b *service.Server) int {
-		return cmp.Compare(world.Delay(d.Settings.Zone, a.Zone), world.Delay(d.Settings.Zone, b.Zone))
-	})
-	return out
 }
 
 func noticeKey(service id.Service, server id.Server) notices.Key {
--- a/internal/daemon/source.go
+++ b/internal/daemon/source.go
@@ -10,7 +10,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/shallotpier/shallotpier/internal/admission"
-	"github.com/shallotpier/shallotpier/internal/admission/pool"
+	"github.com/shallotpier/shallotpier/internal/health"
 	"github.com/shallotpier/shallotpier/internal/leaving"
 	"github.com/shallotpier/shallotpier/internal/operator"
 	"github.com/shallotpier/shallotpier/internal/quarantine"
@@ -32,6 +32,8 @@
 		return eris.New("no configuration yet")
 	case s.phase(1) != leaving.Serving:
 		return eris.New("leaving")
+	case s.starting():
+		return eris.New("what an earlier process of the instance sent may still count against the caps on shifts")
 	}
 	return nil
 }
@@ -71,10 +73,26 @@
 }
 
 func (s *source) instanceStatus() []operator.InstanceStatus {
-	var out []operator.InstanceStatus
+	var (
+		out     []operator.InstanceStatus
+		version id.Version
+		now     = time.Now()
+	)
+	if t := s.table(); t != nil {
+		version = t.Version
+	}
 	for _, e := range s.Settings.World.Entries {
 		region, _ := s.Settings.World.Region(e.Zone)
-		out = append(out, operator.InstanceStatus{Name: e.Name, Zone: e.Zone, Region: region, State: "unknown", Seen: operator.Seen{State: "missing"}})
+		if e.Name == s.Settings.Instance {
+			out = append(out, operator.InstanceStatus{Name: e.Name, Zone: e.Zone, Region: region, State: s.ownState().String(), Version: version, Seen: operator.Seen{State: "fresh"}})
+			continue
+		}
+		m := s.members.Member(e.Name, now)
+		seen := operator.Seen{State: "fresh", Age: unit.Duration(m.Silence)}
+		if !m.Heard {
+			seen.State = "stale"
+		}
+		out = append(out, operator.InstanceStatus{Name: e.Name, Zone: e.Zone, Region: region, State: m.Lookup().String(), Version: m.Own.Config.Version, Seen: seen})
 	}
 	return out
 }
@@ -91,10 +109,7 @@
 	for i := range f.Servers {
 		b := &f.Servers[i]
 		used := s.used(f.Service, b.Name)
-		state := "taking"
-		if b.Leaving {
-			state = "leaving"
-		}
+		state := s.serverState(f, b)
 		out.Servers = append(out.Servers, operator.ServerStatus{Name: b.Name, Zone: b.Zone, State: state, Slots: b.Slots, Used: used, Seen: operator.Seen{State: "missing"}})
 		region, _ := s.Settings.World.Region(b.Zone)
 		if h := regions[region]; h != nil {
@@ -107,14 +122,22 @@
 	return out
 }
 
-// used returns the slots of a server that this entry has in use.
-func (s *source) used(name id.Service, server id.Server) int {
-	g := s.slots.Pool.Gate(pool.Key{Service: name, Server: server})
-	if g == nil {
-		return 0
+// serverState says whether a server takes new work.
+func (s *source) serverState(f *service.File, b *service.Server) string {
+	if b.Leaving {
+		return "leaving"
+	}
+	verdict, level := s.steering.Verdict(f.Service, b.Name, time.Now())
+	switch {
+	case verdict == health.No:
+		return "out"
+	case verdict == health.Trial:
+		return "onTrial"
+	case level < 1:
+		return "startingSlowly"
+	default:
+		return "taking"
 	}
-	_, used := g.Load()
-	return used
 }
 
 // Explain implements operator.Source.
@@ -138,11 +161,8 @@
 	for _, e := range entries {
 		out.Entries = append(out.Entries, operator.Choice{Name: string(e.Instance), Weight: float64(e.Weight), Why: "look-up table"})
 	}
-	for _, b := range s.order(&admission.Request{Service: f, Class: class, Caller: q.Caller}) {
+	for _, b := range s.steering.Order(&admission.Request{Service: f, Class: class, Caller: q.Caller}) {
 		why := "one-way delay " + s.Settings.World.Delay(s.Settings.Zone, b.Zone).String()
-		if b.Leaving {
-			why = "leaving"
-		}
 		out.Servers = append(out.Servers, operator.Choice{Name: string(b.Name), Zone: b.Zone, Why: why})
 	}
 	return out, nil
@@ -226,7 +246,7 @@
 	if err := mark.UnmarshalText([]byte(name)); err != nil {
 		return operator.Errorf(result.BadCommand, "%v", err)
 	}
-	spreader{s.Daemon}.Spread(ctx, s.quarantine.Lift(time.Now(), mark))
+	s.sightings.Spread(ctx, s.quarantine.Lift(time.Now(), mark))
 	return nil
 }
 
--- a/internal/daemon/view.go
+++ b/internal/daemon/view.go
@@ -1,68 +1,40 @@
 package daemon
 
 import (
-	"context"
-	"errors"
 	"time"
 
+	"github.com/shallotpier/shallotpier/internal/config"
 	"github.com/shallotpier/shallotpier/internal/entry"
-	"github.com/shallotpier/shallotpier/internal/publish"
-	"github.com/shallotpier/shallotpier/internal/store"
 	"github.com/shallotpier/shallotpier/pkg/id"
 	"github.com/shallotpier/shallotpier/pkg/service"
 )
 
-const (
-	spreadTime = 3 * time.Second
-	watchPause = 200 * time.Millisecond
-)
+// spreadTime is the longest time until all entries know what one tells them.
+const spreadTime = 3 * time.Second
 
 // view is what requests read. It is immutable.
 type view struct {
 	// table is the configuration in force.
 	table entry.Table
-	// order holds each service's servers, nearest first.
-	order map[id.Service][]*service.Server
 }
 
-// table returns the configuration in force, nil if there is none yet.
+// table returns the configuration in force, nil if there is none yet that may
+// be served.
 func (d *Daemon) table() *entry.Table {
-	if v := d.view.Load(); v != nil {
+	if v := d.view.Load(); v != nil && d.config.Ready() {
 		return &v.table
 	}
 	return nil
 }
 
-// watchConfig puts each newer publication in force until ctx ends.
-func (d *Daemon) watchConfig(ctx context.Context) {
-	var seen store.Version
-	for ctx.Err() == nil {
-		o, err := d.store.Watch(ctx, publish.CurrentKey, seen)
-		if err != nil {
-			if !errors.Is(err, context.Canceled) {
-				time.Sleep(watchPause)
-			}
-			continue
-		}
-		seen = o.Version
-		p, err := publish.Decode(o)
-		if err != nil {
-			d.Log.Error("configuration", "error", err)
-			continue
-		}
-		d.apply(p)
-	}
-}
-
-// apply puts a publication in force if it is newer than the one in force.
-func (d *Daemon) apply(p *publish.Publication) {
+// apply puts a configuration in force.
+func (d *Daemon) apply(t *config.Table) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if old := d.view.Load(); old != nil && old.table.Version >= p.Version {
+	if old := d.view.Load(); old != nil && old.table.Version >= t.Version() {
 		return
 	}
-	d.install(p.Version, p.Files)
-	d.Log.Info("configuration", "version", p.Version, "author", p.Author, "services", len(p.Files))
+	d.install(t.Version(), t.Publication.Files)
 }
 
 // noticed makes a new view after a notice.
@@ -83,16 +55,18 @@
 // install makes the view of a configuration, with the servers marked that
 // notices say are leaving.
 func (d *Daemon) install(version id.Version, files []service.File) {
-	v := &view{table: entry.Table{Version: version, Services: map[id.Service]*service.File{}}, order: map[id.Service][]*service.Server{}}
+	v := &view{table: entry.Table{Version: version, Services: map[id.Service]*service.File{}}}
 	var marked []*service.File
 	for i := range files {
 		f := d.mark(&files[i])
 		v.table.Services[f.Service] = f
-		v.order[f.Service] = d.nearest(f)
 		marked = append(marked, f)
 	}
-	d.view.Store(v)
+	now := time.Now()
 	d.slots.Configure(marked)
+	d.limits.configure(marked, now)
+	d.steering.Configure(marked, now)
+	d.view.Store(v)
 }
 
 // mark returns a copy of the file that takes the notices into account.
--- a/internal/membership/beat.go
+++ b/internal/membership/beat.go
@@ -5,6 +5,8 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/shallotpier/shallotpier/internal/config"
+	"github.com/shallotpier/shallotpier/internal/loads"
 	"github.com/shallotpier/shallotpier/pkg/id"
 	"github.com/shallotpier/shallotpier/pkg/unit"
 )
@@ -14,10 +16,14 @@
 type (
 	// Own is what an entry says of itself.
 	Own struct {
-		// Version is the configuration that it has in force, 0 for none.
-		Version id.Version `json:"version"`
+		// Config is the publication that it has in force, zero for none.
+		Config config.Ref `json:"config"`
 		// Leaving tells that it is about to stop.
 		Leaving bool `json:"leaving,omitempty"`
+		// Starting tells that it can't take its part of the load yet.
+		Starting bool `json:"starting,omitempty"`
+		// Uses lists the slots that it uses.
+		Uses []loads.Use `json:"uses,omitempty"`
 	}
 
 	// Beat is a heartbeat, and the answer to one.
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/shallotpier/shallotpier/internal/config"
 	"github.com/shallotpier/shallotpier/internal/instances"
 	"github.com/shallotpier/shallotpier/internal/lookup"
 	"github.com/shallotpier/shallotpier/internal/membership"
@@ -52,7 +53,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	p := &process{
 		node: f.network.Node(peer.Sender{Instance: name(i), Incarnation: incarnation}), end: cancel,
-		table: &membership.Table{Self: name(i)}, own: membership.Own{Version: 1},
+		table: &membership.Table{Self: name(i)}, own: membership.Own{Config: config.Ref{Version: 1}},
 	}
 	h := &membership.Heartbeat{
 		Table: p.table, Incarnation: incarnation, Peers: p.node, Own: func() membership.Own { return p.own },
@@ -107,12 +108,12 @@
 // The pauses are of one entry at a time, 1 s long, every 5 s.
 func TestNobodyIsLostByLossAndShortPauses(t *testing.T) {
 	bubble(t, func(is *is.I, _ context.Context, f *fleet) {
-		r := rand.New(rand.NewPCG(1, 1))
+		r, pick := rand.New(rand.NewPCG(1, 1)), rand.New(rand.NewPCG(1, 2))
 		f.network.SetHook(func(peers.Message) peers.Fate {
 			return peers.Fate{Lost: r.IntN(10) == 0, AnswerLost: r.IntN(10) == 0, Delay: 12 * time.Millisecond}
 		})
 		for begun := time.Now(); time.Since(begun) < 40*time.Second; {
-			i := r.IntN(entries)
+			i := pick.IntN(entries)
 			f.processes[i].node.Pause()
 			for range 20 {
 				time.Sleep(50 * time.Millisecond)
@@ -129,12 +130,12 @@
 
 func TestDeadEntryIsLostToAllWithin3Seconds(t *testing.T) {
 	bubble(t, func(is *is.I, ctx context.Context, f *fleet) {
-		r := rand.New(rand.NewPCG(2, 1))
+		r, wait := rand.New(rand.NewPCG(2, 1)), rand.New(rand.NewPCG(2, 2))
 		f.network.SetHook(func(peers.Message) peers.Fate {
 			return peers.Fate{Lost: r.IntN(5) == 0, Delay: 12 * time.Millisecond}
 		})
 		for round := range 4 {
-			time.Sleep(time.Duration(r.Int64N(int64(time.Second))))
+			time.Sleep(time.Duration(wait.Int64N(int64(time.Second))))
 			i := round % entries
 			f.processes[i].end()
 			f.network.Remove(name(i))
@@ -196,7 +197,7 @@
 func TestTableTake(t *testing.T) {
 	now := time.Date(2026, 12, 3, 22, 0, 0, 0, time.UTC)
 	beat := func(i id.Incarnation, version id.Version) *membership.Beat {
-		return &membership.Beat{Instance: "entry-2", Incarnation: i, Own: membership.Own{Version: version}}
+		return &membership.Beat{Instance: "entry-2", Incarnation: i, Own: membership.Own{Config: config.Ref{Version: version}}}
 	}
 	tests := map[string]struct {
 		give    []*membership.Beat
@@ -209,6 +210,7 @@
 		"never heard":                {after: 3 * time.Second, want: lookup.Down},
 		"heard":                      {give: []*membership.Beat{beat(1, 4)}, version: 4, want: lookup.Live},
 		"without a configuration":    {give: []*membership.Beat{beat(1, 0)}, want: lookup.Doubtful},
+		"starting":                   {give: []*membership.Beat{{Instance: "entry-2", Incarnation: 1, Own: membership.Own{Config: config.Ref{Version: 4}, Starting: true}}}, version: 4, want: lookup.Doubtful},
 		"replaced":                   {give: []*membership.Beat{beat(1, 4), beat(2, 5)}, version: 5, want: lookup.Live},
 		"old process speaks late":    {give: []*membership.Beat{beat(2, 5), beat(1, 4)}, version: 5, want: lookup.Live},
 		"silent":                     {give: []*membership.Beat{beat(1, 4)}, after: 2500 * time.Millisecond, version: 4, want: lookup.Down},
@@ -229,7 +231,7 @@
 			}
 			m := table.Member("entry-2", now.Add(tt.after))
 			is.Equal(m.Lookup(), tt.want)
-			is.Equal(m.Own.Version, tt.version)
+			is.Equal(m.Own.Config.Version, tt.version)
 		})
 	}
 }
@@ -239,7 +241,7 @@
 	now := time.Date(2026, 12, 3, 22, 0, 0, 0, time.UTC)
 	table := membership.Table{Self: "entry-1"}
 	table.Tick(now)
-	table.Take(now, &membership.Beat{Instance: "entry-2", Incarnation: 1, Own: membership.Own{Version: 1}}, false, 0)
+	table.Take(now, &membership.Beat{Instance: "entry-2", Incarnation: 1, Own: membership.Own{Config: config.Ref{Version: 1}}}, false, 0)
 	now = now.Add(time.Hour) // the process did not run
 	table.Tick(now)
 	m := table.Member("entry-2", now)
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -174,7 +174,7 @@
 		return lookup.Down
 	case m.Own.Leaving, m.Listed == instances.Leaving:
 		return lookup.Leaving
-	case !m.Heard, m.Own.Version == 0, m.Listed == instances.Gone:
+	case !m.Heard, m.Own.Starting, m.Own.Config.Version == 0, m.Listed == instances.Gone:
 		return lookup.Doubtful
 	default:
 		return lookup.Live
--- a/internal/trial/trial.go
+++ b/internal/trial/trial.go
@@ -108,6 +108,9 @@
 	if err := r.publish(ctx, 0); err != nil {
 		return err
 	}
+	if !r.ready(ctx) {
+		return eris.Wrap(ctx.Err(), "wait for ready entries")
+	}
 	r.start = time.Now()
 	r.callers.start = r.start
 	r.progress("load begins: look-ups, reads, once-only writes, uploads")
@@ -219,6 +222,22 @@
 	return true
 }
 
+// ready waits until every entry is ready.
+func (r *run) ready(ctx context.Context) bool {
+	for _, m := range r.system.entries {
+		for {
+			status, err := m.operate().Status(ctx)
+			if err == nil && status.Ready {
+				break
+			}
+			if !pause(ctx, pollTime) {
+				return false
+			}
+		}
+	}
+	return true
+}
+
 func (r *run) republish(ctx context.Context) error {
 	if !r.until(ctx, publishAt) {
 		return ctx.Err()
