probe, daemon: ask backend servers for health and load

Cause: servers without traffic had no word at all and stayed on trial; the scenario of a drain and undrain waited in vain for a server that takes work. Change: probe.Prober asks /health and /load of each server about every 10 s, with jitter, and gives both with the time of the ask to the router. Figures: table test of four servers (well, claims to be ill, draining, gone).

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -120,6 +120,7 @@
 		go func() { _ = run(ctx) }()
 	}
 	go d.steer(ctx)
+	go func() { _ = d.prober().Run(ctx) }()
 	if err := d.operators.Start(); err != nil {
 		return err
 	}
--- a/internal/daemon/slots.go
+++ b/internal/daemon/slots.go
@@ -3,8 +3,10 @@
 import (
 	"github.com/shallotpier/shallotpier/internal/admission/steered"
 	"github.com/shallotpier/shallotpier/internal/notices"
+	"github.com/shallotpier/shallotpier/internal/probe"
 	"github.com/shallotpier/shallotpier/internal/routing"
 	"github.com/shallotpier/shallotpier/pkg/id"
+	"github.com/shallotpier/shallotpier/pkg/service"
 )
 
 // prepareSlots builds what permits requests.
@@ -27,6 +29,27 @@
 	}
 }
 
+// prober returns what asks the backend servers for their health and load.
+func (d *Daemon) prober() *probe.Prober {
+	return &probe.Prober{
+		Services: d.files, Dial: d.DialBackend, Probed: d.steering.SetProbe, Reported: d.steering.SetReport,
+		Rand: mathrand(d.incarnation + 3),
+	}
+}
+
+// files returns the service files in force.
+func (d *Daemon) files() []*service.File {
+	v := d.view.Load()
+	if v == nil {
+		return nil
+	}
+	var out []*service.File
+	for _, f := range v.table.Services {
+		out = append(out, f)
+	}
+	return out
+}
+
 func noticeKey(service id.Service, server id.Server) notices.Key {
 	return notices.Key{Service: service, Server: server}
 }
--- /dev/null
+++ b/internal/probe/prober_test.go
@@ -0,0 +1,80 @@
+package probe_test
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/shallotpier/shallotpier/internal/health"
+	"github.com/shallotpier/shallotpier/internal/measured"
+	"github.com/shallotpier/shallotpier/internal/probe"
+	"github.com/shallotpier/shallotpier/internal/standin/backend"
+	"github.com/shallotpier/shallotpier/pkg/id"
+	"github.com/shallotpier/shallotpier/pkg/service"
+)
+
+type word struct {
+	probe  measured.Value[bool]
+	report measured.Value[health.Report]
+}
+
+// TestRun probes one server once.
+func TestRun(t *testing.T) {
+	tests := map[string]struct {
+		prepare  func(*backend.Server)
+		healthy  bool
+		refuses  bool
+		reported measured.State
+	}{
+		"well":         {prepare: func(*backend.Server) {}, healthy: true, reported: measured.Fresh},
+		"claims to be": {prepare: func(s *backend.Server) { s.SetFaults(backend.Faults{Health: http.StatusInternalServerError}) }, reported: measured.Fresh},
+		"draining":     {prepare: func(s *backend.Server) { s.Drain() }, refuses: true, reported: measured.Fresh},
+		"gone":         {prepare: func(s *backend.Server) { s.Close() }},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := &backend.Server{Name: "b-1", Slots: 2, Connections: 10}
+			address, err := s.Listen("127.0.0.1:0")
+			is.NoErr(err)
+			defer s.Close()
+			tt.prepare(s)
+			got := once(t, address)
+			healthy, state := got.probe.Read(time.Now(), time.Minute)
+			is.Equal(state, measured.Fresh)
+			is.Equal(healthy, tt.healthy)
+			report, state := got.report.Read(time.Now(), time.Minute)
+			is.Equal(state, tt.reported)
+			is.Equal(report.Refuses, tt.refuses)
+			if state == measured.Fresh {
+				is.Equal(report.Slots, 2)
+			}
+		})
+	}
+}
+
+func once(t *testing.T, address netip.AddrPort) word {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	var got word
+	file := &service.File{Service: "registry", Servers: []service.Server{{Name: "b-1", Address: address}}}
+	asked := 0
+	p := probe.Prober{
+		Services: func() []*service.File {
+			if asked++; asked > 1 {
+				cancel() // the first round is over
+			}
+			return []*service.File{file}
+		},
+		Probed:   func(_ id.Service, _ id.Server, v measured.Value[bool]) { got.probe = v },
+		Reported: func(_ id.Service, _ id.Server, v measured.Value[health.Report]) { got.report = v },
+		Rand:     rand.New(rand.NewPCG(1, 1)), Period: time.Hour,
+	}
+	_ = p.Run(ctx)
+	return got
+}
