--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -12,6 +12,9 @@
 const (
 	// Window is the time over which first sends and resends are counted.
 	Window = 10 * time.Second
+	// Least is the number of resends in a window that any share above 0
+	// allows, so that a service with few requests has resends at all.
+	Least = 5
 	// leastTime is the least time that must remain for a resend when nothing
 	// is known of how long answers take.
 	leastTime = 100 * time.Millisecond
@@ -78,7 +81,8 @@
 }
 
 // Take counts a resend if the resends of the window then are at most a share,
-// 0 to 1, of its first sends. A share out of that range allows none.
+// 0 to 1, of its first sends, or at most Least. A share of 0 or out of that
+// range allows none.
 func (b *Budget) Take(now time.Time, share float64) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -88,7 +92,7 @@
 		first += b.first[k]
 		again += b.again[k]
 	}
-	if !(share > 0 && share <= 1) || float64(again+1) > share*float64(first) {
+	if !(share > 0 && share <= 1) || float64(again+1) > max(share*float64(first), Least) {
 		return false
 	}
 	b.again[i]++
--- a/internal/retry/doc.go
+++ b/internal/retry/doc.go
@@ -4,7 +4,7 @@
 // not run, or it is of a kind that may run twice; there are sends left; and
 // enough of its deadline remains. A [Budget] bounds the resends of a service as
 // a share of its first sends over the last seconds, so that failing servers are
-// not met by a multiple of the load. Both must agree.
+// not met by a multiple of the load; a few resends are always allowed. Both must agree.
 //
 // # Usage
 //
--- a/scenarios/commands_test.go
+++ b/scenarios/commands_test.go
@@ -163,6 +163,18 @@
 	})
 }
 
+// silence lets all open connections of a service's backend servers go silent.
+func silence(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) != 1 {
+		ts.Fatalf("usage: silence service")
+	}
+	eachServer(ts, args[0], func(url string) {
+		if status, seen := exchange(ts, http.MethodPut, url+"/silence", "", nil); status != "204" {
+			ts.Fatalf("%s: status %s: %s", url, status, seen)
+		}
+	})
+}
+
 // sum adds up a count of what all backend servers of a service saw, and holds
 // it against a pattern.
 func sum(ts *testscript.TestScript, neg bool, args []string) {
