--- a/internal/capacity/carrying.go
+++ b/internal/capacity/carrying.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"io"
 	"log/slog"
 	"net"
@@ -11,11 +12,11 @@
 	"runtime"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/rotisserie/eris"
-
 	"github.com/shallotpier/shallotpier/internal/admission"
 	"github.com/shallotpier/shallotpier/internal/admission/local"
 	"github.com/shallotpier/shallotpier/internal/backend"
@@ -29,8 +30,8 @@
 )
 
 const (
-	requests     = 1000
-	warmRequests = 100
+	requests     = 3000
+	warmRequests = 300
 	loopbackZero = "127.0.0.1:0"
 	lookupPath   = entry.LookupPath + "service-0"
 	settleTime   = 20 * time.Millisecond
@@ -42,6 +43,7 @@
 func carrying() []Measure {
 	bodies := []int{0, 4 << 10, 16 << 10, 64 << 10, 256 << 10, 1 << 20}
 	entries := []int{1, 2, 4, 8, 16}
+	together := []int{1, 2, 4, 8, 16}
 	open := []int{100, 200, 400, 800, 1600}
 	return []Measure{
 		{
@@ -52,6 +54,14 @@
 			Role: "carrying", Quantity: "the same through an entry, processor us", Size: "B of body",
 			Sizes: bodies, Target: 64 << 10, Run: func(n int) (float64, error) { return putCost(n, true) },
 		},
+		{
+			Role: "carrying", Quantity: "GET straight to the stand-in, processor us", Size: "requests at the same time",
+			Sizes: together, Target: 16, Run: func(n int) (float64, error) { return getCost(n, false) },
+		},
+		{
+			Role: "carrying", Quantity: "the same GET through an entry, processor us", Size: "requests at the same time",
+			Sizes: together, Target: 16, Run: func(n int) (float64, error) { return getCost(n, true) },
+		},
 		{
 			Role: "carrying", Quantity: "heap B of open uploads, all three parties", Size: "open uploads",
 			Sizes: []int{25, 50, 100, 200, 400}, Target: 400, Run: uploadHeap,
@@ -187,6 +197,29 @@
 	return p.repeated(func() error { return p.send(http.MethodPut, url, strings.NewReader(body)) })
 }
 
+// getCost returns the processor time of one GET while n are under way.
+func getCost(n int, through bool) (float64, error) {
+	p, err := newPath(1)
+	if err != nil {
+		return 0, err
+	}
+	defer p.close()
+	url := p.backend + "/body"
+	if through {
+		url = p.entry + entry.ServicePath + "service-0/body"
+	}
+	cost, err := p.repeated(func() error {
+		errs := make([]error, n)
+		var all sync.WaitGroup
+		for i := range errs {
+			all.Go(func() { errs[i] = p.send(http.MethodGet, url, nil) })
+		}
+		all.Wait()
+		return errors.Join(errs...)
+	})
+	return cost / float64(n), err
+}
+
 func lookupCost(entries int, bare bool) (float64, error) {
 	p, err := newPath(entries)
 	if err != nil {
--- /dev/null
+++ b/internal/cli/slopes.go
@@ -0,0 +1,56 @@
+package cli
+
+import (
+	"context"
+	"io"
+	"strings"
+
+	urfave "github.com/urfave/cli/v3"
+
+	"github.com/shallotpier/shallotpier/internal/capacity"
+)
+
+// slopes is what the measures of a node's roles gave.
+type slopes struct {
+	Results []capacity.Result `json:"results"`
+}
+
+func (s *slopes) text(w io.Writer) error {
+	capacity.Header(w)
+	for _, r := range s.Results {
+		r.Print(w)
+	}
+	return nil
+}
+
+func (a *App) benchSlopesCommand() *urfave.Command {
+	return &urfave.Command{
+		Name:        "slopes",
+		Usage:       "measure what each role of a node costs at several sizes, and extend the lines to the target's size",
+		Description: "Examples:\n   shallotpier bench slopes\n   shallotpier --output json bench slopes --role membership",
+		Flags: []urfave.Flag{
+			&urfave.StringFlag{Name: "role", Usage: "measure only roles whose name holds `TEXT`"},
+		},
+		Action: a.action(func(ctx context.Context, cmd *urfave.Command) error {
+			var out slopes
+			for _, m := range capacity.Measures() {
+				if !strings.Contains(m.Role, cmd.String("role")) {
+					continue
+				}
+				if ctx.Err() != nil {
+					return ctx.Err()
+				}
+				a.progressf("%s: %s", m.Role, m.Quantity)
+				r, err := capacity.Measured(m)
+				if err != nil {
+					return err
+				}
+				out.Results = append(out.Results, r)
+			}
+			if len(out.Results) == 0 {
+				return usagef("no role's name holds %q", cmd.String("role"))
+			}
+			return a.show(&out)
+		}),
+	}
+}
