membership, capacity: a beat names its receiver alone; measures of today's beats

Cause: a beat listed every entry that its sender had heard, though whoever gets a beat that is no answer goes by its own line alone.

Change: a request's beat lists the receiver alone; the answer lists all as before. What counts is unchanged. The measures take beats as the daemon fills them, with real ages, and say so if entries fell silent while they ran.

--- a/internal/capacity/carrying.go
+++ b/internal/capacity/carrying.go
@@ -17,6 +17,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/rotisserie/eris"
+
 	"github.com/shallotpier/shallotpier/internal/admission"
 	"github.com/shallotpier/shallotpier/internal/admission/local"
 	"github.com/shallotpier/shallotpier/internal/backend"
--- a/internal/capacity/membership.go
+++ b/internal/capacity/membership.go
@@ -10,6 +10,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/shallotpier/shallotpier/internal/config"
+	"github.com/shallotpier/shallotpier/internal/loads"
 	"github.com/shallotpier/shallotpier/internal/membership"
 	"github.com/shallotpier/shallotpier/pkg/id"
 	"github.com/shallotpier/shallotpier/pkg/unit"
@@ -17,8 +18,10 @@
 
 const (
 	zonePeers = 165
-	beats     = 500
+	beats     = 100
 	beatAge   = 250 * time.Millisecond
+	// wordUses is two services in three regions, as each deployment of today.
+	wordUses = 6
 )
 
 // belonging returns the measures of the role that knows which other entries
@@ -27,9 +30,16 @@
 	peers := []int{6, 12, 24, 48, 96, zonePeers}
 	return []Measure{
 		{
-			Role: "membership", Quantity: "beat B", Size: "peers heard", Sizes: peers, Target: zonePeers,
+			Role: "membership", Quantity: "answer to a beat, B", Size: "peers heard", Sizes: peers, Target: zonePeers,
 			Run: func(n int) (float64, error) {
-				data, err := json.Marshal(heardTable("a", n).Beat(time.Now(), 1, membership.Own{Config: config.Ref{Version: 4_380_000}}))
+				data, err := json.Marshal(heardTable("a", n).Beat(time.Now(), 1, ownWord(wordUses)))
+				return float64(len(data)), err
+			},
+		},
+		{
+			Role: "membership", Quantity: "answer of 7 entries, B", Size: "services' regions in use", Sizes: []int{2, 4, 8, 16, 32}, Target: targetSites / fileServers,
+			Run: func(n int) (float64, error) {
+				data, err := json.Marshal(heardTable("a", 6).Beat(time.Now(), 1, ownWord(n)))
 				return float64(len(data)), err
 			},
 		},
@@ -62,8 +72,11 @@
 			failed = err
 		}
 	})
-	if failed != nil {
+	switch {
+	case failed != nil:
 		return 0, failed
+	case len(a.Beat(time.Now(), 1, membership.Own{}).Heard) < n:
+		return 0, eris.New("the measure took longer than entries stay heard")
 	}
 	return cost, err
 }
@@ -96,10 +109,12 @@
 	}
 	h := &membership.Heartbeat{
 		Table: heardTable("b", n), Incarnation: 1, Log: slog.New(slog.DiscardHandler),
-		Own: func() membership.Own { return membership.Own{Config: config.Ref{Version: 4_380_000}} },
+		Own: func() membership.Own { return ownWord(wordUses) },
 	}
 	h.Register(p.b)
-	return p, heardTable("a", n), nil
+	a := heardTable("a", n)
+	a.Take(time.Now(), &membership.Beat{Instance: "b", Incarnation: 1}, true, 0)
+	return p, a, nil
 }
 
 // exchangeBeat does what a heartbeat does once.
@@ -108,7 +123,7 @@
 	defer cancel()
 	var answer membership.Beat
 	sent := time.Now()
-	if err := p.a.Call(ctx, "b", membership.Method, a.Beat(sent, 1, membership.Own{Config: config.Ref{Version: 4_380_000}}), &answer); err != nil {
+	if err := p.a.Call(ctx, "b", membership.Method, a.BeatTo("b", sent, 1, ownWord(wordUses)), &answer); err != nil {
 		return eris.Wrap(err, "beat")
 	}
 	if err := answer.Check(); err != nil {
@@ -118,17 +133,25 @@
 	return nil
 }
 
-// heardTable returns the table of an entry that has just heard n others. It
-// takes their beats as heard in the future, so that they stay heard while a
-// measure runs.
+// ownWord returns what an entry says of itself that uses slots of n regions
+// of services.
+func ownWord(n int) membership.Own {
+	own := membership.Own{Config: config.Ref{Version: 4_380_000, ID: "0123456789abcdef0123456789abcdef"}}
+	for i := range n {
+		own.Uses = append(own.Uses, loads.Use{Service: id.Service("service-" + strconv.Itoa(i/3)), Region: id.Region("region-" + strconv.Itoa(i%3)), Slots: 100})
+	}
+	return own
+}
+
+// heardTable returns the table of an entry that has just heard n others.
 func heardTable(self id.Instance, n int) *membership.Table {
 	t := &membership.Table{Self: self}
-	now := time.Now().Add(time.Minute)
+	now := time.Now()
 	t.Tick(now)
 	for i := range n {
 		b := membership.Beat{
 			Instance: id.Instance("entry-" + strconv.Itoa(i)), Incarnation: id.Incarnation(1_796_000_000_000_000_000 + i),
-			Own:   membership.Own{Config: config.Ref{Version: 4_380_000}},
+			Own:   ownWord(wordUses),
 			Heard: []membership.Heard{{Instance: self, Incarnation: 1, Age: unit.Duration(beatAge)}},
 		}
 		t.Take(now, &b, true, 0)
--- a/internal/membership/beat.go
+++ b/internal/membership/beat.go
@@ -33,7 +33,8 @@
 		// Incarnation is that of the sender's process.
 		Incarnation id.Incarnation `json:"incarnation"`
 		Own
-		// Heard lists whom the sender heard directly.
+		// Heard lists whom the sender heard directly; in a beat that is no
+		// answer, the receiver alone.
 		Heard []Heard `json:"heard,omitempty"`
 	}
 
--- a/internal/membership/heartbeat.go
+++ b/internal/membership/heartbeat.go
@@ -107,7 +107,7 @@
 	defer cancel()
 	sent := time.Now()
 	var answer Beat
-	if err := h.Peers.Call(ctx, to, Method, h.Table.Beat(sent, h.Incarnation, h.Own()), &answer); err != nil {
+	if err := h.Peers.Call(ctx, to, Method, h.Table.BeatTo(to, sent, h.Incarnation, h.Own()), &answer); err != nil {
 		return
 	}
 	if answer.Check() == nil && answer.Instance == to {
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -253,3 +253,22 @@
 	m = table.Member("entry-2", now)
 	is.Equal(m.Lookup(), lookup.Down)
 }
+
+func TestBeatToNamesTheReceiverAlone(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	a, b := &membership.Table{Self: "a"}, &membership.Table{Self: "b"}
+	for _, name := range []id.Instance{"b", "c", "d"} {
+		a.Take(now, &membership.Beat{Instance: name, Incarnation: 3}, false, 0)
+	}
+	beat := a.BeatTo("b", now, 1, membership.Own{})
+	is.Equal(len(beat.Heard), 1)
+	is.Equal(beat.Heard[0].Instance, id.Instance("b"))
+	is.Equal(len(a.Beat(now, 1, membership.Own{}).Heard), 3)
+
+	is.True(b.Take(now, &beat, false, 0))
+	m := b.Member("a", now)
+	is.True(m.Mutual) // b knows that a hears it
+	late := now.Add(membership.Timeout)
+	is.Equal(len(a.BeatTo("b", late, 1, membership.Own{}).Heard), 0)
+}
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -139,15 +139,25 @@
 	}
 }
 
-// Beat returns this entry's beat.
+// BeatTo returns this entry's beat to one other entry. It lists only whether
+// that one was heard: whoever gets a beat that is no answer goes by no more.
+func (t *Table) BeatTo(to id.Instance, now time.Time, incarnation id.Incarnation, own Own) Beat {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	b := Beat{Instance: t.Self, Incarnation: incarnation, Own: own}
+	if p := t.peers[to]; p != nil {
+		b.Heard = p.heard(nil, to, now)
+	}
+	return b
+}
+
+// Beat returns this entry's answer to a beat.
 func (t *Table) Beat(now time.Time, incarnation id.Incarnation, own Own) Beat {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	b := Beat{Instance: t.Self, Incarnation: incarnation, Own: own}
 	for name, p := range t.peers {
-		if age := now.Sub(p.direct); !p.direct.IsZero() && age < Timeout {
-			b.Heard = append(b.Heard, Heard{Instance: name, Incarnation: p.incarnation, Age: unit.Duration(max(age, 0)), Leaving: p.own.Leaving})
-		}
+		b.Heard = p.heard(b.Heard, name, now)
 	}
 	return b
 }
@@ -193,6 +203,14 @@
 	return p
 }
 
+// heard appends that the entry of the name was heard directly, if it was.
+func (p *peerState) heard(dst []Heard, name id.Instance, now time.Time) []Heard {
+	if !within(p.direct, now) {
+		return dst
+	}
+	return append(dst, Heard{Instance: name, Incarnation: p.incarnation, Age: unit.Duration(max(now.Sub(p.direct), 0)), Leaving: p.own.Leaving})
+}
+
 // shift moves what was heard by the length of a pause of the own process.
 func (p *peerState) shift(gap time.Duration) {
 	for _, at := range []*time.Time{&p.direct, &p.indirect, &p.hearsUs} {
