entry: resend after a failed connection without a budget

Cause: servers that had gone used up the budget for resends though nothing had reached them, and without a budget their requests failed beside idle servers.

Change: a send that found no connection doesn't cost budget for the next; the policy's attempts still bound it.

Conclusion: a server that has gone costs a connection, not the request.

--- a/internal/entry/carry.go
+++ b/internal/entry/carry.go
@@ -216,18 +216,22 @@
 	if e.broken && c.h.Quarantine != nil && c.h.Quarantine.Quarantined(time.Now(), c.print) {
 		return false
 	}
+	if e.code == result.ConnectFailed {
+		return c.canResend() // it was no load to any server
+	}
 	return c.mayResend()
 }
 
 // mayResend tells whether one more send is possible and within the budget.
 func (c *call) mayResend() bool {
-	switch {
-	case c.h.Budget == nil, c.ctx.Err() != nil, c.attempts >= c.file.Retry.Attempts:
-		return false
-	case c.small == nil && c.r.ContentLength != 0 && !c.body.untouched():
+	return c.canResend() && c.h.Budget.Retry(time.Now(), c.file)
+}
+
+func (c *call) canResend() bool {
+	if c.h.Budget == nil || c.ctx.Err() != nil || c.attempts >= c.file.Retry.Attempts {
 		return false
 	}
-	return c.h.Budget.Retry(time.Now(), c.file)
+	return c.small != nil || c.r.ContentLength == 0 || c.body.untouched()
 }
 
 // patience is how long a read's connection may stay silent: an equal part of
--- a/internal/entry/fault_test.go
+++ b/internal/entry/fault_test.go
@@ -70,6 +70,25 @@
 	}
 }
 
+// TestServersThatAreGone leaves one of three servers, and no budget.
+func TestServersThatAreGone(t *testing.T) {
+	for _, method := range []string{"GET", "POST"} {
+		t.Run(method, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				w := newPausedWorld(t, 3, 1)
+				w.entries[0].Budget = never{}
+				w.servers[0].Close()
+				w.servers[1].Close()
+				for range 5 {
+					got := w.do(w.entries[0], method, "/s/registry/a", "")
+					is.Equal(got.code, result.Served)
+				}
+			})
+		})
+	}
+}
+
 // TestWhatCountsAsCrash sends the same read over and over.
 func TestWhatCountsAsCrash(t *testing.T) {
 	tests := map[string]struct {
--- a/internal/entry/once.go
+++ b/internal/entry/once.go
@@ -16,7 +16,6 @@
 	"github.com/shallotpier/shallotpier/pkg/id"
 	"github.com/shallotpier/shallotpier/pkg/result"
 	"github.com/shallotpier/shallotpier/pkg/service"
-	"github.com/shallotpier/shallotpier/pkg/unit"
 )
 
 const (
@@ -25,6 +24,9 @@
 	headerHandedOn = "Shallotpier-Handed-On"
 
 	maxOnceAnswer = 8 << 20
+
+	// entryConnections bounds the connections to another entry.
+	entryConnections = 1024
 )
 
 // keptAnswer keeps a whole answer in memory.
@@ -237,7 +239,7 @@
 
 // entryServer describes another entry as the target of a send.
 func entryServer(name id.Instance, addr netip.AddrPort) *service.Server {
-	return &service.Server{Name: id.Server(name), Address: addr, Slots: 1, Connections: int(unit.KiB)}
+	return &service.Server{Name: id.Server(name), Address: addr, Slots: 1, Connections: entryConnections}
 }
 
 func choose(cond bool, yes, no result.Code) result.Code {
