entry: count two sends of one read that crash together as two crashes

Cause: sends that were under way together count as one sighting, so a read that was sent to a second server while the first was still silent, and crashed both, was sent to a third.

Change: the second break of one request counts as begun after the first.

Conclusion: at most two servers, also when the crash comes late.

--- a/internal/entry/carry.go
+++ b/internal/entry/carry.go
@@ -186,7 +186,7 @@
 		if e.answering && c.h.Backend.Alive(context.WithoutCancel(c.ctx), f.permit.Server()) {
 			return
 		}
-		c.spread(q.Sight(time.Now(), c.print, quarantine.Origin{Service: c.file.Service, Class: c.class.Name, Send: f.send, Began: f.began}))
+		c.spread(q.Sight(time.Now(), c.print, c.origin(f)))
 	case e.code == result.Served:
 		if news, ok := q.Clear(time.Now(), c.print); ok {
 			c.spread(news)
@@ -194,6 +194,17 @@
 	}
 }
 
+// origin tells of a send that broke. Of two sends of one request that were
+// under way together, the second counts as begun after the first had broken:
+// they can't have met by chance.
+func (c *call) origin(f *flight) quarantine.Origin {
+	o := quarantine.Origin{Service: c.file.Service, Class: c.class.Name, Send: f.send, Began: f.began}
+	if c.attempts > 1 {
+		o.Began = time.Now()
+	}
+	return o
+}
+
 // spread tells the other entries. Callers are not told that their request
 // failed before it has ended.
 func (c *call) spread(news quarantine.Sighting) {
--- a/internal/entry/fault_test.go
+++ b/internal/entry/fault_test.go
@@ -89,6 +89,22 @@
 	}
 }
 
+// TestSlowCrash has two sends of a read under way when they crash.
+func TestSlowCrash(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newPausedWorld(t, 5, 1)
+		w.faults(standin.Faults{Crash: func(*http.Request) bool {
+			time.Sleep(1100 * time.Millisecond)
+			return true
+		}})
+		for range 4 {
+			w.do(w.entries[0], "GET", "/s/registry/a", "")
+		}
+		is.True(w.crashes() <= 2)
+	})
+}
+
 // TestWhatCountsAsCrash sends the same read over and over.
 func TestWhatCountsAsCrash(t *testing.T) {
 	tests := map[string]struct {
