scenarios: count runs by request id, find the server that runs an upload

Cause: reads that warm an entry up were counted among the runs of once-only requests, and the upload's scenario relied on a certain server.

--- a/internal/standin/fleet/control.go
+++ b/internal/standin/fleet/control.go
@@ -46,8 +46,8 @@
 	}
 )
 
-// control answers GET /servers/{service}/{server} with what the server saw,
-// and takes PUT with faults there, with an empty body at .../silence to let
+// control answers GET /servers/{service}/{server} with what the server saw, of
+// the request ids that start with the parameter prefix, and takes PUT with faults there, with an empty body at .../silence to let
 // its open connections go silent, and at .../stop to end it.
 func (f *Fleet) control(w http.ResponseWriter, r *http.Request) {
 	parts := strings.Split(strings.TrimPrefix(r.URL.Path, controlPath), "/")
@@ -62,7 +62,7 @@
 	}
 	switch r.Method + " " + strings.Join(parts[2:], "/") {
 	case "GET ":
-		writeSeen(w, s)
+		writeSeen(w, s, r.URL.Query().Get("prefix"))
 	case "PUT ":
 		setFaults(w, r, s)
 	case "PUT silence":
@@ -79,10 +79,15 @@
 	}
 }
 
-func writeSeen(w http.ResponseWriter, s *backend.Server) {
+// writeSeen tells what the server saw, with the runs of the request ids that
+// start with prefix.
+func writeSeen(w http.ResponseWriter, s *backend.Server, prefix string) {
 	record := s.Record()
 	seen := Seen{Running: s.Load().Running, Overloads: record.Overloads, Shed: record.Shed, Crashes: record.Crashes}
-	for _, count := range record.Ran {
+	for id, count := range record.Ran {
+		if !strings.HasPrefix(id, prefix) {
+			continue
+		}
 		seen.Ran += count
 		if count > 1 {
 			seen.Twice++
--- a/scenarios/commands_test.go
+++ b/scenarios/commands_test.go
@@ -163,27 +163,15 @@
 	})
 }
 
-// silence lets all open connections of a service's backend servers go silent.
-func silence(ts *testscript.TestScript, neg bool, args []string) {
-	if neg || len(args) != 1 {
-		ts.Fatalf("usage: silence service")
-	}
-	eachServer(ts, args[0], func(url string) {
-		if status, seen := exchange(ts, http.MethodPut, url+"/silence", "", nil); status != "204" {
-			ts.Fatalf("%s: status %s: %s", url, status, seen)
-		}
-	})
-}
-
 // sum adds up a count of what all backend servers of a service saw, and holds
 // it against a pattern.
 func sum(ts *testscript.TestScript, neg bool, args []string) {
-	if neg || len(args) != 3 {
-		ts.Fatalf("usage: sum service count want")
+	if neg || len(args) < 3 {
+		ts.Fatalf("usage: sum service count pattern [prefix of request ids]")
 	}
-	all := 0
+	all, prefix := 0, strings.Join(args[3:], "")
 	eachServer(ts, args[0], func(url string) {
-		_, seen := exchange(ts, http.MethodGet, url, "", nil)
+		_, seen := exchange(ts, http.MethodGet, url+"?prefix="+prefix, "", nil)
 		m := regexp.MustCompile(`"` + args[1] + `":(\d+)`).FindStringSubmatch(seen)
 		if m == nil {
 			ts.Fatalf("%s: no %s in %s", url, args[1], seen)
@@ -197,6 +185,37 @@
 	}
 }
 
+// silence lets the open connections of all backend servers of a service go
+// silent.
+func silence(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) != 1 {
+		ts.Fatalf("usage: silence service")
+	}
+	eachServer(ts, args[0], func(url string) {
+		if status, seen := exchange(ts, http.MethodPut, url+"/silence", "", nil); status != "204" {
+			ts.Fatalf("%s: status %s: %s", url, status, seen)
+		}
+	})
+}
+
+// running waits until a backend server of a service runs a request, and puts
+// its name into a variable.
+func running(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) != 2 {
+		ts.Fatalf("usage: running service VARIABLE")
+	}
+	found := ""
+	repeat(ts, "running "+args[0], func() bool {
+		eachServer(ts, args[0], func(url string) {
+			if _, seen := exchange(ts, http.MethodGet, url, "", nil); strings.Contains(seen, `"running":1`) {
+				found = url[strings.LastIndex(url, "/")+1:]
+			}
+		})
+		return found != ""
+	})
+	ts.Setenv(args[1], found)
+}
+
 func eachServer(ts *testscript.TestScript, service string, do func(url string)) {
 	data := ts.ReadFile("world/services/" + service + ".service.toml")
 	for _, m := range regexp.MustCompile(`(?m)^name = "(`+service+`-\d+)"$`).FindAllStringSubmatch(data, -1) {
--- a/scenarios/scenarios_test.go
+++ b/scenarios/scenarios_test.go
@@ -54,7 +54,7 @@
 		},
 		Cmds: map[string]func(ts *testscript.TestScript, neg bool, args []string){
 			"exitcode": exitCode, "deploy": deploy, "until": until, "signal": signal, "get": get, "send": send,
-			"ticket": ticket, "faults": faults, "silence": silence, "sum": sum, "end": end,
+			"ticket": ticket, "faults": faults, "sum": sum, "silence": silence, "running": running, "end": end,
 		},
 	})
 }
