notices, capacity: compare digests before whole boards

Cause: every two seconds an entry sent its whole board and got the other's, though they hardly ever differ; docs/CAPACITY.md has it over the budget at 136 kept notices, and at 5.5 KB/s with the 42 of today. An answer to a new notice was the whole board as well.

Change: a comparison carries a digest, which the board keeps up to date; whole boards go only where digests differ, each way by its own call. An answer to a new notice is empty. Entries that still send whole boards are answered as before. The framing of a call is measured too.

Trials: answering always with the board, or never sending back what the other lacks, each fails a test.

--- a/internal/capacity/news.go
+++ b/internal/capacity/news.go
@@ -19,16 +19,23 @@
 	sizes := []int{10, 20, 40, 80, 160, 320}
 	return []Measure{
 		{
-			Role: "notices", Quantity: "comparison B, both ways", Size: "notices", Sizes: sizes, Target: targetSites,
+			Role: "notices", Quantity: "exchange of differing boards, both ways, B", Size: "notices", Sizes: sizes, Target: targetSites,
 			Run: func(n int) (float64, error) {
 				data, err := json.Marshal(noticeBoard(n).All())
 				return 2 * float64(len(data)), err
 			},
 		},
 		{
-			Role: "notices", Quantity: "one end of a comparison, processor us", Size: "notices", Sizes: sizes, Target: targetSites,
+			Role: "notices", Quantity: "one end of an exchange of differing boards, processor us", Size: "notices", Sizes: sizes, Target: targetSites,
 			Run: compareNotices,
 		},
+		{
+			Role: "notices", Quantity: "digest for a comparison, processor us", Size: "notices", Sizes: []int{100, 200, 400, 800, 1600}, Target: targetSites,
+			Run: func(n int) (float64, error) {
+				board := noticeBoard(n)
+				return processorMicros(comparisons, func(int) { _ = board.Digest() })
+			},
+		},
 		{
 			Role: "notices", Quantity: "board heap B", Size: "notices", Sizes: sizes, Target: targetSites,
 			Run: func(n int) (float64, error) { return heapBytes(func() any { return noticeBoard(n) }), nil },
--- a/internal/capacity/peers.go
+++ b/internal/capacity/peers.go
@@ -28,6 +28,10 @@
 			Role: "between entries", Quantity: "one call, both ends, processor us", Size: "B of message",
 			Sizes: []int{100, 300, 1_000, 3_000, 10_000}, Target: heartbeatLen, Run: call,
 		},
+		{
+			Role: "between entries", Quantity: "one call with an empty answer, both directions on the wire, B", Size: "B of message",
+			Sizes: []int{100, 300, 1_000, 3_000, 10_000}, Target: heartbeatLen, Run: callWire,
+		},
 		{
 			Role: "between entries", Quantity: "connections' heap B, one end", Size: "peers",
 			Sizes: []int{10, 20, 40, 80, 160}, Target: 165, Run: connections,
@@ -56,6 +60,28 @@
 	return cost, err
 }
 
+func callWire(size int) (float64, error) {
+	const rounds = 20
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	nodes, err := pair(ctx)
+	if err != nil {
+		return 0, err
+	}
+	defer nodes.close()
+	body := strings.Repeat("x", size)
+	var before int64
+	for i := range rounds + 1 {
+		if i == 1 { // the first call greets
+			before = nodes.bytes.Load()
+		}
+		if err := nodes.a.Call(ctx, "b", methodEcho, body, nil); err != nil {
+			return 0, eris.Wrap(err, "call")
+		}
+	}
+	return float64(nodes.bytes.Load()-before) / rounds, nil
+}
+
 // connections returns the heap of one node that has called n others, less that
 // of the others' ends, which is as large.
 func connections(n int) (float64, error) {
--- a/internal/notices/board.go
+++ b/internal/notices/board.go
@@ -2,11 +2,14 @@
 
 import (
 	"cmp"
+	"fmt"
+	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/rotisserie/eris"
 
 	"github.com/shallotpier/shallotpier/pkg/id"
@@ -41,9 +44,15 @@
 	// empty. It is safe for concurrent use; readers take no lock.
 	Board struct {
 		mu      sync.Mutex
-		latest  atomic.Pointer[map[Key]Notice]
+		latest  atomic.Pointer[latest]
 		highest uint64
 	}
+
+	// latest is what a board holds at one time. It is immutable.
+	latest struct {
+		notices map[Key]Notice
+		digest  uint64
+	}
 )
 
 // Check tells what is wrong with a decoded notice, nil if nothing is.
@@ -79,6 +88,15 @@
 	return out
 }
 
+// Digest returns a hash of the latest notices, which doesn't depend on the
+// order in which they came; 0 for an empty board.
+func (b *Board) Digest() uint64 {
+	if p := b.latest.Load(); p != nil {
+		return p.digest
+	}
+	return 0
+}
+
 // Set makes a notice that counts over all notices on the board and returns it.
 func (b *Board) Set(k Key, leaving bool, now time.Time, by id.Instance) Notice {
 	b.mu.Lock()
@@ -113,26 +131,35 @@
 // the same server in the list only replace earlier ones that they come after.
 func (b *Board) store(notices []Notice) {
 	old := b.load()
-	next := make(map[Key]Notice, len(old)+len(notices))
-	for k, n := range old {
-		next[k] = n
-	}
+	next := &latest{notices: make(map[Key]Notice, len(old)+len(notices)), digest: b.Digest()}
+	maps.Copy(next.notices, old)
 	for _, n := range notices {
-		if have, ok := next[n.key()]; !ok || n.after(&have) {
-			next[n.key()] = n
+		have, ok := next.notices[n.key()]
+		if ok && !n.after(&have) {
+			continue
+		}
+		if ok {
+			next.digest -= have.hash()
 		}
+		next.digest += n.hash()
+		next.notices[n.key()] = n
 		b.highest = max(b.highest, n.Sequence)
 	}
-	b.latest.Store(&next)
+	b.latest.Store(next)
 }
 
 func (b *Board) load() map[Key]Notice {
 	if p := b.latest.Load(); p != nil {
-		return *p
+		return p.notices
 	}
 	return nil
 }
 
+// hash returns a hash of what counts in a notice.
+func (n *Notice) hash() uint64 {
+	return xxhash.Sum64String(fmt.Sprintf("%q %q %q %d %t", n.Service, n.Server, n.By, n.Sequence, n.Leaving))
+}
+
 func (n *Notice) key() Key { return Key{Service: n.Service, Server: n.Server} }
 
 func (n *Notice) after(other *Notice) bool {
--- a/internal/notices/exchange.go
+++ b/internal/notices/exchange.go
@@ -19,7 +19,8 @@
 const (
 	// MethodPost carries new notices to an entry.
 	MethodPost = "notices.post"
-	// MethodCompare carries a whole board and returns the other's.
+	// MethodCompare carries a board's digest and returns the other's, with its
+	// whole board if they differ.
 	MethodCompare = "notices.compare"
 )
 
@@ -66,7 +67,9 @@
 	}
 
 	message struct {
-		Notices []Notice `json:"notices"`
+		Notices []Notice `json:"notices,omitempty"`
+		// Digest is that of the sender's board.
+		Digest uint64 `json:"digest,omitempty"`
 		// Tell asks the receiver to pass the notices on to these entries.
 		Tell []id.Instance `json:"tell,omitempty"`
 	}
@@ -74,8 +77,8 @@
 
 // Register registers the methods that Exchange answers.
 func (x *Exchange) Register(r registrar) {
-	r.Register(MethodPost, x.handle)
-	r.Register(MethodCompare, x.handle)
+	r.Register(MethodPost, x.handlePost)
+	r.Register(MethodCompare, x.handleCompare)
 }
 
 // Post makes a notice and passes it to all other entries before it returns, or
@@ -138,34 +141,63 @@
 	return told, missed
 }
 
+// compare makes this board and that of one other entry equal.
 func (x *Exchange) compare(ctx context.Context) {
 	others := x.Others()
 	if len(others) == 0 {
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
 	var reply message
 	other := others[x.Rand.IntN(len(others))]
-	if err := x.Peers.Call(ctx, other, MethodCompare, message{Notices: x.Board.All()}, &reply); err != nil {
+	if err := x.call(ctx, other, MethodCompare, message{Digest: x.Board.Digest()}, &reply); err != nil {
 		return
 	}
 	x.changed(x.Board.Merge(reply.Notices))
+	if x.Board.Digest() != reply.Digest {
+		_ = x.call(ctx, other, MethodPost, message{Notices: x.Board.All()}, nil) // the next comparison makes good a loss
+	}
+}
+
+func (x *Exchange) call(ctx context.Context, to id.Instance, method string, m message, reply any) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return x.Peers.Call(ctx, to, method, m, reply)
+}
+
+func (x *Exchange) handlePost(ctx context.Context, _ peer.Sender, params json.RawMessage) (any, error) {
+	m, err := x.take(params)
+	if err != nil {
+		return nil, err
+	}
+	if len(m.Tell) > 0 {
+		x.tellAll(ctx, m.Tell, message{Notices: m.Notices})
+	}
+	return message{}, nil
 }
 
-func (x *Exchange) handle(ctx context.Context, _ peer.Sender, params json.RawMessage) (any, error) {
-	var m message
-	if err := json.Unmarshal(params, &m); err != nil {
+func (x *Exchange) handleCompare(_ context.Context, _ peer.Sender, params json.RawMessage) (any, error) {
+	m, err := x.take(params)
+	if err != nil {
+		return nil, err
+	}
+	reply := message{Digest: x.Board.Digest()}
+	if reply.Digest != m.Digest {
+		reply.Notices = x.Board.All()
+	}
+	return reply, nil
+}
+
+// take decodes a message and takes in its notices.
+func (x *Exchange) take(params json.RawMessage) (*message, error) {
+	m := new(message)
+	if err := json.Unmarshal(params, m); err != nil {
 		return nil, eris.Wrap(err, "decode notices")
 	}
 	if len(m.Notices) > maxNotices {
 		return nil, eris.Errorf("%d notices, want at most %d", len(m.Notices), maxNotices)
 	}
 	x.changed(x.Board.Merge(m.Notices))
-	if len(m.Tell) > 0 {
-		x.tellAll(ctx, m.Tell, message{Notices: m.Notices})
-	}
-	return message{Notices: x.Board.All()}, nil
+	return m, nil
 }
 
 // learn reads the kept notices once.
--- a/internal/notices/notices_test.go
+++ b/internal/notices/notices_test.go
@@ -177,3 +177,67 @@
 		})
 	}
 }
+
+func TestDigestDependsOnWhatCounts(t *testing.T) {
+	is := is.New(t)
+	first := notices.Notice{Service: "registry", Server: "registry-07", Leaving: true, Sequence: 3, By: "entry-1"}
+	other := notices.Notice{Service: "registry", Server: "registry-08", Leaving: true, Sequence: 4, By: "entry-2"}
+	var a, b notices.Board
+	is.Equal(a.Digest(), uint64(0))
+	a.Merge([]notices.Notice{first, other})
+	b.Merge([]notices.Notice{other})
+	is.True(a.Digest() != b.Digest())
+	b.Merge([]notices.Notice{first})
+	is.Equal(a.Digest(), b.Digest())
+	for name, change := range map[string]func(*notices.Notice){
+		"later":     func(n *notices.Notice) { n.Sequence = 9 },
+		"author":    func(n *notices.Notice) { n.By = "entry-9" },
+		"not going": func(n *notices.Notice) { n.Sequence, n.Leaving = 9, false },
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var c notices.Board
+			n := first
+			change(&n)
+			c.Merge([]notices.Notice{n, other})
+			is.True(c.Digest() != a.Digest())
+		})
+	}
+}
+
+// Equal boards cost a digest each way; the whole boards go only where they
+// differ.
+func TestComparisonOfEqualBoardsIsSmall(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		f := start(ctx, 2, time.Second)
+		for i := range 500 {
+			f.exchanges[0].Board.Set(notices.Key{Service: "registry", Server: id.Server(fmt.Sprintf("registry-%d", i))}, true, time.Now(), "entry-0")
+		}
+		time.Sleep(5 * time.Second)
+		is.Equal(f.exchanges[0].Board.Digest(), f.exchanges[1].Board.Digest())
+		is.Equal(len(f.exchanges[1].Board.All()), 500)
+		calls, bytes := f.network.Sent()
+		time.Sleep(time.Minute)
+		moreCalls, moreBytes := f.network.Sent()
+		is.True(moreCalls > calls)
+		is.True(moreBytes-bytes <= 100*(moreCalls-calls))
+		cancel()
+		synctest.Wait()
+	})
+}
+
+func TestComparisonBringsTheAskersNotices(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		f := start(ctx, 2, time.Second)
+		f.network.SetHook(func(m peers.Message) peers.Fate { return peers.Fate{Lost: m.From == "entry-1"} })
+		f.exchanges[0].Board.Set(server, true, time.Now(), "entry-0")
+		time.Sleep(5 * time.Second)
+		is.True(f.agree(true))
+		cancel()
+		synctest.Wait()
+	})
+}
