entry: count sends, not requests for a permit, as attempts

Cause: a request that got no permit was logged with attempts=1.

Change: attempts are the sends for which there was a permit.

Conclusion: the log line tells a refusal from a send.

--- a/internal/entry/carry.go
+++ b/internal/entry/carry.go
@@ -86,6 +86,7 @@
 func (c *call) settle(t taker, f *flight) ending {
 	defer f.cancel()
 	if f.permit == nil {
+		c.attempts--
 		return c.refusal(f.err)
 	}
 	c.server = f.permit.Server().Name
--- a/internal/entry/handler_test.go
+++ b/internal/entry/handler_test.go
@@ -118,6 +118,17 @@
 	is.Equal(resp.Trailer.Get("X-Sum"), "900150983cd2")
 }
 
+// TestRefusedIsNoAttempt has no server that may be used.
+func TestRefusedIsNoAttempt(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 0, 1)
+	got := w.do(w.entries[0], "GET", "/s/registry/a", "")
+	is.Equal(got.code, result.NoServer)
+	is.Equal(got.Header.Get("Retry-After"), "2")
+	w.entries[0].http.Close()
+	is.True(strings.Contains(w.log.String(), " attempts=0 "))
+}
+
 func TestLookup(t *testing.T) {
 	is := is.New(t)
 	w := newWorld(t, 1, 2)
