--- a/internal/admission/shared/admitter.go
+++ b/internal/admission/shared/admitter.go
@@ -17,13 +17,11 @@
 	"github.com/shallotpier/shallotpier/pkg/service"
 )
 
-// Times and counts for fields that are zero.
+// Times for fields that are zero.
 const (
 	DefaultLifetime = 2 * time.Second
 	DefaultRenew    = 500 * time.Millisecond
 	DefaultMargin   = 500 * time.Millisecond
-	DefaultLow      = 3
-	DefaultHigh     = 8
 
 	tick = 10 * time.Millisecond
 )
@@ -135,7 +133,7 @@
 	a.Renew = orDefault(a.Renew, DefaultRenew)
 	a.Margin = orDefault(a.Margin, DefaultMargin)
 	if a.Demand == (demand.Policy{}) {
-		a.Demand = demand.Policy{Low: DefaultLow, High: DefaultHigh}
+		a.Demand = demand.Default()
 	}
 	if a.Log == nil {
 		a.Log = slog.New(slog.DiscardHandler)
--- a/internal/slots/demand/policy.go
+++ b/internal/slots/demand/policy.go
@@ -6,6 +6,11 @@
 	"time"
 )
 
+const (
+	defaultLow  = 3
+	defaultHigh = 8
+)
+
 type (
 	// Policy sets the reserve of a service at one entry, in slots.
 	Policy struct {
@@ -32,6 +37,9 @@
 	}
 )
 
+// Default returns the reserve of an entry for which nothing else is set.
+func Default() Policy { return Policy{Low: defaultLow, High: defaultHigh} }
+
 // Wants appends how many slots to ask of each bucket's home.
 func (p Policy) Wants(waiting int, buckets []Bucket, wants []int) []int {
 	wants = slices.Grow(wants, len(buckets))[:len(buckets)]
--- a/internal/slots/ledger/ledger.go
+++ b/internal/slots/ledger/ledger.go
@@ -163,14 +163,28 @@
 	return l.grant(h, r.Seq), nil
 }
 
+// Free returns how many slots the home could grant; 0 without authority.
+func (l *Ledger) Free(now time.Duration) int {
+	if !l.mayGrant(now) {
+		return 0
+	}
+	l.expire(now)
+	sum := 0
+	for _, a := range l.accounts {
+		sum += max(0, a.free())
+	}
+	return sum
+}
+
 // Tick lets time pass. It returns true if slots of a silent holder could be
 // reclaimed by raising the term.
 func (l *Ledger) Tick(now time.Duration) bool {
 	if !l.mayGrant(now) {
 		return false
 	}
-	l.expire(now)
-	l.settle("")
+	if l.expire(now) {
+		l.settle("")
+	}
 	for _, a := range l.accounts {
 		if a.lost > 0 {
 			return true
@@ -191,13 +205,18 @@
 	return out
 }
 
-func (l *Ledger) expire(now time.Duration) {
+// expire frees what is unknown once nobody can use it any more. It returns true
+// if there was some.
+func (l *Ledger) expire(now time.Duration) bool {
 	if now < l.clear {
-		return
+		return false
 	}
+	some := false
 	for _, a := range l.accounts {
+		some = some || a.unknown > 0
 		a.unknown = 0
 	}
+	return some
 }
 
 func (l *Ledger) holder(from peer.Sender) (*holder, error) {
--- a/internal/slots/node/bucket.go
+++ b/internal/slots/node/bucket.go
@@ -133,13 +133,13 @@
 // view returns what the demand policy may know.
 func (b *bucket) view(n *Node, now time.Duration, waiting int) demand.Bucket {
 	limit, used := b.holder.Counts()
-	renew := n.Renew
+	renew, gap := n.Renew, reserveGap
 	if waiting > 0 {
-		renew = min(renew, starvedRenew)
+		renew, gap = min(renew, starvedRenew), starvedGap
 	}
 	v := demand.Bucket{
 		Spare: b.holder.Spare(), Asked: b.asked,
-		Busy: b.busy || now-b.reported < minGap,
+		Busy: b.busy || now-b.reported < gap && !b.urgent,
 		Due:  b.urgent || now-b.reported >= renew,
 	}
 	if now < b.holder.End() {
--- a/internal/slots/node/node.go
+++ b/internal/slots/node/node.go
@@ -16,7 +16,8 @@
 
 const (
 	starvedRenew = 50 * time.Millisecond
-	minGap       = 5 * time.Millisecond
+	reserveGap   = 50 * time.Millisecond
+	starvedGap   = 10 * time.Millisecond
 )
 
 type (
@@ -161,6 +162,17 @@
 	return b.holder.Report(now, want, waiting), nil
 }
 
+// Free returns how many slots this entry, as home, has free to grant.
+func (n *Node) Free(now time.Duration) int {
+	sum := 0
+	for _, b := range n.order {
+		if b.ledger != nil {
+			sum += b.ledger.Free(now)
+		}
+	}
+	return sum
+}
+
 // short returns how many slots of a service this entry lacks, and how many
 // requests wait for one.
 func (n *Node) short(svc id.Service, now time.Duration) (want, waiting int) {
@@ -244,7 +256,7 @@
 	return sends
 }
 
-// news tells whether a grant says more than the holder's report knew.
+// news tells whether a grant gives more than the holder's report knew.
 func news(grant *wire.Grant, r *wire.Report) bool {
 	seen := map[id.Server]uint64{}
 	for i := range r.Servers {
@@ -255,5 +267,5 @@
 			return true
 		}
 	}
-	return grant.Recall > 0
+	return false
 }
