slots: move idle slots sooner, keep a smaller reserve

A home only recalled what the last report showed idle, and entries kept up to 8 idle slots for 500 ms.

Change: holders owe the home the next idle slot while requests wait elsewhere; a holder is asked at most every 20 ms; surplus is returned at once; the reserve is 1 to 2 slots. The measure of recovery counted slots on their way as unusable and so depended on traffic; it counts what no living holder can use instead, against the same bound.

--- a/internal/replay/report.go
+++ b/internal/replay/report.go
@@ -115,11 +115,14 @@
 		{"leastInFlight", func() policy { return &naive{choose: chooseLeast} }},
 		{"evenSplit", func() policy { return &evenSplit{} }},
 		{"oneHome", func() policy { return &handOn{} }},
-		{"shares", func() policy { return &shares{} }},
+		Shares(),
 		{"perfectQueue", func() policy { return &perfect{} }},
 	}
 }
 
+// Shares returns the policy of the daemon, shares moved by demand.
+func Shares() Policy { return Policy{"shares", func() policy { return &shares{} }} }
+
 // Compare plays the trace under each policy.
 func Compare(w *World, t *Trace, o Options, policies ...Policy) (*Report, error) {
 	if err := w.Check(t); err != nil {
--- a/internal/replay/shares.go
+++ b/internal/replay/shares.go
@@ -119,24 +119,17 @@
 	})
 }
 
-// recovered tells whether all slots can be used by the living entries.
+// recovered tells whether all slots are free or with living entries.
 func (p *shares) recovered() bool {
-	usable, all := 0, 0
+	reserved, homes := 0, 0
 	for i, e := range p.entries {
-		if p.run.dead[i] {
-			continue
+		if !p.run.dead[i] {
+			slots, n := e.node.Reserved(p.run.now)
+			reserved += slots
+			homes += n
 		}
-		usable += e.node.Free(p.run.now)
-		for _, g := range e.gates {
-			if limit, _ := g.Load(); p.run.now < g.End() {
-				usable += limit
-			}
-		}
-	}
-	for _, s := range p.run.servers {
-		all += s.slots
 	}
-	return usable >= all
+	return reserved == 0 && homes == len(p.homes) && p.run.now > p.run.options.Lose+grantLifetime
 }
 
 func (e *sharer) tick() {
--- a/internal/slots/demand/policy.go
+++ b/internal/slots/demand/policy.go
@@ -7,8 +7,8 @@
 )
 
 const (
-	defaultLow  = 3
-	defaultHigh = 8
+	defaultLow  = 1
+	defaultHigh = 2
 )
 
 type (
--- a/internal/slots/ledger/account.go
+++ b/internal/slots/ledger/account.go
@@ -35,6 +35,9 @@
 		want     int
 		waiting  int
 		recalled int
+		owed     int
+		// bothered is when the holder was last asked to give slots back.
+		bothered time.Duration
 	}
 )
 
--- a/internal/slots/ledger/ledger.go
+++ b/internal/slots/ledger/ledger.go
@@ -58,6 +58,7 @@
 		holders   map[id.Instance]*holder
 		instances []id.Instance
 		pushes    []Push
+		now       time.Duration
 	}
 )
 
@@ -93,6 +94,7 @@
 	}
 	l.names = slices.Sorted(maps.Keys(l.accounts))
 	if l.mayGrant(now) {
+		l.now = now
 		l.settle("")
 	}
 }
@@ -150,6 +152,7 @@
 	if r.Term < l.term {
 		return wire.Grant{Bucket: l.Bucket, Term: l.term}, nil
 	}
+	l.now = now
 	l.expire(now)
 	h, err := l.holder(from)
 	if err != nil {
@@ -163,15 +166,18 @@
 	return l.grant(h, r.Seq), nil
 }
 
-// Free returns how many slots the home could grant; 0 without authority.
-func (l *Ledger) Free(now time.Duration) int {
-	if !l.mayGrant(now) {
-		return 0
-	}
+// Reserved returns how many slots no living holder can use: those of earlier
+// terms that nobody has claimed, and those of replaced or silent holders.
+func (l *Ledger) Reserved(now time.Duration) int {
 	l.expire(now)
 	sum := 0
 	for _, a := range l.accounts {
-		sum += max(0, a.free())
+		sum += a.unknown + a.lost
+		for instance, g := range a.grants {
+			if now-l.holders[instance].heard >= l.Silence {
+				sum += g.held()
+			}
+		}
 	}
 	return sum
 }
@@ -182,6 +188,7 @@
 	if !l.mayGrant(now) {
 		return false
 	}
+	l.now = now
 	if l.expire(now) {
 		l.settle("")
 	}
@@ -236,7 +243,7 @@
 	if l.holders == nil {
 		l.holders = map[id.Instance]*holder{}
 	}
-	h = &holder{sender: from}
+	h = &holder{sender: from, bothered: l.now - recallGap}
 	l.holders[from.Instance] = h
 	l.instances = slices.Sorted(maps.Keys(l.holders))
 	return h, nil
@@ -284,7 +291,7 @@
 
 func (l *Ledger) grant(h *holder, seq uint64) wire.Grant {
 	out := wire.Grant{
-		Bucket: l.Bucket, Term: l.term, Seq: seq, Recall: h.recalled,
+		Bucket: l.Bucket, Term: l.term, Seq: seq, Recall: h.recalled, Owed: h.owed,
 		Servers: make([]wire.Given, 0, len(l.names)),
 	}
 	for _, name := range l.names {
--- a/internal/slots/ledger/settle.go
+++ b/internal/slots/ledger/settle.go
@@ -1,6 +1,8 @@
 package ledger
 
 import (
+	"time"
+
 	"github.com/shallotpier/shallotpier/pkg/id"
 )
 
@@ -8,6 +10,10 @@
 // one is moved only to keep in reserve.
 const minGap = 2
 
+// recallGap is the least time between two requests to one holder to give slots
+// back.
+const recallGap = 20 * time.Millisecond
+
 // settle grants free slots to holders that want some, recalls idle ones for
 // the rest, and notes the grants to push. The reporting holder gets its grant
 // as an answer instead.
@@ -89,8 +95,41 @@
 	}
 	for instance, n := range asked {
 		l.holders[instance].recalled = n
+		l.holders[instance].bothered = l.now
 		changed[instance] = true
 	}
+	l.owe(changed)
+}
+
+// owe lets holders without waiting requests owe the slots that requests wait
+// for elsewhere and that nobody is known to have idle.
+func (l *Ledger) owe(changed map[id.Instance]bool) {
+	lack := 0
+	for _, h := range l.holders {
+		lack += h.waiting - h.recalled
+	}
+	for _, instance := range l.instances {
+		h := l.holders[instance]
+		owed := 0
+		if lack > 0 && h.waiting == 0 && l.held(instance) > 0 {
+			owed = 1
+		}
+		if owed > h.owed && l.now-h.bothered >= recallGap {
+			h.bothered = l.now
+			changed[instance] = true
+		}
+		h.owed = owed
+	}
+}
+
+func (l *Ledger) held(instance id.Instance) int {
+	sum := 0
+	for _, a := range l.accounts {
+		if g := a.grants[instance]; g != nil {
+			sum += g.held()
+		}
+	}
+	return sum
 }
 
 // lacking returns how many slots are granted beyond what servers have.
@@ -111,7 +150,7 @@
 	)
 	for _, instance := range l.instances {
 		h := l.holders[instance]
-		if instance == besides || h.recalled > 0 || h.waiting > 0 {
+		if instance == besides || h.recalled > 0 || h.waiting > 0 || l.now-h.bothered < recallGap {
 			continue
 		}
 		if idle := l.idle(instance) - asked[instance]; idle > most {
--- a/internal/slots/node/bucket.go
+++ b/internal/slots/node/bucket.go
@@ -32,6 +32,7 @@
 		asked    int
 		busy     bool
 		urgent   bool
+		owed     int
 	}
 )
 
--- a/internal/slots/node/node.go
+++ b/internal/slots/node/node.go
@@ -16,8 +16,8 @@
 
 const (
 	starvedRenew = 50 * time.Millisecond
-	reserveGap   = 50 * time.Millisecond
-	starvedGap   = 10 * time.Millisecond
+	reserveGap   = 20 * time.Millisecond
+	starvedGap   = 5 * time.Millisecond
 )
 
 type (
@@ -158,33 +158,33 @@
 		return wire.Report{}, ErrUnknownBucket
 	}
 	n.book(b, g, now)
-	want, waiting := n.short(b.key.Service, now)
-	return b.holder.Report(now, want, waiting), nil
+	waiting := n.lacking(b.key.Service, now)
+	return b.holder.Report(now, waiting, waiting), nil
 }
 
-// Free returns how many slots this entry, as home, has free to grant.
-func (n *Node) Free(now time.Duration) int {
-	sum := 0
+// Reserved returns how many slots of the buckets that this entry is home of no
+// living holder can use, and of how many buckets it is home.
+func (n *Node) Reserved(now time.Duration) (slots, homes int) {
 	for _, b := range n.order {
-		if b.ledger != nil {
-			sum += b.ledger.Free(now)
+		if _, _, ok := n.Homes.Authority(b.key); ok && b.ledger != nil {
+			slots += b.ledger.Reserved(now)
+			homes++
 		}
 	}
-	return sum
+	return slots, homes
 }
 
-// short returns how many slots of a service this entry lacks, and how many
-// requests wait for one.
-func (n *Node) short(svc id.Service, now time.Duration) (want, waiting int) {
-	waiting = n.Waiting(svc)
-	want = waiting + n.Demand.Low
+// lacking returns how many requests of a service wait for slots that this entry
+// neither has nor has asked for.
+func (n *Node) lacking(svc id.Service, now time.Duration) int {
+	lack := n.Waiting(svc)
 	for _, b := range n.order {
 		if b.key.Service == svc {
-			v := b.view(n, now, waiting)
-			want -= v.Idle + v.Asked
+			v := b.view(n, now, lack)
+			lack -= v.Idle + v.Asked
 		}
 	}
-	return max(0, want), waiting
+	return max(0, lack)
 }
 
 // balance asks for and gives back slots of one service.
@@ -198,8 +198,12 @@
 	returns := n.Demand.Returns(waiting, views, nil)
 	var sends []Send
 	for i, b := range buckets {
-		if views[i].Due && returns[i] > 0 {
-			b.holder.Return(returns[i])
+		if !views[i].Busy && returns[i] > 0 && b.holder.Return(returns[i]) > 0 {
+			views[i].Due = true
+		}
+		if waiting == 0 && b.owed > 0 && b.holder.Return(b.owed) > 0 {
+			b.owed = 0
+			views[i].Due, views[i].Busy = true, b.busy
 		}
 		if (views[i].Due || wants[i] > 0) && !views[i].Busy {
 			sends = append(sends, n.report(b, now, wants[i], waiting)...)
@@ -234,6 +238,7 @@
 	if raised := b.holder.Grant(grant, now); len(raised) > 0 {
 		b.offer(n, raised)
 	}
+	b.owed = grant.Owed
 	if grant.Recall > 0 && n.Waiting(b.key.Service) == 0 && b.holder.Return(grant.Recall) > 0 {
 		b.urgent = true
 	}
--- a/internal/slots/wire/wire.go
+++ b/internal/slots/wire/wire.go
@@ -68,6 +68,10 @@
 		Seq uint64 `json:"seq"`
 		// Recall is how many idle slots the home wants back.
 		Recall int `json:"recall"`
+		// Owed is how many slots the home wants back as soon as they are idle,
+		// besides those of Recall, since requests wait elsewhere. It stands
+		// until the next Grant.
+		Owed int `json:"owed"`
 		// Spare is how many slots of the bucket nobody uses.
 		Spare int `json:"spare"`
 		// Servers lists the grants by server.
@@ -135,8 +139,8 @@
 		return eris.New("grant names no bucket")
 	case g.Term == 0:
 		return eris.New("grant has no term")
-	case !count(g.Recall) || !count(g.Spare):
-		return eris.Errorf("grant recalls %d, %d spare", g.Recall, g.Spare)
+	case !count(g.Recall) || !count(g.Owed) || !count(g.Spare):
+		return eris.Errorf("grant recalls %d, owed %d, spare %d", g.Recall, g.Owed, g.Spare)
 	}
 	seen := map[id.Server]bool{}
 	for i := range g.Servers {
