node: expect nothing of a home that doesn't answer

Cause: an entry short of slots asked the home that last had some to spare. If that home was dead, the ask counted as covering the lack until it timed out, and then was made again: TestAdmitterServesOnWhileHomeIsLost failed in 7 of 40 runs with a request refused while other homes had free slots.

Change: a home that doesn't answer has nothing to spare until it does, and what was asked for counts for 100 ms at most. The replay no longer tells a node of a lost answer that has come.

--- a/internal/replay/shares.go
+++ b/internal/replay/shares.go
@@ -168,8 +168,13 @@
 func (e *sharer) carry(s node.Send) {
 	to := e.index[s.To.Instance]
 	other, delay := e.entries[to], e.run.world.between(e.self, to)
+	answered := false
 	if s.Report != nil {
-		e.run.after(grantRenew, func() { e.node.Answered(s.Report, nil, e.run.now) })
+		e.run.after(grantRenew, func() {
+			if !answered {
+				e.node.Answered(s.Report, nil, e.run.now)
+			}
+		})
 	}
 	e.run.result.messages++
 	e.run.after(delay, func() {
@@ -177,7 +182,7 @@
 			return
 		}
 		if s.Report != nil {
-			e.answerReport(other, s, delay)
+			e.answerReport(other, s, delay, &answered)
 			return
 		}
 		r, err := other.node.Grant(s.Grant, e.run.now)
@@ -196,7 +201,7 @@
 	})
 }
 
-func (e *sharer) answerReport(other *sharer, s node.Send, delay time.Duration) {
+func (e *sharer) answerReport(other *sharer, s node.Send, delay time.Duration, answered *bool) {
 	grant, err := other.node.Report(e.node.Self, s.Report, e.run.now)
 	if err != nil {
 		return
@@ -204,6 +209,7 @@
 	other.step()
 	e.run.after(delay, func() {
 		if !e.run.dead[e.self] {
+			*answered = true
 			e.node.Answered(s.Report, &grant, e.run.now)
 			e.step()
 		}
--- a/internal/slots/node/bucket.go
+++ b/internal/slots/node/bucket.go
@@ -33,6 +33,8 @@
 		busy     bool
 		urgent   bool
 		owed     int
+		// silent is set while the home doesn't answer.
+		silent bool
 	}
 )
 
@@ -143,6 +145,12 @@
 		Busy: b.busy || now-b.reported < gap && !b.urgent,
 		Due:  b.urgent || now-b.reported >= renew,
 	}
+	if b.silent {
+		v.Spare = 0
+	}
+	if b.silent || now-b.reported >= askTrust {
+		v.Asked = 0
+	}
 	if now < b.holder.End() {
 		v.Idle = max(0, limit-used)
 	}
--- a/internal/slots/node/node.go
+++ b/internal/slots/node/node.go
@@ -18,6 +18,9 @@
 	starvedRenew = 50 * time.Millisecond
 	reserveGap   = 20 * time.Millisecond
 	starvedGap   = 5 * time.Millisecond
+
+	// askTrust is how long slots that were asked for are counted on.
+	askTrust = 100 * time.Millisecond
 )
 
 type (
@@ -126,7 +129,7 @@
 	if b == nil {
 		return
 	}
-	b.busy, b.asked = false, 0
+	b.busy, b.asked, b.silent = false, 0, grant == nil
 	if grant != nil {
 		n.book(b, grant, now)
 	}
