lease: homes go on through an outage of the store

Cause: a holder's right ended nine tenths of a lifetime after its last conditional write; 13.5 s into an outage every home would have stopped, and with them all grants of slots. Ruled out: a longer lifetime, which only moves the moment; letting any confirmed holder go on, which the explorer refuted: a process that stood still, was called gone, woke and confirmed once more acted beside its successor. Change: leases that are not timed outlast their confirmation while the process ticks without a gap of a lifetime, isn't called gone, and met no other version. Keeper.Raise raises the term of a lease that is held.

--- a/internal/lease/holder.go
+++ b/internal/lease/holder.go
@@ -39,6 +39,8 @@
 		Version store.Version
 		// wait tells that the former holder may still act.
 		wait bool
+		// again tells that the holder raises the term of its own lease.
+		again bool
 	}
 
 	// Holder is the state of one lease at one process. It is not safe for
@@ -56,6 +58,10 @@
 		Timed bool
 
 		known     bool
+		raise     bool
+		doubted   bool      // a write met another version; only a write clears it
+		paused    bool      // the process once stood still, or is called gone
+		ticked    time.Time // when the process last ran
 		record    Record
 		version   store.Version
 		since     time.Time // when this version was first seen
@@ -90,6 +96,19 @@
 	h.known, h.record, h.version = true, r, v
 }
 
+// Tick notes that the process runs at now. Between two ticks there should be
+// far less than a lifetime; more means that the process was paused.
+func (h *Holder) Tick(now time.Time) {
+	if !h.ticked.IsZero() && now.Sub(h.ticked) >= h.Lifetime {
+		h.Suspect()
+	}
+	h.ticked = now
+}
+
+// Suspect notes that the platform calls the process's own instance gone, or
+// may do so: from now on the right ends with its confirmation.
+func (h *Holder) Suspect() { h.paused = true }
+
 // Next returns the write to be tried, false if there is none. It must be
 // called with the current time right before the write. gone tells whether the
 // platform says that an instance has ended.
@@ -99,6 +118,10 @@
 	case !h.known:
 		return Write{}, false
 	case mine && want:
+		if h.raise {
+			w.Record.Term++
+			w.again = true
+		}
 		return w, true
 	case mine:
 		h.lose() // stops before the release can take effect
@@ -115,7 +138,7 @@
 // Wrote takes the success of a write that began and ended at the given times.
 func (h *Holder) Wrote(began, now time.Time, w Write, v store.Version) {
 	taken := w.Record.Term != h.record.Term
-	h.known, h.record, h.version = true, w.Record, v
+	h.known, h.record, h.version, h.doubted = true, w.Record, v, false
 	if h.Timed {
 		h.since = now
 	}
@@ -123,7 +146,10 @@
 		h.lose()
 		return
 	}
-	if taken || h.active.IsZero() {
+	if w.again {
+		h.raise = false
+	}
+	if (taken && !w.again) || h.active.IsZero() {
 		h.active = now
 		// A renewal without a known taking follows a taking whose answer was
 		// lost; what went before it is not known.
@@ -135,18 +161,41 @@
 	h.confirmed = began
 }
 
-// Failed takes the failure of a write: its condition did not hold, or nobody
-// knows whether it took effect. The record must be read again.
-func (h *Holder) Failed() { h.known = false }
+// Raise lets the next write raise the term of a lease that is held, so that
+// what was granted under the present one is asked for anew.
+func (h *Holder) Raise() { h.raise = true }
+
+// Failed takes the failure of a write; conflict tells that its condition did
+// not hold, otherwise nobody knows whether it took effect. The record must be
+// read again.
+func (h *Holder) Failed(conflict bool) {
+	h.known = false
+	h.doubted = h.doubted || conflict
+}
 
 // Remaining returns how long from now the process may act under the record's
 // term; 0 if it may not. What it grants must end within that time, counted
 // from when the grant was asked for.
+//
+// A lease that is not timed outlasts its confirmation while the store can't be
+// asked, as long as no write met another version and the process has never
+// stood still for a lifetime: the platform doesn't call its instance gone then,
+// and nobody takes the lease over. A process that did stand still may have been
+// called gone, so from then on its right ends with its confirmation.
 func (h *Holder) Remaining(now time.Time) time.Duration {
 	if h.confirmed.IsZero() || now.Before(h.active) {
 		return 0
 	}
-	return max(0, h.confirmed.Add(h.Lifetime-h.Lifetime/marginShare).Sub(now))
+	strict := h.until(h.confirmed).Sub(now)
+	if strict > 0 || h.Timed || h.doubted || h.paused || h.ticked.IsZero() {
+		return max(0, strict)
+	}
+	return max(0, h.until(h.ticked).Sub(now))
+}
+
+// until returns when a right that was confirmed at a time ends.
+func (h *Holder) until(at time.Time) time.Time {
+	return at.Add(h.Lifetime - h.Lifetime/marginShare)
 }
 
 // FreeAt returns when nothing that a former holder granted can be running any
--- a/internal/lease/keeper.go
+++ b/internal/lease/keeper.go
@@ -18,6 +18,7 @@
 const (
 	defaultLifetime = 15 * time.Second
 	roundsALifetime = 3
+	ticksALifetime  = 30
 	callTimeout     = 2 * time.Second
 	maxCalls        = 4
 )
@@ -97,6 +98,7 @@
 
 // Run keeps the leases until ctx ends, and then gives back those held.
 func (k *Keeper) Run(ctx context.Context) error {
+	go k.tick(ctx)
 	for ctx.Err() == nil {
 		k.round(ctx, k.Want)
 		period := k.lifetime() / roundsALifetime
@@ -111,6 +113,39 @@
 	return nil
 }
 
+// tick notes several times a lifetime that the process runs.
+func (k *Keeper) tick(ctx context.Context) {
+	ticker := time.NewTicker(k.lifetime() / ticksALifetime)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		gone := k.gone(k.Self.Instance)
+		k.mu.Lock()
+		now := time.Now()
+		for _, h := range k.holders {
+			h.Tick(now)
+			if gone {
+				h.Suspect()
+			}
+		}
+		k.mu.Unlock()
+	}
+}
+
+// Raise asks for a new term of a lease that this process holds. It returns at
+// once; Held tells the new term once the store has it.
+func (k *Keeper) Raise(name string) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if h, ok := k.holders[name]; ok {
+		h.Raise()
+	}
+}
+
 // round reads all leases by one call and makes the writes that are due.
 func (k *Keeper) round(ctx context.Context, want func(string) bool) {
 	if k.Sparse && !k.concerned(want) || !k.read(ctx) {
@@ -144,6 +179,7 @@
 func (k *Keeper) read(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
+	began := time.Now()
 	objects, err := k.Store.List(ctx, k.Prefix)
 	if err != nil {
 		return false
@@ -156,7 +192,7 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	now := time.Now()
-	k.readAt = now
+	k.readAt = began
 	for _, name := range names {
 		o := found[name]
 		var r Record
@@ -196,7 +232,7 @@
 	case errors.Is(err, store.ErrUnavailable):
 	default:
 		k.logger().Warn("lease", "event", "unsure", "code", result.LeaseUnsure, "name", name, "term", w.Record.Term, "error", err)
-		h.Failed()
+		h.Failed(errors.Is(err, store.ErrConflict))
 	}
 }
 
@@ -214,6 +250,7 @@
 			k.holders = map[string]*Holder{}
 		}
 		h = &Holder{Self: k.Self, Lifetime: k.lifetime(), Deadline: k.Deadline, Timed: k.Timed}
+		h.Tick(time.Now())
 		k.holders[name] = h
 	}
 	return h
