--- a/internal/capacity/configuration.go
+++ b/internal/capacity/configuration.go
@@ -37,23 +37,23 @@
 	servers := []int{10, 20, 40, 80, 160}
 	return []Measure{
 		{
-			Role: "configuration", Quantity: "publication B", Size: "services of 20 servers", Sizes: services, Target: targetSites / fileServers,
+			Role: "configuration", Quantity: quantityPublication, Size: sizeServices, Sizes: services, Target: targetSites / fileServers,
 			Run: func(n int) (float64, error) { return publicationBytes(n, fileServers) },
 		},
 		{
-			Role: "configuration", Quantity: "decode and check, processor us", Size: "services of 20 servers", Sizes: services, Target: targetSites / fileServers,
+			Role: "configuration", Quantity: quantityDecode, Size: sizeServices, Sizes: services, Target: targetSites / fileServers,
 			Run: func(n int) (float64, error) { return decodePublication(n, fileServers) },
 		},
 		{
-			Role: "configuration", Quantity: "publication B", Size: "servers of one service", Sizes: servers, Target: targetSites,
+			Role: "configuration", Quantity: quantityPublication, Size: "servers of one service", Sizes: servers, Target: targetSites,
 			Run: func(n int) (float64, error) { return publicationBytes(1, n) },
 		},
 		{
-			Role: "configuration", Quantity: "decode and check, processor us", Size: "servers of one service", Sizes: servers, Target: targetSites,
+			Role: "configuration", Quantity: quantityDecode, Size: "servers of one service", Sizes: servers, Target: targetSites,
 			Run: func(n int) (float64, error) { return decodePublication(1, n) },
 		},
 		{
-			Role: "configuration", Quantity: "publication in force, heap B", Size: "services of 20 servers", Sizes: services, Target: targetSites / fileServers,
+			Role: "configuration", Quantity: "publication in force, heap B", Size: sizeServices, Sizes: services, Target: targetSites / fileServers,
 			Run: publicationHeap,
 		},
 		{
--- a/internal/capacity/homes.go
+++ b/internal/capacity/homes.go
@@ -23,17 +23,17 @@
 	holders := []int{7, 20, 40, 80, zonePeers}
 	return []Measure{
 		{
-			Role: "home", Quantity: "one report answered, codec included, processor us", Size: "holders",
+			Role: "home", Quantity: quantityAnswer, Size: "holders",
 			Sizes: holders, Target: zonePeers,
 			Run: func(n int) (float64, error) { return answerReports(n, bucketServers) },
 		},
 		{
-			Role: "home", Quantity: "one report answered, codec included, processor us", Size: "servers in the bucket",
+			Role: "home", Quantity: quantityAnswer, Size: "servers in the bucket",
 			Sizes: []int{2, 5, 10, 20, 40}, Target: 53,
 			Run: func(n int) (float64, error) { return answerReports(bucketHolders, n) },
 		},
 		{
-			Role: "home", Quantity: "report and grant, B", Size: "servers in the bucket",
+			Role: "home", Quantity: quantityReport, Size: "servers in the bucket",
 			Sizes: []int{2, 5, 10, 20, 40}, Target: 53,
 			Run: func(n int) (float64, error) {
 				b := newBucket(bucketHolders, n)
--- a/internal/capacity/membership.go
+++ b/internal/capacity/membership.go
@@ -44,11 +44,11 @@
 			},
 		},
 		{
-			Role: "membership", Quantity: "one exchange of beats, both ends, processor us", Size: "peers heard",
+			Role: "membership", Quantity: quantityBeatCost, Size: "peers heard",
 			Sizes: peers, Target: zonePeers, Run: exchangeBeats,
 		},
 		{
-			Role: "membership", Quantity: "one exchange of beats, both directions on the wire, B", Size: "peers heard",
+			Role: "membership", Quantity: quantityBeatWire, Size: "peers heard",
 			Sizes: peers, Target: zonePeers, Run: beatWire,
 		},
 		{
--- a/internal/capacity/news.go
+++ b/internal/capacity/news.go
@@ -41,7 +41,7 @@
 			Run: func(n int) (float64, error) { return heapBytes(func() any { return noticeBoard(n) }), nil },
 		},
 		{
-			Role: "quarantine", Quantity: "comparison B, both ways", Size: "fingerprints", Sizes: sizes, Target: 1000,
+			Role: "quarantine", Quantity: quantityFingerprints, Size: "fingerprints", Sizes: sizes, Target: 1000,
 			Run: func(n int) (float64, error) {
 				data, err := json.Marshal(quarantined(n).News(time.Now(), n))
 				return 2 * float64(len(data)), err
--- a/internal/capacity/peers.go
+++ b/internal/capacity/peers.go
@@ -25,11 +25,11 @@
 func talking() []Measure {
 	return []Measure{
 		{
-			Role: "between entries", Quantity: "one call, both ends, processor us", Size: "B of message",
+			Role: "between entries", Quantity: quantityCall, Size: "B of message",
 			Sizes: []int{100, 300, 1_000, 3_000, 10_000}, Target: heartbeatLen, Run: call,
 		},
 		{
-			Role: "between entries", Quantity: "one call with an empty answer, both directions on the wire, B", Size: "B of message",
+			Role: "between entries", Quantity: quantityCallWire, Size: "B of message",
 			Sizes: []int{100, 300, 1_000, 3_000, 10_000}, Target: heartbeatLen, Run: callWire,
 		},
 		{
--- a/internal/capacity/spread.go
+++ b/internal/capacity/spread.go
@@ -31,11 +31,11 @@
 			},
 		},
 		{
-			Role: "spreading", Quantity: "apply one change, processor us", Size: "blocks", Sizes: blocks, Target: targetBlocks,
+			Role: "spreading", Quantity: quantityApply, Size: "blocks", Sizes: blocks, Target: targetBlocks,
 			Run: applyChange,
 		},
 		{
-			Role: "spreading", Quantity: "epoch message B", Size: "changes in it", Sizes: []int{1, 2, 4, 8, 16, 32}, Target: 1,
+			Role: "spreading", Quantity: quantityEpoch, Size: "changes in it", Sizes: []int{1, 2, 4, 8, 16, 32}, Target: 1,
 			Run: func(n int) (float64, error) {
 				data, err := json.Marshal(epochOf(n))
 				return float64(len(data)), err
--- a/internal/cli/slopes.go
+++ b/internal/cli/slopes.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"strings"
 
@@ -13,6 +14,8 @@
 // slopes is what the measures of a node's roles gave.
 type slopes struct {
 	Results []capacity.Result `json:"results"`
+	// Sums is empty if only some roles were measured.
+	Sums []capacity.Sum `json:"sums,omitempty"`
 }
 
 func (s *slopes) text(w io.Writer) error {
@@ -20,6 +23,10 @@
 	for _, r := range s.Results {
 		r.Print(w)
 	}
+	if len(s.Sums) > 0 {
+		fmt.Fprintln(w)
+		capacity.PrintSums(w, s.Sums)
+	}
 	return nil
 }
 
@@ -50,6 +57,13 @@
 			if len(out.Results) == 0 {
 				return usagef("no role's name holds %q", cmd.String("role"))
 			}
+			if cmd.String("role") == "" {
+				sums, err := capacity.Sums(out.Results)
+				if err != nil {
+					return err
+				}
+				out.Sums = sums
+			}
 			return a.show(&out)
 		}),
 	}
