slots: hand everything over before a planned stop

Cause: the slots that were free at a home were unknown to the next one for the longest deadline, 40 minutes in the vault, also after a planned stop.

Change: an entry that leaves gives its idle slots back and scatters what is free at its homes to the others, which keep them; Handed tells when its leases may be released. Homes of services with a deadline of over a minute always scatter. The model test scatters in half of its histories.

A killed entry's slots still wait for the longest deadline.

--- a/internal/admission/shared/admitter.go
+++ b/internal/admission/shared/admitter.go
@@ -101,6 +101,25 @@
 	return map[string]peer.Handler{wire.MethodReport: a.handleReport, wire.MethodGrant: a.handleGrant}
 }
 
+// Leave makes the entry give away all slots that aren't in use, as before a
+// planned stop. Requests that wait still get slots as others come free.
+func (a *Admitter) Leave() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.defaults()
+	a.node.Leaving = true
+	a.rouse()
+}
+
+// Handed tells, after Leave, whether all but what is in use has been given
+// away. The leases of the buckets may then be released, and should be: their
+// next homes learn of every slot.
+func (a *Admitter) Handed() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.node.Handed()
+}
+
 // Run exchanges messages with the other entries until ctx ends.
 func (a *Admitter) Run(ctx context.Context) {
 	a.mu.Lock()
--- a/internal/admission/shared/admitter_test.go
+++ b/internal/admission/shared/admitter_test.go
@@ -316,3 +316,32 @@
 		is.True(served > 2400)
 	})
 }
+
+func TestAdmitterLeaves(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t, 0)
+		defer w.stop()
+		time.Sleep(time.Second)
+		done, err := w.entries["e-1"].admit(time.Minute)
+		is.NoErr(err)
+		is.True(!w.entries["e-1"].Handed())
+		w.entries["e-1"].Leave()
+		time.Sleep(time.Second)
+		is.True(w.entries["e-1"].Handed())
+		w.mu.Lock()
+		w.setHome("z-1", "e-2")
+		w.mu.Unlock()
+		time.Sleep(time.Second) // far less than a deadline
+		for range 8 {
+			_, err := w.entries["e-3"].admit(200 * time.Millisecond)
+			is.NoErr(err)
+		}
+		_, err = w.entries["e-3"].admit(200 * time.Millisecond)
+		is.True(err != nil) // the ninth runs at the entry that leaves
+		done()
+		_, err = w.entries["e-3"].admit(time.Second)
+		is.NoErr(err)
+		is.Equal(w.over, 0)
+	})
+}
--- a/internal/slots/ledger/account.go
+++ b/internal/slots/ledger/account.go
@@ -35,6 +35,7 @@
 		want     int
 		waiting  int
 		recalled int
+		leaving  bool
 		owed     int
 		// bothered is when the holder was last asked to give slots back.
 		bothered time.Duration
--- a/internal/slots/ledger/ledger.go
+++ b/internal/slots/ledger/ledger.go
@@ -49,6 +49,10 @@
 		// Silence is after how long without a report a holder's slots should
 		// be reclaimed.
 		Silence time.Duration
+		// Scatter keeps free slots with the holders instead of at home, so
+		// that little is unknown when the home is lost. It may be set at any
+		// time.
+		Scatter bool
 
 		term      id.Term
 		authority time.Duration
@@ -166,6 +170,15 @@
 	return l.grant(h, r.Seq), nil
 }
 
+// Free returns how many slots the home has to grant.
+func (l *Ledger) Free() int {
+	sum := 0
+	for _, a := range l.accounts {
+		sum += max(0, a.free())
+	}
+	return sum
+}
+
 // Reserved returns how many slots no living holder can use: those of earlier
 // terms that nobody has claimed, and those of replaced or silent holders.
 func (l *Ledger) Reserved(now time.Duration) int {
@@ -275,6 +288,7 @@
 // refresh takes what only the newest report of a holder tells.
 func (l *Ledger) refresh(h *holder, r *wire.Report) {
 	h.seq = r.Seq
+	h.leaving = r.Leaving
 	h.recalled = 0
 	underway := 0
 	for i := range r.Servers {
@@ -291,7 +305,7 @@
 
 func (l *Ledger) grant(h *holder, seq uint64) wire.Grant {
 	out := wire.Grant{
-		Bucket: l.Bucket, Term: l.term, Seq: seq, Recall: h.recalled, Owed: h.owed,
+		Bucket: l.Bucket, Term: l.term, Seq: seq, Recall: h.recalled, Owed: h.owed, Keep: l.Scatter && !h.leaving,
 		Servers: make([]wire.Given, 0, len(l.names)),
 	}
 	for _, name := range l.names {
--- a/internal/slots/ledger/model_test.go
+++ b/internal/slots/ledger/model_test.go
@@ -24,6 +24,7 @@
 	modelSlots    = 2
 	modelSteps    = 300
 	fixedSeeds    = 5000
+	scatterBit    = 8
 )
 
 type (
@@ -33,6 +34,7 @@
 		rng     *rand.Rand
 		longest time.Duration
 		stride  int
+		scatter bool
 		now     time.Duration
 		term    id.Term
 		home    int
@@ -75,6 +77,7 @@
 func newModel(seed uint64) *model {
 	m := &model{home: -1, rng: rand.New(rand.NewPCG(seed, 1))}
 	m.longest = time.Duration(m.between(1, 40)) * time.Millisecond
+	m.scatter = seed>>scatterBit&1 == 1
 	m.stride = m.between(2, 15)
 	for i := range m.entries {
 		m.entries[i] = &modelEntry{index: i, offset: time.Duration(i) * time.Hour}
@@ -91,6 +94,7 @@
 	e.holder = &holder.Holder{Bucket: bucket(), Lifetime: modelLifetime, Gate: func(id.Server) *gate.Gate { return g }}
 	e.holder.Configure([]id.Server{modelServer})
 	e.ledger = &ledger.Ledger{Bucket: bucket(), Lifetime: modelLifetime, Longest: m.longest, Silence: modelLifetime}
+	e.ledger.Scatter = m.scatter
 	e.ledger.Configure([]ledger.Slots{{Server: modelServer, Slots: modelSlots, Ceiling: modelSlots}}, m.clock(e))
 	e.paused = nil
 }
--- a/internal/slots/ledger/settle.go
+++ b/internal/slots/ledger/settle.go
@@ -23,6 +23,9 @@
 		continue
 	}
 	l.recall(changed)
+	for l.Scatter && l.scatter(changed) {
+		continue
+	}
 	for _, instance := range l.instances {
 		if changed[instance] && instance != reporting {
 			h := l.holders[instance]
@@ -57,6 +60,30 @@
 	return true
 }
 
+// scatter gives one free slot to the holder with least idle ones.
+func (l *Ledger) scatter(changed map[id.Instance]bool) bool {
+	var (
+		best  id.Instance
+		least int
+		from  *account
+	)
+	for _, instance := range l.instances {
+		a := l.roomiest(instance)
+		if a == nil || l.holders[instance].leaving {
+			continue
+		}
+		if idle := l.idle(instance); from == nil || idle < least {
+			best, least, from = instance, idle, a
+		}
+	}
+	if from == nil {
+		return false
+	}
+	from.grants[best].given++
+	changed[best] = true
+	return true
+}
+
 // roomiest returns the server with most free slots for the holder.
 func (l *Ledger) roomiest(instance id.Instance) *account {
 	var best *account
--- a/internal/slots/node/bucket.go
+++ b/internal/slots/node/bucket.go
@@ -33,6 +33,7 @@
 		busy     bool
 		urgent   bool
 		owed     int
+		keep     bool
 		// silent is set while the home doesn't answer.
 		silent bool
 	}
@@ -114,6 +115,7 @@
 	if term == b.ledger.Term() {
 		b.ledger.SetAuthority(until)
 	}
+	b.ledger.Scatter = n.Leaving || b.plan.Longest > scatterFrom
 	if b.ledger.Tick(now) {
 		n.Homes.Raise(b.key)
 	}
--- a/internal/slots/node/node.go
+++ b/internal/slots/node/node.go
@@ -21,6 +21,10 @@
 
 	// askTrust is how long slots that were asked for are counted on.
 	askTrust = 100 * time.Millisecond
+
+	// scatterFrom is the longest deadline above which homes keep no free
+	// slots: after the loss of a home they would be out of use for that long.
+	scatterFrom = time.Minute
 )
 
 type (
@@ -63,6 +67,9 @@
 		Renew time.Duration
 		// Demand sets the reserve kept of each service.
 		Demand demand.Policy
+		// Leaving makes the Node give back what isn't in use, and hand what is
+		// free at home to the other entries. It may be set at any time.
+		Leaving bool
 
 		buckets map[wire.Bucket]*bucket
 		order   []*bucket
@@ -162,7 +169,23 @@
 	}
 	n.book(b, g, now)
 	waiting := n.lacking(b.key.Service, now)
-	return b.holder.Report(now, waiting, waiting), nil
+	r := b.holder.Report(now, waiting, waiting)
+	r.Leaving = n.Leaving
+	return r, nil
+}
+
+// Handed tells, of a Node that is leaving, whether it has given all away but
+// what is in use, so that its leases may be released.
+func (n *Node) Handed() bool {
+	for _, b := range n.order {
+		if limit, used := b.holder.Counts(); limit > used {
+			return false
+		}
+		if _, _, ok := n.Homes.Authority(b.key); ok && b.ledger != nil && b.ledger.Free() > 0 {
+			return false
+		}
+	}
+	return n.Leaving
 }
 
 // Reserved returns how many slots of the buckets that this entry is home of no
@@ -197,11 +220,15 @@
 	for _, b := range buckets {
 		views = append(views, b.view(n, now, waiting))
 	}
-	wants := n.Demand.Wants(waiting, views, nil)
-	returns := n.Demand.Returns(waiting, views, nil)
+	policy := n.Demand
+	if n.Leaving {
+		policy = demand.Policy{}
+	}
+	wants := policy.Wants(waiting, views, nil)
+	returns := policy.Returns(waiting, views, nil)
 	var sends []Send
 	for i, b := range buckets {
-		if !views[i].Busy && returns[i] > 0 && b.holder.Return(returns[i]) > 0 {
+		if !views[i].Busy && (!b.keep || n.Leaving) && returns[i] > 0 && b.holder.Return(returns[i]) > 0 {
 			views[i].Due = true
 		}
 		if waiting == 0 && b.owed > 0 && b.holder.Return(b.owed) > 0 {
@@ -222,6 +249,7 @@
 		return nil
 	}
 	r := b.holder.Report(now, want, waiting)
+	r.Leaving = n.Leaving
 	b.reported, b.urgent = now, false
 	if home != n.Self.Instance {
 		b.busy, b.asked = true, want
@@ -241,7 +269,7 @@
 	if raised := b.holder.Grant(grant, now); len(raised) > 0 {
 		b.offer(n, raised)
 	}
-	b.owed = grant.Owed
+	b.owed, b.keep = grant.Owed, grant.Keep
 	if grant.Recall > 0 && n.Waiting(b.key.Service) == 0 && b.holder.Return(grant.Recall) > 0 {
 		b.urgent = true
 	}
--- a/internal/slots/wire/wire.go
+++ b/internal/slots/wire/wire.go
@@ -40,6 +40,8 @@
 		Want int `json:"want"`
 		// Waiting is how many of them requests already wait for.
 		Waiting int `json:"waiting"`
+		// Leaving tells that the holder will stop and wants no slots.
+		Leaving bool `json:"leaving,omitempty"`
 		// Servers lists the holder's slots by server.
 		Servers []Held `json:"servers"`
 	}
@@ -72,6 +74,9 @@
 		// besides those of Recall, since requests wait elsewhere. It stands
 		// until the next Grant.
 		Owed int `json:"owed"`
+		// Keep tells the holder to keep its idle slots unless they are
+		// recalled.
+		Keep bool `json:"keep,omitempty"`
 		// Spare is how many slots of the bucket nobody uses.
 		Spare int `json:"spare"`
 		// Servers lists the grants by server.
