loads, membership: the slots in use grouped by service in beats

Cause: seven entries sent 18.6 KB/s of beats each, over the 18 that a node may use for control; 42% of a beat was the list of slots in use, 56 B for each region of a service, most of it key names.

Change: in messages the uses are grouped by service and region. A board comes to the same loads by either form (test).

--- a/internal/loads/board.go
+++ b/internal/loads/board.go
@@ -14,11 +14,11 @@
 	// Use is what one entry uses of one service in one region.
 	Use struct {
 		// Service names the service.
-		Service id.Service `json:"service"`
+		Service id.Service
 		// Region is the region of the backend servers.
-		Region id.Region `json:"region"`
+		Region id.Region
 		// Slots is the number of slots in use.
-		Slots int `json:"slots"`
+		Slots int
 	}
 
 	// Board keeps the latest word of each entry. The zero Board is empty. It
--- a/internal/membership/beat.go
+++ b/internal/membership/beat.go
@@ -23,7 +23,7 @@
 		// Starting tells that it can't take its part of the load yet.
 		Starting bool `json:"starting,omitempty"`
 		// Uses lists the slots that it uses.
-		Uses []loads.Use `json:"uses,omitempty"`
+		Uses loads.Uses `json:"uses,omitempty"`
 	}
 
 	// Beat is a heartbeat, and the answer to one.
