replay: plot waiting, refusals and the load of each region

Cause: the plot only showed waiting.

Change: three charts by second: each policy's p99 of waiting, each policy's refusals, and the share of each region's slots in use under the policy before the last. Link use isn't drawn: a trace has no body sizes.

Conclusion: link use is left for a trace that carries sizes.

--- a/internal/replay/plot.go
+++ b/internal/replay/plot.go
@@ -1,41 +1,114 @@
 package replay
 
 import (
-	"time"
+	"os"
+	"path/filepath"
+	"strings"
 
 	"github.com/rotisserie/eris"
 	"gonum.org/v1/plot"
 	"gonum.org/v1/plot/plotter"
 	"gonum.org/v1/plot/plotutil"
 	"gonum.org/v1/plot/vg"
+	"gonum.org/v1/plot/vg/draw"
 )
 
 const (
 	plotWidth  = 18 * vg.Centimeter
-	plotHeight = 10 * vg.Centimeter
+	plotHeight = 30 * vg.Centimeter
+	plotRows   = 3
 )
 
-// Plot draws the 99th percentile of waiting in each second of the trace, one
-// line a policy, to a file whose ending tells the form: svg, png or pdf.
+// Plot draws, by second of the trace, each policy's 99th percentile of waiting
+// and its refusals, and the load of each region under the last policy but the
+// perfect queue. The file's ending tells the form: svg, png or pdf.
 func (r *Report) Plot(path string) error {
-	p := plot.New()
-	p.X.Label.Text = "time in s"
-	p.Y.Label.Text = "waiting p99 in ms"
-	p.Legend.Top, p.Legend.Left = true, true
-	for i := range r.Results {
-		points := make(plotter.XYs, 0, len(r.Results[i].series))
-		for second, v := range r.Results[i].series {
-			ms := float64(v.P99.Std()) / float64(time.Millisecond)
-			points = append(points, plotter.XY{X: float64(second), Y: ms})
-		}
-		line, err := plotter.NewLine(points)
+	if len(r.Results) == 0 {
+		return eris.New("nothing to plot")
+	}
+	plots := make([][]*plot.Plot, 0, plotRows)
+	for _, draw := range []func() (*plot.Plot, error){r.plotWaiting, r.plotRefusals, r.plotRegions} {
+		p, err := draw()
 		if err != nil {
 			return eris.Wrap(err, "plot")
 		}
-		line.Color = plotutil.Color(i)
-		line.Dashes = plotutil.Dashes(i / len(plotutil.DefaultColors))
-		p.Add(line)
-		p.Legend.Add(r.Results[i].Policy, line)
+		plots = append(plots, []*plot.Plot{p})
+	}
+	canvas, err := draw.NewFormattedCanvas(plotWidth, plotHeight, strings.TrimPrefix(filepath.Ext(path), "."))
+	if err != nil {
+		return eris.Wrap(err, "plot")
+	}
+	tiles := draw.Tiles{Rows: plotRows, Cols: 1, PadY: vg.Centimeter}
+	for i, row := range plot.Align(plots, tiles, draw.New(canvas)) {
+		plots[i][0].Draw(row[0])
+	}
+	file, err := os.Create(path)
+	if err != nil {
+		return eris.Wrap(err, "plot")
+	}
+	if _, err := canvas.WriteTo(file); err != nil {
+		_ = file.Close()
+		return eris.Wrap(err, "plot")
+	}
+	return eris.Wrap(file.Close(), "plot")
+}
+
+func (r *Report) plotWaiting() (*plot.Plot, error) {
+	p := newPlot("waiting p99 in ms")
+	for i := range r.Results {
+		if err := addLine(p, i, r.Results[i].Policy, r.Results[i].waits); err != nil {
+			return nil, err
+		}
+	}
+	return p, nil
+}
+
+func (r *Report) plotRefusals() (*plot.Plot, error) {
+	p := newPlot("refused a second")
+	for i := range r.Results {
+		if err := addLine(p, i, r.Results[i].Policy, r.Results[i].refusals); err != nil {
+			return nil, err
+		}
+	}
+	return p, nil
+}
+
+func (r *Report) plotRegions() (*plot.Plot, error) {
+	last := &r.Results[max(0, len(r.Results)-2)]
+	p := newPlot("slots in use, " + last.Policy)
+	for i, region := range last.regions {
+		if err := addLine(p, i, string(region.name), region.load); err != nil {
+			return nil, err
+		}
+	}
+	return p, nil
+}
+
+func newPlot(label string) *plot.Plot {
+	p := plot.New()
+	p.X.Label.Text = "time in s"
+	p.Y.Label.Text = label
+	p.Y.Min = 0
+	p.Legend.Top, p.Legend.Left = true, true
+	return p
+}
+
+// addLine draws one value a second; a series without values is left out.
+func addLine(p *plot.Plot, i int, name string, values []float64) error {
+	if len(values) == 0 {
+		return nil
+	}
+	points := make(plotter.XYs, len(values))
+	for second, v := range values {
+		points[second] = plotter.XY{X: float64(second), Y: v}
+	}
+	line, err := plotter.NewLine(points)
+	if err != nil {
+		return err
 	}
-	return eris.Wrap(p.Save(plotWidth, plotHeight, path), "plot")
+	line.Color = plotutil.Color(i)
+	line.Dashes = plotutil.Dashes(i / len(plotutil.DefaultColors))
+	p.Add(line)
+	p.Legend.Add(name, line)
+	return nil
 }
--- a/internal/replay/replay_test.go
+++ b/internal/replay/replay_test.go
@@ -235,5 +235,6 @@
 		drawn[i] = data
 	}
 	is.True(bytes.Contains(drawn[0], []byte("perfectQueue")))
+	is.True(bytes.Contains(drawn[0], []byte("tbilisi-core")))
 	is.True(bytes.Equal(drawn[0], drawn[1]))
 }
--- a/internal/replay/report.go
+++ b/internal/replay/report.go
@@ -12,6 +12,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/shallotpier/shallotpier/internal/slots/demand"
+	"github.com/shallotpier/shallotpier/pkg/id"
 	"github.com/shallotpier/shallotpier/pkg/unit"
 )
 
@@ -75,7 +76,15 @@
 		// used again; 0 if they couldn't or that isn't known of the policy.
 		Recovered unit.Duration `json:"recovered"`
 
-		series []Percentiles
+		waits    []float64
+		refusals []float64
+		regions  []regionLoad
+	}
+
+	// regionLoad is the share of a region's slots in use by second.
+	regionLoad struct {
+		name id.Region
+		load []float64
 	}
 
 	// Percentiles are of times.
@@ -94,6 +103,8 @@
 		waits    []time.Duration
 		wholes   []time.Duration
 		bySecond [][]time.Duration
+		refusals []float64
+		loads    map[id.Region][]float64
 		held     time.Duration
 		refused  int
 		late     int
@@ -140,7 +151,7 @@
 			world: w, options: o, rng: rand.New(rand.NewPCG(o.Seed, 1)), policy: p.make(),
 			dead: make([]bool, len(w.Deployment.Entries)), give: meanWork(t, len(w.Service.Classes)),
 		}
-		r.result.warmup = o.Warmup
+		r.result.warmup, r.result.loads = o.Warmup, map[id.Region][]float64{}
 		slots := 0
 		for i := range w.Service.Servers {
 			r.servers = append(r.servers, &server{slots: w.Service.Servers[i].Slots})
@@ -148,11 +159,31 @@
 		}
 		r.watch()
 		r.play(t)
-		report.Results = append(report.Results, r.result.result(p.Name, r.end-o.Warmup, slots))
+		result := r.result.result(p.Name, r.end-o.Warmup, slots)
+		result.regions = r.loads()
+		report.Results = append(report.Results, result)
 	}
 	return report, nil
 }
 
+// loads returns the load by region, in the order of the deployment.
+func (r *run) loads() []regionLoad {
+	slots := map[id.Region]int{}
+	for _, s := range r.world.Service.Servers {
+		region, _ := r.world.Deployment.Region(s.Zone)
+		slots[region] += s.Slots
+	}
+	var out []regionLoad
+	for _, region := range r.world.Deployment.Regions {
+		series := r.result.loads[region.Name]
+		for i := range series {
+			series[i] /= float64(max(slots[region.Name], 1))
+		}
+		out = append(out, regionLoad{name: region.Name, load: series})
+	}
+	return out
+}
+
 // watch notes when the slots of a lost entry are back.
 func (r *run) watch() {
 	s, ok := r.policy.(interface{ recovered() bool })
@@ -174,6 +205,7 @@
 	if now < c.warmup {
 		return
 	}
+	c.load(j, now)
 	c.held += now - max(j.sent, c.warmup)
 	if j.At < c.warmup {
 		return
@@ -193,7 +225,30 @@
 	}
 }
 
-func (c *recorder) refuse(j *job, _ time.Duration) {
+// load spreads the time that a request held its slot over the seconds.
+func (c *recorder) load(j *job, now time.Duration) {
+	series := c.loads[j.region]
+	for from := j.sent; from < now; {
+		second := int(from / time.Second)
+		to := min(now, time.Duration(second+1)*time.Second)
+		series = grow(series, second)
+		series[second] += (to - from).Seconds()
+		from = to
+	}
+	c.loads[j.region] = series
+}
+
+func grow(series []float64, last int) []float64 {
+	for len(series) <= last {
+		series = append(series, 0)
+	}
+	return series
+}
+
+func (c *recorder) refuse(j *job, now time.Duration) {
+	second := int(now / time.Second)
+	c.refusals = grow(c.refusals, second)
+	c.refusals[second]++
 	if j.At >= c.warmup {
 		c.refused++
 	}
@@ -215,8 +270,9 @@
 		out.InUse = c.held.Seconds() / (length.Seconds() * float64(slots))
 	}
 	for _, second := range c.bySecond {
-		out.series = append(out.series, percentiles(second))
+		out.waits = append(out.waits, percentiles(second).P99.Std().Seconds()*1000)
 	}
+	out.refusals = c.refusals
 	return out
 }
 
--- a/internal/replay/run.go
+++ b/internal/replay/run.go
@@ -4,6 +4,8 @@
 	"container/heap"
 	"math/rand/v2"
 	"time"
+
+	"github.com/shallotpier/shallotpier/pkg/id"
 )
 
 type (
@@ -49,6 +51,7 @@
 		// sender is the entry that sends it to a server.
 		sender int
 		server int
+		region id.Region
 		sent   time.Duration
 		waited time.Duration
 		gone   bool
@@ -107,6 +110,7 @@
 // send sends a request from its sender to a server.
 func (r *run) send(j *job, s int) {
 	j.server, j.sent = s, r.now
+	j.region, _ = r.world.Deployment.Region(r.world.Service.Servers[s].Zone)
 	j.waited += r.now - j.At - r.world.between(j.Entry, j.sender)
 	r.after(r.world.delay(j.sender, s), func() { r.receive(j) })
 }
