daemon: slots granted by homes with leases

Cause: each entry had an even part of every backend server's slots for good; what one entry left unused no other could use. Change: shared.Admitter with the leases of internal/lease behind it: a bucket (service and zone) has a home chosen by homes.Choose among the entries that are heard; grants live 5 s, leases 9 s, so that a read of the term comes in time when a home is lost. An entry is ready once it knows a home for every bucket. Conclusion: caps and links still have even parts; share.Plan would move them.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -15,12 +15,13 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/shallotpier/shallotpier/internal/admission"
-	"github.com/shallotpier/shallotpier/internal/admission/local"
+	"github.com/shallotpier/shallotpier/internal/admission/shared"
 	"github.com/shallotpier/shallotpier/internal/backend"
 	"github.com/shallotpier/shallotpier/internal/config"
 	"github.com/shallotpier/shallotpier/internal/entry"
 	"github.com/shallotpier/shallotpier/internal/httpserver"
 	"github.com/shallotpier/shallotpier/internal/instances"
+	"github.com/shallotpier/shallotpier/internal/lease"
 	"github.com/shallotpier/shallotpier/internal/leaving"
 	"github.com/shallotpier/shallotpier/internal/loads"
 	"github.com/shallotpier/shallotpier/internal/lookup"
@@ -70,8 +71,10 @@
 	store       *observed.Store
 	node        *rpc.Node
 	view        atomic.Pointer[view]
+	warm        atomic.Bool
 	lookups     lookups
-	slots       local.Admitter
+	slots       shared.Admitter
+	leases      *lease.Keeper
 	board       notices.Board
 	exchange    *notices.Exchange
 	quarantine  quarantine.List
@@ -120,6 +123,8 @@
 		go func() { _ = run(ctx) }()
 	}
 	go d.steer(ctx)
+	go d.keepLeases(ctx)
+	go d.slots.Run(ctx)
 	go func() { _ = d.prober().Run(ctx) }()
 	if err := d.operators.Start(); err != nil {
 		return err
--- a/internal/daemon/members.go
+++ b/internal/daemon/members.go
@@ -93,9 +93,21 @@
 	}
 }
 
-// starting tells whether the entry can't take its part of the load yet.
+// starting tells whether the entry can't take its part of the load yet. Once
+// it could, it doesn't start again.
 func (d *Daemon) starting() bool {
-	return d.table() == nil || time.Now().Before(d.limits.readyAt())
+	if d.warm.Load() {
+		return false
+	}
+	now := time.Now()
+	if d.table() == nil || now.Before(d.limits.readyAt()) {
+		return true
+	}
+	if !d.homesKnown() && now.Sub(d.started) < homesTime {
+		return true
+	}
+	d.warm.Store(true)
+	return false
 }
 
 // steer moves the steering on until ctx ends.
--- a/internal/daemon/slots.go
+++ b/internal/daemon/slots.go
@@ -1,8 +1,11 @@
 package daemon
 
 import (
+	"time"
+
 	"github.com/shallotpier/shallotpier/internal/admission/steered"
 	"github.com/shallotpier/shallotpier/internal/notices"
+	"github.com/shallotpier/shallotpier/internal/peer"
 	"github.com/shallotpier/shallotpier/internal/probe"
 	"github.com/shallotpier/shallotpier/internal/routing"
 	"github.com/shallotpier/shallotpier/pkg/id"
@@ -11,14 +14,15 @@
 
 // prepareSlots builds what permits requests.
 func (d *Daemon) prepareSlots() {
-	entries := d.Settings.World.Entries
-	d.slots.Entries = len(entries)
-	for i := range entries {
-		if entries[i].Name == d.Settings.Instance {
-			d.slots.Index = i
-		}
-	}
 	world := d.Settings.World
+	d.prepareLeases()
+	d.slots.Self = peer.Sender{Instance: d.Settings.Instance, Incarnation: d.incarnation}
+	d.slots.Caller, d.slots.Homes, d.slots.Entries = d.node, homeLeases{d.leases}, len(world.Entries)
+	d.slots.Lifetime, d.slots.Log = grantTime, d.Log
+	d.slots.Distance = func(z id.Zone) time.Duration { return world.Delay(d.Settings.Zone, z) }
+	for method, handler := range d.slots.Handlers() {
+		d.node.Register(method, handler)
+	}
 	d.steering = &routing.Router{World: world, Zone: d.Settings.Zone, Inner: &d.slots}
 	d.slots.Pool.Order = d.steering.Order
 	d.slots.Pool.MaxWaiting = maxWaiting
--- a/internal/daemon/source.go
+++ b/internal/daemon/source.go
@@ -33,7 +33,7 @@
 	case s.phase(1) != leaving.Serving:
 		return eris.New("leaving")
 	case s.starting():
-		return eris.New("what an earlier process of the instance sent may still count against the caps on shifts")
+		return eris.New("starting: waits for the homes of backend servers, and until what an earlier process sent can't count against a cap")
 	}
 	return nil
 }
