node: idle slots don't count while requests wait

Cause: a request whose server is dead waits for another one's slot, but the entry held idle slots of dead servers, took the wait for covered, and asked for nothing: the caller got 2014 after 2 s. Ruled out: the budget for resends and the number of attempts; both left room. Change: slots that are idle while requests wait are not counted, since the waiting requests would have taken them. A home whose term isn't known is told term 0, and its answer tells the term, so that an entry that starts in a store outage gets slots.

--- a/internal/slots/node/bucket.go
+++ b/internal/slots/node/bucket.go
@@ -153,7 +153,9 @@
 	if b.silent || now-b.reported >= askTrust {
 		v.Asked = 0
 	}
-	if now < b.holder.End() {
+	// Slots that are idle while requests wait are of servers that these can't
+	// use, such as ones that they were sent to before or that are out.
+	if now < b.holder.End() && waiting == 0 {
 		v.Idle = max(0, limit-used)
 	}
 	if n.Distance != nil {
--- a/internal/slots/node/node.go
+++ b/internal/slots/node/node.go
@@ -242,10 +242,11 @@
 	return sends
 }
 
-// report makes a report, and takes it at once if this entry is home.
+// report makes a report, and takes it at once if this entry is home. To a home
+// whose term isn't known it says term 0, and the answer tells the term.
 func (n *Node) report(b *bucket, now time.Duration, want, waiting int) []Send {
 	home, _, ok := n.Homes.Home(b.key)
-	if !ok || b.holder.Term() == 0 {
+	if !ok || (home == n.Self.Instance && b.holder.Term() == 0) {
 		return nil
 	}
 	r := b.holder.Report(now, want, waiting)
