entry: a failed connection is not a send

Change: up to three failed connections of a request aren't counted among its sends. Conclusion: attempts bound what reaches servers.

--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -22,11 +22,12 @@
 )
 
 const (
-	smallBody    = 64 << 10
-	maxOnceBody  = 8 << 20
-	spreadTime   = 300 * time.Millisecond
-	cancelTime   = 2 * time.Second
-	callerSilent = 90 * time.Second
+	smallBody      = 64 << 10
+	maxOnceBody    = 8 << 20
+	spreadTime     = 300 * time.Millisecond
+	cancelTime     = 2 * time.Second
+	callerSilent   = 90 * time.Second
+	maxUnconnected = 3
 )
 
 // call is one request of a caller, from its arrival to its log line.
@@ -55,10 +56,12 @@
 	status   int
 	out      int64
 	attempts int
-	headed   bool
-	broken   bool
-	doubt    result.Code
-	spreads  *sync.WaitGroup
+	// unconnected counts failed connections that are not among attempts.
+	unconnected int
+	headed      bool
+	broken      bool
+	doubt       result.Code
+	spreads     *sync.WaitGroup
 }
 
 // request handles a request to a service; rest is the path after ServicePath.
--- a/internal/entry/carry.go
+++ b/internal/entry/carry.go
@@ -229,11 +229,21 @@
 		return false
 	}
 	if e.code == result.ConnectFailed {
+		c.unsent()
 		return c.canResend() // it was no load to any server
 	}
 	return c.mayResend()
 }
 
+// unsent takes a failed connection out of the sends: nothing was sent. Only so
+// many are taken out, so that a request ends when no server can be reached.
+func (c *call) unsent() {
+	if c.unconnected < maxUnconnected {
+		c.unconnected++
+		c.attempts--
+	}
+}
+
 // mayResend tells whether one more send is possible and within the budget.
 func (c *call) mayResend() bool {
 	return c.canResend() && c.h.Budget.Retry(time.Now(), c.file)
--- a/internal/entry/flight.go
+++ b/internal/entry/flight.go
@@ -27,7 +27,7 @@
 // launch starts a send to a server that was not tried.
 func (c *call) launch(tried []id.Server) *flight {
 	c.attempts++
-	first := c.attempts == 1 && c.h.Budget != nil
+	first := c.attempts == 1 && c.unconnected == 0 && c.h.Budget != nil
 	f := &flight{send: c.h.sendID(), began: time.Now(), patience: c.patience(), admitted: make(chan struct{}), done: make(chan struct{})}
 	ctx, cancel := context.WithCancel(c.ctx)
 	f.cancel = cancel
