--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -151,6 +151,7 @@
 	}
 	d.stop.Begin(time.Now())
 	go d.rebuildLookups()
+	go d.slots.Leave()
 }
 
 // Kill ends Run at once and cuts what runs.
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -4,9 +4,9 @@
 	"context"
 	"io"
 	"log/slog"
-	"net"
 	"net/http"
 	"net/netip"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -20,6 +20,11 @@
 	"github.com/shallotpier/shallotpier/pkg/result"
 )
 
+const (
+	callerPort = 21001
+	peerPort   = 21002
+)
+
 // system is a deployment's entries over its stand-ins.
 type system struct {
 	fleet   *fleet.Fleet
@@ -36,8 +41,8 @@
 	f.Platform = loopback()
 	f.World.Entries = f.World.Entries[:entries]
 	for i := range f.World.Entries {
-		f.World.Entries[i].Caller = free(t)
-		f.World.Entries[i].Peer = free(t)
+		f.World.Entries[i].Caller = address(i, callerPort)
+		f.World.Entries[i].Peer = address(i, peerPort)
 	}
 	is.NoErr(f.Start())
 	t.Cleanup(func() { f.Close() })
@@ -114,15 +119,11 @@
 
 func loopback() netip.AddrPort { return netip.MustParseAddrPort("127.0.0.1:0") }
 
-// free returns an address that was free just now.
-func free(t *testing.T) netip.AddrPort {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	return netip.MustParseAddrPort(l.Addr().String())
+// address returns an address of the i-th entry on a loopback address of its
+// own, where nothing else of the machine listens.
+func address(i, port int) netip.AddrPort {
+	pid := os.Getpid()
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, byte(100 + i), byte(pid >> 8), byte(pid)}), uint16(port))
 }
 
 func TestRequestGoesThroughEveryEntry(t *testing.T) {
--- a/internal/daemon/homes.go
+++ b/internal/daemon/homes.go
@@ -27,12 +27,22 @@
 
 // homeLeases tells who is home of which backend servers, from the leases in
 // the store. It implements shared.Homes.
-type homeLeases struct{ keeper *lease.Keeper }
+type homeLeases struct {
+	keeper *lease.Keeper
+	// likely returns the entry that should be home.
+	likely func(name string) (id.Instance, bool)
+}
 
-// Home returns the home of a bucket and its term, as last known.
+// Home returns the home of a bucket and its term, as last known. While the
+// store has told nothing yet, the entry that should be home is asked; if it
+// is, its answer tells the term.
 func (h homeLeases) Home(b wire.Bucket) (id.Instance, id.Term, bool) {
 	r, _, ok := h.keeper.Record(bucketName(b))
-	return r.Holder.Instance, r.Term, ok && !r.Released
+	if !ok {
+		likely, found := h.likely(bucketName(b))
+		return likely, 0, found
+	}
+	return r.Holder.Instance, r.Term, !r.Released
 }
 
 // Authority returns the term in which this entry is home, and until when.
@@ -105,16 +115,22 @@
 
 // wantsHome tells whether this entry should be home of a bucket.
 func (d *Daemon) wantsHome(name string) bool {
-	if d.phase(1) != leaving.Serving {
+	if d.phase(1) != leaving.Serving && (d.slots.Handed() || d.closed()) {
 		return false
 	}
+	best, ok := d.likelyHome(name)
+	return ok && best == d.Settings.Instance
+}
+
+// likelyHome returns the entry that should be home of a bucket.
+func (d *Daemon) likelyHome(name string) (id.Instance, bool) {
 	service, zone, _ := strings.Cut(name, "/")
 	region, _ := d.Settings.World.Region(id.Zone(zone))
-	best, ok := homes.Choose(homes.Bucket{Service: id.Service(service), Zone: id.Zone(zone), Region: region}, d.candidates())
-	return ok && best == d.Settings.Instance
+	return homes.Choose(homes.Bucket{Service: id.Service(service), Zone: id.Zone(zone), Region: region}, d.candidates())
 }
 
-// candidates returns the entries that may become home.
+// candidates returns the entries that may become home. This one stays among
+// them until it has handed its free slots over.
 func (d *Daemon) candidates() []homes.Candidate {
 	now := time.Now()
 	var out []homes.Candidate
