shared: a test that the last usable server's slot is found

Change: a request that may use one of three servers alone is admitted at every entry, wherever the idle slots are.

--- a/internal/admission/shared/admitter_test.go
+++ b/internal/admission/shared/admitter_test.go
@@ -345,3 +345,35 @@
 		is.Equal(w.over, 0)
 	})
 }
+
+// A request that was sent to all servers but one gets that one's slot, wherever
+// the idle slots are, and although its entry holds idle ones of the others.
+func TestAdmitterFindsTheServerThatIsLeft(t *testing.T) {
+	for _, left := range []id.Server{"a", "b", "c"} {
+		t.Run(string(left), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				w := newWorld(t, 0)
+				defer w.stop()
+				time.Sleep(5 * time.Second)
+				req := &admission.Request{Service: w.file, Class: &w.file.Classes[0]}
+				for _, s := range w.file.Servers {
+					if s.Name != left {
+						req.Tried = append(req.Tried, s.Name)
+					}
+				}
+				for _, name := range w.names {
+					for range 3 {
+						again := *req
+						again.Deadline = time.Now().Add(deadline)
+						p, err := w.entries[name].Admit(t.Context(), &again)
+						is.NoErr(err)
+						is.Equal(p.Server().Name, left)
+						p.Release(admission.Outcome{})
+						time.Sleep(time.Second)
+					}
+				}
+			})
+		})
+	}
+}
