peer: one way to spread news, used by notices and sightings

Cause: notices and sightings each had their own sending to all, with detours by two others for those that did not confirm; daemon.budgets stood beside entry.Budgets. Change: peer.Spread and peer.Tell; both twins are gone.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -85,7 +85,7 @@
 	loads       loads.Board
 	steering    *routing.Router
 	limits      limits
-	budgets     budgets
+	budgets     entry.Budgets
 	admitter    admission.Admitter
 	handler     *entry.Handler
 	callers     *httpserver.Server
--- a/internal/daemon/limits.go
+++ b/internal/daemon/limits.go
@@ -7,7 +7,6 @@
 	"github.com/shallotpier/shallotpier/internal/admission/steered"
 	"github.com/shallotpier/shallotpier/internal/link"
 	"github.com/shallotpier/shallotpier/internal/measured"
-	"github.com/shallotpier/shallotpier/internal/retry"
 	"github.com/shallotpier/shallotpier/internal/shift"
 	"github.com/shallotpier/shallotpier/pkg/deployment"
 	"github.com/shallotpier/shallotpier/pkg/id"
@@ -34,9 +33,6 @@
 		service id.Service
 		region  id.Region
 	}
-
-	// budgets bounds resends, a budget for each service.
-	budgets struct{ services sync.Map } // id.Service to *retry.Budget
 )
 
 // configure makes gates for what the files name for the first time. The part
@@ -97,20 +93,3 @@
 
 // Link returns the budget toward another region.
 func (l *limits) Link(region id.Region) *link.Budget { return l.links[region] }
-
-// First implements entry.Budget.
-func (b *budgets) First(now time.Time, f *service.File) { b.of(f).First(now) }
-
-// Retry implements entry.Budget.
-func (b *budgets) Retry(now time.Time, f *service.File) bool {
-	return b.of(f).Take(now, f.Retry.Budget)
-}
-
-func (b *budgets) of(f *service.File) *retry.Budget {
-	v, ok := b.services.Load(f.Service)
-	if !ok {
-		v, _ = b.services.LoadOrStore(f.Service, new(retry.Budget))
-	}
-	r, _ := v.(*retry.Budget)
-	return r
-}
--- a/internal/notices/exchange.go
+++ b/internal/notices/exchange.go
@@ -29,7 +29,6 @@
 	defaultPeriod = 2 * time.Second
 	callTimeout   = time.Second
 	maxNotices    = 100_000
-	detours       = 2
 )
 
 type (
@@ -93,10 +92,9 @@
 	}
 	x.unkept[k] = n
 	x.mu.Unlock()
-	told, missed := x.tellAll(ctx, x.Others(), message{Notices: []Notice{n}})
-	if len(missed) > 0 {
-		x.tellAll(ctx, told[:min(len(told), detours)], message{Notices: []Notice{n}, Tell: missed})
-	}
+	missed := peer.Spread(ctx, x.Peers, callTimeout, x.Others(), MethodPost, func(tell []id.Instance) any {
+		return message{Notices: []Notice{n}, Tell: tell}
+	})
 	x.keep(ctx)
 	return n, missed
 }
@@ -120,27 +118,6 @@
 	}
 }
 
-// tellAll sends the message to all of others at the same time, and returns who
-// confirmed it and who did not.
-func (x *Exchange) tellAll(ctx context.Context, others []id.Instance, m message) (told, missed []id.Instance) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	failed := make([]bool, len(others))
-	var wg sync.WaitGroup
-	for i, other := range others {
-		wg.Go(func() { failed[i] = x.Peers.Call(ctx, other, MethodPost, m, nil) != nil })
-	}
-	wg.Wait()
-	for i, other := range others {
-		if failed[i] {
-			missed = append(missed, other)
-		} else {
-			told = append(told, other)
-		}
-	}
-	return told, missed
-}
-
 // compare makes this board and that of one other entry equal.
 func (x *Exchange) compare(ctx context.Context) {
 	others := x.Others()
@@ -170,7 +147,7 @@
 		return nil, err
 	}
 	if len(m.Tell) > 0 {
-		x.tellAll(ctx, m.Tell, message{Notices: m.Notices})
+		peer.Tell(ctx, x.Peers, callTimeout, m.Tell, MethodPost, message{Notices: m.Notices})
 	}
 	return message{}, nil
 }
--- /dev/null
+++ b/internal/peer/spread.go
@@ -0,0 +1,46 @@
+package peer
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/shallotpier/shallotpier/pkg/id"
+)
+
+// detours is the number of entries that pass a message on to those that its
+// sender could not reach.
+const detours = 2
+
+// Spread sends news to all of the others at the same time, and by way of two of
+// those that confirmed it to those that did not. message makes the news, with
+// the entries that its receiver is to pass it on to. Each of the two steps takes
+// at most limit. Spread returns the entries that did not confirm directly.
+func Spread(ctx context.Context, c Caller, limit time.Duration, others []id.Instance, method string, message func(tell []id.Instance) any) []id.Instance {
+	told, missed := Tell(ctx, c, limit, others, method, message(nil))
+	if len(missed) > 0 {
+		Tell(ctx, c, limit, told[:min(len(told), detours)], method, message(missed))
+	}
+	return missed
+}
+
+// Tell sends params to all of the others at the same time, for at most limit,
+// and returns who confirmed them and who did not.
+func Tell(ctx context.Context, c Caller, limit time.Duration, others []id.Instance, method string, params any) (told, missed []id.Instance) {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	failed := make([]bool, len(others))
+	var wg sync.WaitGroup
+	for i, other := range others {
+		wg.Go(func() { failed[i] = c.Call(ctx, other, method, params, nil) != nil })
+	}
+	wg.Wait()
+	for i, other := range others {
+		if failed[i] {
+			missed = append(missed, other)
+		} else {
+			told = append(told, other)
+		}
+	}
+	return told, missed
+}
--- a/internal/sightings/exchange.go
+++ b/internal/sightings/exchange.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"math/rand/v2"
-	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -23,7 +22,6 @@
 
 	defaultPeriod = 10 * time.Second
 	callTimeout   = 250 * time.Millisecond
-	detours       = 2
 	maxNews       = 1000
 	maxSend       = 128
 )
@@ -65,12 +63,9 @@
 // Spread brings the news to all other entries. It returns once each of them
 // confirmed it or could not be reached, or when ctx ends.
 func (x *Exchange) Spread(ctx context.Context, news quarantine.Sighting) {
-	m := message{News: []quarantine.Sighting{news}}
-	told, missed := x.tellAll(ctx, x.Others(), m)
-	if len(missed) > 0 && len(told) > 0 {
-		m.Tell = missed
-		x.tellAll(ctx, told[:min(len(told), detours)], m)
-	}
+	peer.Spread(ctx, x.Peers, callTimeout, x.Others(), MethodTell, func(tell []id.Instance) any {
+		return message{News: []quarantine.Sighting{news}, Tell: tell}
+	})
 }
 
 // Run compares lists until ctx ends.
@@ -105,32 +100,13 @@
 	}
 }
 
-func (x *Exchange) tellAll(ctx context.Context, others []id.Instance, m message) (told, missed []id.Instance) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	failed := make([]bool, len(others))
-	var wg sync.WaitGroup
-	for i, other := range others {
-		wg.Go(func() { failed[i] = x.Peers.Call(ctx, other, MethodTell, m, nil) != nil })
-	}
-	wg.Wait()
-	for i, other := range others {
-		if failed[i] {
-			missed = append(missed, other)
-		} else {
-			told = append(told, other)
-		}
-	}
-	return told, missed
-}
-
 func (x *Exchange) tell(ctx context.Context, _ peer.Sender, params json.RawMessage) (any, error) {
 	m, err := decode(params)
 	if err != nil {
 		return nil, err
 	}
 	x.learn(m.News)
-	x.tellAll(ctx, m.Tell, message{News: m.News})
+	peer.Tell(ctx, x.Peers, callTimeout, m.Tell, MethodTell, message{News: m.News})
 	return message{}, nil
 }
 
