node, daemon: no lack is covered by a bucket without a home; homes stay

A bucket whose home had just released it still counted as having slots to spare, so that an entry in need asked it, and it alone, until its next home came. And homes moved at every start: the first entry took all buckets and gave them up without handing slots over when nearer entries were heard. Change: a bucket without a known home has nothing to spare and isn't asked; a home stays home until it leaves. Reports go every 2 s and grants live 6 s. With the change to the node taken out the new test fails. Conclusion: what starved requests was never a lack of slots.

--- a/internal/admission/shared/admitter_test.go
+++ b/internal/admission/shared/admitter_test.go
@@ -40,6 +40,7 @@
 		over    int
 		rng     *rand.Rand
 		loss    float64
+		vacant  id.Zone // has no home for now
 	}
 
 	entry struct {
@@ -138,7 +139,7 @@
 func (e *entry) Home(b wire.Bucket) (id.Instance, id.Term, bool) {
 	e.world.mu.Lock()
 	defer e.world.mu.Unlock()
-	return e.world.homes[b], e.world.terms[b], true
+	return e.world.homes[b], e.world.terms[b], b.Zone != e.world.vacant
 }
 
 func (e *entry) Authority(b wire.Bucket) (id.Term, time.Time, bool) {
@@ -377,3 +378,23 @@
 		})
 	}
 }
+
+// A bucket that has no home for now doesn't keep an entry from the others'
+// slots, also if its last home had many to spare.
+func TestAdmitterServesOnBesideAVacantBucket(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t, 0)
+		defer w.stop()
+		time.Sleep(5 * time.Second)
+		w.mu.Lock()
+		w.vacant = "z-1"
+		w.mu.Unlock()
+		time.Sleep(time.Second)
+		for range 3 { // all slots of z-2
+			_, err := w.entries["e-3"].admit(500 * time.Millisecond)
+			is.NoErr(err)
+		}
+		is.Equal(w.over, 0)
+	})
+}
--- a/internal/daemon/homes.go
+++ b/internal/daemon/homes.go
@@ -19,7 +19,10 @@
 	leaseTime = 9 * time.Second
 	// grantTime is longer than a round and the calls in it take, so that a
 	// read of the term keeps grants alive when their home is lost.
-	grantTime  = 5 * time.Second
+	grantTime = 6 * time.Second
+	// grantRenew lets one report in three be lost, and keeps reports at rest
+	// within the budget for control.
+	grantRenew = 2 * time.Second
 	configPoll = 50 * time.Millisecond
 	// homesTime is how long a starting entry waits for homes to be known.
 	homesTime = 15 * time.Second
@@ -113,11 +116,16 @@
 	return true
 }
 
-// wantsHome tells whether this entry should be home of a bucket.
+// wantsHome tells whether this entry should be home of a bucket. A home stays
+// home until it leaves, also when a nearer entry comes: a bucket that moves
+// without its free slots handed over has fewer for the longest deadline.
 func (d *Daemon) wantsHome(name string) bool {
 	if d.phase(1) != leaving.Serving && (d.slots.Handed() || d.closed()) {
 		return false
 	}
+	if _, held := d.leases.Held(name); held {
+		return true
+	}
 	best, ok := d.likelyHome(name)
 	return ok && best == d.Settings.Instance
 }
--- a/internal/slots/node/bucket.go
+++ b/internal/slots/node/bucket.go
@@ -147,10 +147,14 @@
 		Busy: b.busy || now-b.reported < gap && !b.urgent,
 		Due:  b.urgent || now-b.reported >= renew,
 	}
-	if b.silent {
+	_, _, known := n.Homes.Home(b.key)
+	if b.silent || !known {
 		v.Spare = 0
 	}
-	if b.silent || now-b.reported >= askTrust {
+	if !known {
+		v.Busy = true // there is nobody to ask
+	}
+	if b.silent || !known || now-b.reported >= askTrust {
 		v.Asked = 0
 	}
 	// Slots that are idle while requests wait are of servers that these can't
