--- a/internal/daemon/source.go
+++ b/internal/daemon/source.go
@@ -12,8 +12,11 @@
 	"github.com/shallotpier/shallotpier/internal/admission"
 	"github.com/shallotpier/shallotpier/internal/health"
 	"github.com/shallotpier/shallotpier/internal/leaving"
+	"github.com/shallotpier/shallotpier/internal/link"
+	"github.com/shallotpier/shallotpier/internal/measured"
 	"github.com/shallotpier/shallotpier/internal/operator"
 	"github.com/shallotpier/shallotpier/internal/quarantine"
+	"github.com/shallotpier/shallotpier/internal/slots/wire"
 	"github.com/shallotpier/shallotpier/pkg/id"
 	"github.com/shallotpier/shallotpier/pkg/result"
 	"github.com/shallotpier/shallotpier/pkg/service"
@@ -50,7 +53,7 @@
 	if err := s.Ready(); err != nil {
 		out.Ready, out.NotReady = false, err.Error()
 	}
-	out.Instances = s.instanceStatus()
+	out.Instances, out.Links = s.instanceStatus(), s.linkStatus()
 	if t := s.table(); t != nil {
 		out.Version = t.Version
 		for _, name := range serviceNames(t.Services) {
@@ -72,6 +75,24 @@
 	}
 }
 
+// linkStatus tells what this entry may send over each link of its region. What
+// it sends is not measured.
+func (s *source) linkStatus() []operator.LinkStatus {
+	var out []operator.LinkStatus
+	for _, r := range s.Settings.World.Regions {
+		l := s.Settings.World.Link(s.Settings.Region, r.Name)
+		if l == nil {
+			continue
+		}
+		all := link.Limit(l, measured.Value[unit.BitRate]{}, time.Now())
+		out = append(out, operator.LinkStatus{
+			From: s.Settings.Region, To: r.Name, Budget: unit.BitRate(float64(all) * float64(s.limits.part())),
+			Seen: operator.Seen{State: measured.Missing.String()},
+		})
+	}
+	return out
+}
+
 func (s *source) instanceStatus() []operator.InstanceStatus {
 	var (
 		out     []operator.InstanceStatus
@@ -110,7 +131,7 @@
 		b := &f.Servers[i]
 		used := s.used(f.Service, b.Name)
 		state := s.serverState(f, b)
-		out.Servers = append(out.Servers, operator.ServerStatus{Name: b.Name, Zone: b.Zone, State: state, Slots: b.Slots, Used: used, Seen: operator.Seen{State: "missing"}})
+		out.Servers = append(out.Servers, operator.ServerStatus{Name: b.Name, Zone: b.Zone, State: state, Slots: b.Slots, Used: used, Home: s.home(f.Service, b.Zone), Seen: operator.Seen{State: "missing"}})
 		region, _ := s.Settings.World.Region(b.Zone)
 		if h := regions[region]; h != nil {
 			h.Used += used
@@ -122,6 +143,16 @@
 	return out
 }
 
+// home returns the entry that grants the slots of a service's servers in a
+// zone, empty if it isn't known.
+func (s *source) home(of id.Service, zone id.Zone) id.Instance {
+	r, _, ok := s.leases.Record(bucketName(wire.Bucket{Service: of, Zone: zone}))
+	if !ok || r.Released {
+		return ""
+	}
+	return r.Holder.Instance
+}
+
 // serverState says whether a server takes new work.
 func (s *source) serverState(f *service.File, b *service.Server) string {
 	if b.Leaving {
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -18,6 +18,7 @@
 const (
 	defaultHeaderTime = 10 * time.Second
 	defaultIdleTime   = 2 * time.Minute
+	maxHeader         = 64 << 10
 )
 
 type (
@@ -101,6 +102,7 @@
 }
 
 func (s *Server) configure(server *http.Server) {
+	server.MaxHeaderBytes = maxHeader
 	server.ReadHeaderTimeout = s.HeaderTime
 	if s.HeaderTime == 0 {
 		server.ReadHeaderTimeout = defaultHeaderTime
--- a/internal/httpserver/server_test.go
+++ b/internal/httpserver/server_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"strings"
 	"testing"
 	"time"
 
@@ -56,6 +57,28 @@
 	is.NoErr(other.Close())
 }
 
+func TestLargeHeaderIsRefused(t *testing.T) {
+	tests := map[string]struct{ size, status int }{
+		"usual":     {size: 8 << 10, status: http.StatusNotFound},
+		"too large": {size: 128 << 10, status: http.StatusRequestHeaderFieldsTooLarge},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := httpserver.Server{Address: loopback(), Handler: http.NotFoundHandler()}
+			is.NoErr(s.Start())
+			defer s.Close()
+			req, err := http.NewRequest(http.MethodGet, "http://"+s.Address.String(), nil)
+			is.NoErr(err)
+			req.Header.Set("X-Long", strings.Repeat("a", tt.size))
+			resp, err := http.DefaultClient.Do(req)
+			is.NoErr(err)
+			resp.Body.Close()
+			is.Equal(resp.StatusCode, tt.status)
+		})
+	}
+}
+
 func TestStartReturnsAnErrorForATakenAddress(t *testing.T) {
 	is := is.New(t)
 	s := httpserver.Server{Address: loopback(), Handler: http.NotFoundHandler()}
