routing, daemon: the age of load reports in status

Change: Router.Report; status gives the report's state and age; a test over two entries holds homes, links and reports. Figures: the test fails with the former source ('missing' for all servers). Conclusion: what status leaves out is what is sent over links.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -154,6 +154,10 @@
 	go d.slots.Leave()
 }
 
+// Operator returns the address of the operators' listener once Started was
+// called.
+func (d *Daemon) Operator() netip.AddrPort { return d.operators.Address }
+
 // Kill ends Run at once and cuts what runs.
 func (d *Daemon) Kill() {
 	d.mu.Lock()
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/sha256"
 	"io"
 	"log/slog"
 	"net/http"
@@ -14,15 +15,18 @@
 	"github.com/matryer/is"
 
 	"github.com/shallotpier/shallotpier/internal/daemon"
+	"github.com/shallotpier/shallotpier/internal/operator"
 	"github.com/shallotpier/shallotpier/internal/publish"
 	"github.com/shallotpier/shallotpier/internal/settings"
 	"github.com/shallotpier/shallotpier/internal/standin/fleet"
+	"github.com/shallotpier/shallotpier/pkg/id"
 	"github.com/shallotpier/shallotpier/pkg/result"
 )
 
 const (
 	callerPort = 21001
 	peerPort   = 21002
+	token      = "test"
 )
 
 // system is a deployment's entries over its stand-ins.
@@ -62,6 +66,7 @@
 			Instance: e.Name, Zone: e.Zone, Region: region, World: s.fleet.World,
 			Listeners: settings.Listeners{Caller: e.Caller, Peer: e.Peer, Operator: loopback()},
 			Platform:  settings.Platform{Store: s.fleet.Platform},
+			Operators: []settings.Operator{{Name: "nino", Role: settings.Reader, Hash: sha256.Sum256([]byte(token))}},
 		},
 		Log: slog.New(slog.DiscardHandler),
 	}
@@ -148,3 +153,35 @@
 		is.True(strings.Contains(body, `"entry-1"`))
 	}
 }
+
+func TestStatusTellsHomesAndReports(t *testing.T) {
+	is := is.New(t)
+	s := start(t, 2)
+	s.publish(t)
+	client := operator.NewClient(s.entries[0].Operator(), token)
+	var last operator.Status
+	await(t, func() bool {
+		status, err := client.Status(t.Context())
+		last = status
+		return err == nil && status.Ready && reported(&status)
+	})
+	is.Equal(last.Version, id.Version(1))
+	is.Equal(len(last.Links), 2) // to the two other regions
+	for _, svc := range last.Services {
+		for _, b := range svc.Servers {
+			is.True(b.Home == "entry-1" || b.Home == "entry-2")
+		}
+	}
+}
+
+// reported tells whether every server's report is fresh.
+func reported(s *operator.Status) bool {
+	for _, svc := range s.Services {
+		for _, b := range svc.Servers {
+			if b.Seen.State != "fresh" {
+				return false
+			}
+		}
+	}
+	return len(s.Services) > 0
+}
--- a/internal/daemon/source.go
+++ b/internal/daemon/source.go
@@ -131,7 +131,7 @@
 		b := &f.Servers[i]
 		used := s.used(f.Service, b.Name)
 		state := s.serverState(f, b)
-		out.Servers = append(out.Servers, operator.ServerStatus{Name: b.Name, Zone: b.Zone, State: state, Slots: b.Slots, Used: used, Home: s.home(f.Service, b.Zone), Seen: operator.Seen{State: "missing"}})
+		out.Servers = append(out.Servers, operator.ServerStatus{Name: b.Name, Zone: b.Zone, State: state, Slots: b.Slots, Used: used, Home: s.home(f.Service, b.Zone), Seen: s.reportSeen(f.Service, b.Name)})
 		region, _ := s.Settings.World.Region(b.Zone)
 		if h := regions[region]; h != nil {
 			h.Used += used
@@ -143,6 +143,14 @@
 	return out
 }
 
+// reportSeen tells how old a server's last report of its load is.
+func (s *source) reportSeen(of id.Service, server id.Server) operator.Seen {
+	v, now := s.steering.Report(of, server), time.Now()
+	_, state := v.Read(now, health.MaxAge)
+	age, _ := v.Age(now)
+	return operator.Seen{State: state.String(), Age: unit.Duration(max(age, 0))}
+}
+
 // home returns the entry that grants the slots of a service's servers in a
 // zone, empty if it isn't known.
 func (s *source) home(of id.Service, zone id.Zone) id.Instance {
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -98,6 +98,14 @@
 	r.update(svc, name, func(s *server) { s.report = v })
 }
 
+// Report returns a server's last report of its load; it is missing if there is
+// none.
+func (r *Router) Report(svc id.Service, name id.Server) measured.Value[health.Report] {
+	var v measured.Value[health.Report]
+	r.update(svc, name, func(s *server) { v = s.report })
+	return v
+}
+
 // SetWarmth notes how warm a server says that it is, 0 for cold to 1 for warm.
 func (r *Router) SetWarmth(svc id.Service, name id.Server, v measured.Value[float64]) {
 	r.update(svc, name, func(s *server) { s.warmth = v })
