logs, daemon: the standard library's log comes into ours; one instance attribute a line

Cause: net/http prints odd bytes of backend servers through the standard log, past our one line an event; the daemon named its instance twice in a line. Change: logs.Adopt routes the standard log as warnings; the daemon's own lines leave the instance to the logger that it is given. Figures: before, such a line went to stderr raw; after, one escaped line at level WARN (test). Conclusion: every line of the process has one form.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -134,7 +134,7 @@
 		return err
 	}
 	defer func() { _ = d.callers.Close() }()
-	d.Log.Info("started", "instance", d.Settings.Instance, "zone", d.Settings.Zone, "incarnation", d.incarnation,
+	d.Log.Info("started", "zone", d.Settings.Zone, "incarnation", d.incarnation,
 		"caller", d.callers.Address, "peer", peers.Addr(), "operator", d.operators.Address)
 	if d.Started != nil {
 		d.Started()
@@ -147,7 +147,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.stop.Phase(time.Now(), 1) == leaving.Serving {
-		d.Log.Info("leaving", "instance", d.Settings.Instance)
+		d.Log.Info("leaving")
 	}
 	d.stop.Begin(time.Now())
 	go d.rebuildLookups()
@@ -201,7 +201,7 @@
 	if err := d.handler.Wait(ctx); err != nil {
 		return eris.Wrap(err, "wait for running requests")
 	}
-	d.Log.Info("stopped", "instance", d.Settings.Instance)
+	d.Log.Info("stopped")
 	return nil
 }
 
--- a/internal/logs/logs.go
+++ b/internal/logs/logs.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	stdlog "log"
 	"log/slog"
 
 	"github.com/rotisserie/eris"
@@ -32,14 +33,18 @@
 	return a
 }
 
-// Adopt sends the process's go-zero log lines to log. It must run before any
-// go-zero server is set up.
+// Adopt brings the lines of go-zero and of the standard library's log into log,
+// for the whole process. net/http writes to the latter what it finds odd on a
+// connection; those lines are warnings. Adopt must run before any go-zero server
+// is set up.
 func Adopt(log *slog.Logger) error {
 	if err := logx.SetUp(logx.LogConf{Mode: "console", Encoding: "plain", Level: "info"}); err != nil {
 		return eris.Wrap(err, "set up go-zero's log")
 	}
 	logx.DisableStat()
 	logx.SetWriter(NewWriter(log))
+	stdlog.SetFlags(0)
+	stdlog.SetOutput(slog.NewLogLogger(log.With("library", "std").Handler(), slog.LevelWarn).Writer())
 	return nil
 }
 
--- a/internal/logs/logs_test.go
+++ b/internal/logs/logs_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	stdlog "log"
 	"strings"
 	"testing"
 
@@ -25,6 +26,15 @@
 	}
 }
 
+func TestAdoptBringsTheStandardLogIn(t *testing.T) {
+	is := is.New(t)
+	var out bytes.Buffer
+	is.NoErr(logs.Adopt(logs.New(&out, settings.Log{Level: settings.Info, Format: settings.KeyValue})))
+	stdlog.Print("odd\nanswer")
+	is.Equal(strings.Count(out.String(), "\n"), 1)
+	is.True(strings.Contains(out.String(), `level=WARN msg="odd\nanswer" library=std`))
+}
+
 func TestNewWritesJSON(t *testing.T) {
 	is := is.New(t)
 	var out bytes.Buffer
