entry: one send is left after failed connections, also where one is allowed

With one send allowed, a failed connection still ended the request. Change: the failed connection is taken out before the sends are held against the policy; the test allows one send. Conclusion: attempts bound what reaches servers, and nothing else.

--- a/internal/capacity/capacity_test.go
+++ b/internal/capacity/capacity_test.go
@@ -27,7 +27,7 @@
 	is.Equal(int(r.AtTarget+0.5), 3001)
 }
 
-// BenchmarkMeasures prints every line; it is the source of docs/CAPACITY.md.
+// BenchmarkMeasures runs every measure; `shallotpier bench slopes` prints them.
 func BenchmarkMeasures(b *testing.B) {
 	for _, m := range capacity.Measures() {
 		b.Run(m.Role+"/"+m.Quantity, func(b *testing.B) {
--- a/internal/entry/carry.go
+++ b/internal/entry/carry.go
@@ -219,9 +219,19 @@
 	})
 }
 
-// again tells whether the request may be sent once more after e.
+// again tells whether the request may be sent once more after e. A failed
+// connection is no send; only maxUnconnected of them are taken so, so that a
+// request ends when no server can be reached.
 func (c *call) again(e *ending) bool {
-	try := retry.Try{Kind: c.class.Kind, Code: e.code, Sends: c.attempts, Attempts: c.file.Retry.Attempts, Deadline: c.deadline}
+	unsent := e.code == result.ConnectFailed && c.unconnected < maxUnconnected
+	if unsent {
+		c.unconnected++
+		c.attempts--
+	}
+	try := retry.Try{Kind: c.class.Kind, Code: e.code, Sends: max(c.attempts, 1), Attempts: c.file.Retry.Attempts, Deadline: c.deadline}
+	if unsent {
+		try.Attempts++ // counts the failed connection as one
+	}
 	if !retry.Allowed(&try, time.Now()) {
 		return false
 	}
@@ -229,21 +239,11 @@
 		return false
 	}
 	if e.code == result.ConnectFailed {
-		c.unsent()
 		return c.canResend() // it was no load to any server
 	}
 	return c.mayResend()
 }
 
-// unsent takes a failed connection out of the sends: nothing was sent. Only so
-// many are taken out, so that a request ends when no server can be reached.
-func (c *call) unsent() {
-	if c.unconnected < maxUnconnected {
-		c.unconnected++
-		c.attempts--
-	}
-}
-
 // mayResend tells whether one more send is possible and within the budget.
 func (c *call) mayResend() bool {
 	return c.canResend() && c.h.Budget.Retry(time.Now(), c.file)
--- a/internal/entry/fault_test.go
+++ b/internal/entry/fault_test.go
@@ -70,13 +70,15 @@
 	}
 }
 
-// TestServersThatAreGone leaves one of three servers, and no budget.
+// TestServersThatAreGone leaves one of three servers, one send, and no budget.
+// A connection that fails is not a send.
 func TestServersThatAreGone(t *testing.T) {
 	for _, method := range []string{"GET", "POST"} {
 		t.Run(method, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
 				w := newPausedWorld(t, 3, 1)
+				w.file.Retry.Attempts = 1
 				w.entries[0].Budget = never{}
 				w.servers[0].Close()
 				w.servers[1].Close()
