--- /dev/null
+++ b/internal/node/idle.go
@@ -0,0 +1,42 @@
+package node
+
+import (
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// idleConnections closes callers' connections that have been unused for too
+// long. The limit may change while connections are open, which http.Server's own
+// doesn't allow. The zero idleConnections is ready for use.
+type idleConnections struct {
+	mu    sync.Mutex
+	since map[net.Conn]time.Time
+}
+
+// changed takes in the state of a connection.
+func (i *idleConnections) changed(c net.Conn, s http.ConnState) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if s != http.StateIdle {
+		delete(i.since, c)
+		return
+	}
+	if i.since == nil {
+		i.since = make(map[net.Conn]time.Time)
+	}
+	i.since[c] = time.Now()
+}
+
+// close closes the connections that have been unused for the limit.
+func (i *idleConnections) close(now time.Time, limit time.Duration) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	for c, since := range i.since {
+		if now.Sub(since) >= limit {
+			_ = c.Close()
+			delete(i.since, c)
+		}
+	}
+}
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,264 @@
+// Package node is one entry instance: it holds what the entry knows, listens for
+// callers and for other entries, and stops as planned.
+//
+// What it knows of backend servers, configuration and evacuated zones is put in
+// from outside, by whatever follows the platform's store. A [Node] is ready once
+// it has a configuration and a list of servers, until it is asked to leave.
+//
+// # Usage
+//
+//	n := node.New(node.Options{Instance: "entry-1", Callers: addr, Log: log})
+//	n.Configure(config)
+//	n.Roster.Replace(now, servers)
+//	n.Listed()
+//	err := n.Run(ctx) // until ctx ends and the planned stop is over
+package node
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/rotisserie/eris"
+
+	"github.com/shallotpier/shallotpier/internal/beacon"
+	"github.com/shallotpier/shallotpier/internal/directory"
+	"github.com/shallotpier/shallotpier/internal/dispatch"
+	"github.com/shallotpier/shallotpier/internal/forward"
+	"github.com/shallotpier/shallotpier/internal/roster"
+	"github.com/shallotpier/shallotpier/internal/upstream"
+	"github.com/shallotpier/shallotpier/pkg/id"
+)
+
+const (
+	// tickTime is how often the state moves on by time alone.
+	tickTime = 100 * time.Millisecond
+	// connectTime is the longest time to connect to a backend server: several
+	// round trips between regions.
+	connectTime = 400 * time.Millisecond
+	// idleTime is how long an unused connection to a server is kept, less than
+	// servers usually keep one.
+	idleTime = 8 * time.Second
+	// idleOnceTime is the same for requests that must not run twice.
+	idleOnceTime = 2 * time.Second
+	// headerTime is how long a caller may take for a request's header.
+	headerTime = 10 * time.Second
+	// maxHeader bounds a request's header in bytes.
+	maxHeader = 64 << 10
+	// defaultIdle is how long a caller's connection may stay unused while no
+	// configuration says.
+	defaultIdle = time.Minute
+	// serveShare is the part of a planned stop's time in which new requests are
+	// still served: callers hear of the stop from the directory and in answers.
+	serveShare = 0.45
+	// exitTime is left of a planned stop's time for the process to end.
+	exitTime = 300 * time.Millisecond
+	// budgetShare is the part of the bound on resends that is used, since
+	// entries count over windows that don't begin together.
+	budgetShare = 0.8
+)
+
+type (
+	// Config is a configuration in force.
+	Config struct {
+		forward.Config
+		// Services holds what it says of the services' servers.
+		Services map[id.Service]roster.Service
+		// Idle is how long a caller's connection may stay unused.
+		Idle time.Duration
+	}
+
+	// Options say what an entry is and how it serves.
+	Options struct {
+		// Self is what the entry says of itself to the others.
+		Self beacon.Node
+		// Grace is the time between a planned stop and the kill.
+		Grace time.Duration
+		// Lapse is how long after the store's return a missing server is kept.
+		Lapse time.Duration
+		// BeaconInterval is the time between two beacons to one entry.
+		BeaconInterval time.Duration
+		// BeaconTimeout is how long an entry may be silent while it counts as
+		// alive.
+		BeaconTimeout time.Duration
+		// Resends bounds what all entries together send again.
+		Resends forward.Resends
+		// Headers names the headers of requests and answers.
+		Headers forward.Headers
+		// Log gets a line for each event.
+		Log *slog.Logger
+		// Metrics gets counters and histograms.
+		Metrics *metrics.Set
+	}
+
+	// Node is one entry instance.
+	Node struct {
+		// Roster holds the backend servers.
+		Roster *roster.Roster
+		// Beacon knows the other entries.
+		Beacon *beacon.Beacon
+
+		options  Options
+		config   atomic.Pointer[Config]
+		listed   atomic.Bool
+		leaving  atomic.Bool
+		upstream *upstream.Client
+		handler  *forward.Handler
+		idle     idleConnections
+		peers    net.PacketConn
+		wg       sync.WaitGroup
+	}
+)
+
+// New returns a Node that knows nothing yet.
+func New(o Options) *Node {
+	n := &Node{options: o, Roster: &roster.Roster{Grace: o.Lapse, Log: o.Log}}
+	n.upstream = &upstream.Client{Connect: connectTime, Idle: idleTime, IdleOnce: idleOnceTime, RequestID: o.Headers.RequestID}
+	n.Beacon = &beacon.Beacon{Self: n.Self, Interval: o.BeaconInterval, Timeout: o.BeaconTimeout, Log: o.Log}
+	n.handler = &forward.Handler{
+		Config: n.forwardConfig, Dispatcher: &dispatch.Dispatcher{Roster: n.Roster}, Upstream: n.upstream,
+		Resends: n.resends, Leaving: n.leaving.Load, Headers: o.Headers, Log: o.Log, Metrics: o.Metrics,
+	}
+	return n
+}
+
+// Configure puts a configuration in force, unless one of the same or a later
+// version is.
+func (n *Node) Configure(c *Config) {
+	for {
+		old := n.config.Load()
+		if old != nil && c.Version <= old.Version {
+			if c.Version < old.Version {
+				n.options.Log.Warn("older configuration left out", "version", c.Version, "inForce", old.Version)
+			}
+			return
+		}
+		if n.config.CompareAndSwap(old, c) {
+			break
+		}
+	}
+	n.Roster.Configure(c.Services)
+	n.options.Log.Info("configuration in force", "version", c.Version, "services", len(c.Services))
+}
+
+// Listed notes that the roster holds a whole list of the servers.
+func (n *Node) Listed() { n.listed.Store(true) }
+
+// Ready tells whether the entry serves callers and is not about to stop.
+func (n *Node) Ready() bool {
+	return n.listed.Load() && n.config.Load() != nil && !n.leaving.Load()
+}
+
+// Self returns what the entry says of itself.
+func (n *Node) Self() beacon.Node {
+	self := n.options.Self
+	self.Ready = n.Ready()
+	return self
+}
+
+// Entries returns the addresses of the entries for a caller.
+func (n *Node) Entries(zone id.Zone, region id.Region) []netip.AddrPort {
+	return directory.Choose(append(n.Beacon.Alive(time.Now()), n.Self()), zone, region)
+}
+
+// Run serves until ctx has ended and the planned stop that this begins is over.
+func (n *Node) Run(ctx context.Context) error {
+	o := &n.options
+	listener, err := net.Listen("tcp", o.Self.Callers.String())
+	if err != nil {
+		return eris.Wrap(err, "listen for callers")
+	}
+	n.peers, err = net.ListenPacket("udp", o.Self.Peers.String())
+	if err != nil {
+		return eris.Wrap(err, "listen for entries")
+	}
+	defer n.peers.Close()
+	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	n.wg.Go(func() { n.tick(background) })
+	n.wg.Go(func() {
+		if err := n.Beacon.Run(background, n.peers); err != nil {
+			o.Log.Error("beacons ended", "err", err)
+		}
+	})
+	server := &http.Server{
+		Handler: n.handler, ReadHeaderTimeout: headerTime, MaxHeaderBytes: maxHeader, ConnState: n.idle.changed,
+		ErrorLog: slog.NewLogLogger(o.Log.With("library", "net/http").Handler(), slog.LevelWarn),
+	}
+	ended := make(chan error, 1)
+	go func() { ended <- server.Serve(listener) }()
+	o.Log.Info("started", "instance", o.Self.Instance, "incarnation", o.Self.Incarnation, "callers", o.Self.Callers)
+	select {
+	case err := <-ended:
+		return eris.Wrap(err, "serve callers")
+	case <-ctx.Done():
+	}
+	err = n.stop(server)
+	cancel()
+	n.wg.Wait()
+	return err
+}
+
+// stop ends the entry as planned.
+func (n *Node) stop(server *http.Server) error {
+	o := &n.options
+	o.Log.Info("leaving", "running", n.handler.Running())
+	n.leaving.Store(true)
+	n.Beacon.Announce(n.peers)
+	serve := time.Duration(float64(o.Grace) * serveShare)
+	time.Sleep(serve)
+	ctx, cancel := context.WithTimeout(context.Background(), o.Grace-serve-exitTime)
+	defer cancel()
+	err := server.Shutdown(ctx)
+	if errors.Is(err, context.DeadlineExceeded) {
+		o.Log.Warn("stopped with requests running", "running", n.handler.Running())
+		return nil
+	}
+	o.Log.Info("stopped")
+	return eris.Wrap(err, "close the callers' connections")
+}
+
+func (n *Node) tick(ctx context.Context) {
+	t := time.NewTicker(tickTime)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-t.C:
+			n.Roster.Step(now)
+			n.Roster.SetEntries(n.Beacon.Known() + 1)
+			n.upstream.CloseIdle(now)
+			n.idle.close(now, n.idleLimit())
+		}
+	}
+}
+
+func (n *Node) idleLimit() time.Duration {
+	if c := n.config.Load(); c != nil && c.Idle > 0 {
+		return c.Idle
+	}
+	return defaultIdle
+}
+
+func (n *Node) forwardConfig() *forward.Config {
+	c := n.config.Load()
+	if c == nil || !n.listed.Load() {
+		return nil
+	}
+	return &c.Config
+}
+
+// resends returns this entry's part of what all may send again.
+func (n *Node) resends() forward.Resends {
+	r := n.options.Resends
+	entries := float64(n.Beacon.Known() + 1)
+	return forward.Resends{Share: r.Share * budgetShare, Allowance: r.Allowance * budgetShare / entries}
+}
--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -84,6 +84,19 @@
 // 0 to 1, of its first sends, or at most Least. A share of 0 or out of that
 // range allows none.
 func (b *Budget) Take(now time.Time, share float64) bool {
+	if !(share > 0 && share <= 1) {
+		return false
+	}
+	return b.take(now, func(first float64) float64 { return max(share*first, Least) })
+}
+
+// TakeWithin counts a resend if the resends of the window then are at most a
+// share of its first sends and an allowance on top.
+func (b *Budget) TakeWithin(now time.Time, share, allowance float64) bool {
+	return b.take(now, func(first float64) float64 { return share*first + allowance })
+}
+
+func (b *Budget) take(now time.Time, allowed func(first float64) float64) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	i := b.at(now)
@@ -92,7 +105,7 @@
 		first += b.first[k]
 		again += b.again[k]
 	}
-	if !(share > 0 && share <= 1) || float64(again+1) > max(share*float64(first), Least) {
+	if float64(again+1) > allowed(float64(first)) {
 		return false
 	}
 	b.again[i]++
--- /dev/null
+++ b/internal/roster/roster.go
@@ -0,0 +1,257 @@
+// Package roster keeps what an entry knows of the backend servers: which there
+// are, which may get requests, which are cold, how busy each is by this entry's
+// requests, and what those requests met.
+//
+// The platform's store is the source of the first part. Its word is taken at
+// once, with one exception: registrations of servers may lapse while the store
+// is away, and come back shortly after it. A server that is missing within
+// [Roster.Grace] of the store's return is kept until the grace has passed.
+//
+// A [Roster] is changed under a lock and publishes immutable [View]s, from which
+// requests are served without one.
+//
+// # Usage
+//
+//	r := &roster.Roster{Grace: 2500 * time.Millisecond}
+//	r.Put(now, server)
+//	for _, m := range r.View().Members("registry") {
+//		if m.Ready(now) && m.Begin(now) {
+//			defer m.End(now, health.Answered)
+//		}
+//	}
+package roster
+
+import (
+	"log/slog"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/shallotpier/shallotpier/pkg/id"
+)
+
+type (
+	// Server is a backend server as it registered itself.
+	Server struct {
+		// Name is its name, new with most starts.
+		Name id.Server
+		// Service is the service that it belongs to.
+		Service id.Service
+		// Address is its IP address and port.
+		Address string
+		// Zone is the availability zone it stands in.
+		Zone id.Zone
+		// Region is the region of the zone.
+		Region id.Region
+		// Slots is how many requests it runs at the same time.
+		Slots int
+		// Born tells its starts apart: the Unix time of the start in
+		// milliseconds, 0 if it is not known.
+		Born int64
+		// Leaving marks a server that gets no new requests.
+		Leaving bool
+		// Cold is how much longer it is slow, as of its registration.
+		Cold time.Duration
+	}
+
+	// Service holds what a configuration says of a service's servers.
+	Service struct {
+		// ColdTime is how long a server stays cold after its start.
+		ColdTime time.Duration
+		// ColdRate is how many requests a second a cold server takes from all
+		// entries together.
+		ColdRate float64
+	}
+
+	// View is an immutable state of the roster.
+	View struct {
+		services map[id.Service][]*Member
+	}
+
+	// Roster holds the servers. Its exported fields are set before its first
+	// use. It is safe for concurrent use.
+	Roster struct {
+		// Grace is how long after the store's return a missing server is kept.
+		Grace time.Duration
+		// Log gets a line for each change of what may be used.
+		Log *slog.Logger
+
+		view atomic.Pointer[View]
+
+		mu        sync.Mutex
+		members   map[id.Server]*Member
+		services  map[id.Service]Service
+		evacuated map[id.Zone]bool
+		resumed   time.Time
+		entries   int
+	}
+)
+
+// View returns the current state.
+func (r *Roster) View() *View {
+	if v := r.view.Load(); v != nil {
+		return v
+	}
+	return &View{}
+}
+
+// Members returns the servers of a service that may get requests. The caller
+// must not change the slice.
+func (v *View) Members(svc id.Service) []*Member { return v.services[svc] }
+
+// Put adds a server or takes in that it changed.
+func (r *Roster) Put(now time.Time, s Server) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.put(now, s)
+	r.publish()
+}
+
+// Remove takes in that a server's registration is gone.
+func (r *Roster) Remove(now time.Time, name id.Server) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.remove(now, name)
+	r.publish()
+}
+
+// Replace takes in a whole list of the registrations.
+func (r *Roster) Replace(now time.Time, list []Server) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	listed := make(map[id.Server]bool, len(list))
+	for _, s := range list {
+		listed[s.Name] = true
+		r.put(now, s)
+	}
+	for name := range maps.Clone(r.members) {
+		if !listed[name] {
+			r.remove(now, name)
+		}
+	}
+	r.publish()
+}
+
+// Resumed notes that the store answers again after it was away.
+func (r *Roster) Resumed(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.resumed = now
+}
+
+// Step ends the graces that have passed. It is called some times a second.
+func (r *Roster) Step(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	changed := false
+	for name, m := range r.members {
+		if !m.lapses.IsZero() && !now.Before(m.lapses) {
+			r.drop(name, "registration lapsed")
+			changed = true
+		}
+	}
+	if changed {
+		r.publish()
+	}
+}
+
+// Evacuate sets the zones whose servers get nothing. Servers of a zone that is
+// taken back may be cold.
+func (r *Roster) Evacuate(now time.Time, zones map[id.Zone]bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if maps.Equal(zones, r.evacuated) {
+		return
+	}
+	for _, m := range r.members {
+		if r.evacuated[m.Zone] && !zones[m.Zone] {
+			m.state.chill(now.Add(r.services[m.Service].ColdTime))
+		}
+	}
+	r.Log.Info("evacuated zones changed", "before", zoneNames(r.evacuated), "now", zoneNames(zones))
+	r.evacuated = maps.Clone(zones)
+	r.publish()
+}
+
+// Configure sets what a configuration says of the services.
+func (r *Roster) Configure(services map[id.Service]Service) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.services = maps.Clone(services)
+	r.publish()
+}
+
+// SetEntries sets the number of entries that share a cold server's rate.
+func (r *Roster) SetEntries(n int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if n != r.entries {
+		r.entries = n
+		r.publish()
+	}
+}
+
+func (r *Roster) put(now time.Time, s Server) {
+	if r.members == nil {
+		r.members = make(map[id.Server]*Member)
+	}
+	old := r.members[s.Name]
+	if old != nil && old.Server == s && old.lapses.IsZero() {
+		return
+	}
+	m := newMember(s)
+	if old != nil && old.Born == s.Born && old.Service == s.Service && old.Address == s.Address {
+		m.state = old.state
+	}
+	if s.Cold > 0 {
+		m.state.chill(now.Add(s.Cold))
+	}
+	r.members[s.Name] = m
+	r.Log.Info("backend server known", "server", s.Name, "service", s.Service, "zone", s.Zone,
+		"leaving", s.Leaving, "cold", s.Cold, "new", old == nil)
+}
+
+func (r *Roster) remove(now time.Time, name id.Server) {
+	m := r.members[name]
+	if m == nil {
+		return
+	}
+	if !r.resumed.IsZero() && now.Before(r.resumed.Add(r.Grace)) && !m.Leaving {
+		if m.lapses.IsZero() {
+			kept := *m
+			kept.lapses = r.resumed.Add(r.Grace)
+			r.members[name] = &kept
+			r.Log.Info("backend server kept after a store outage", "server", name, "until", kept.lapses)
+		}
+		return
+	}
+	r.drop(name, "registration removed")
+}
+
+func (r *Roster) drop(name id.Server, cause string) {
+	delete(r.members, name)
+	r.Log.Info("backend server gone", "server", name, "cause", cause)
+}
+
+// publish makes a new view. Members are ordered by name, so that equal rosters
+// give equal views.
+func (r *Roster) publish() {
+	v := &View{services: make(map[id.Service][]*Member)}
+	for _, m := range r.members {
+		if m.Leaving || r.evacuated[m.Zone] {
+			continue
+		}
+		c := *m
+		c.cold, c.entries = r.services[m.Service], r.entries
+		v.services[m.Service] = append(v.services[m.Service], &c)
+	}
+	for _, list := range v.services {
+		slices.SortFunc(list, func(a, b *Member) int { return strings.Compare(string(a.Name), string(b.Name)) })
+	}
+	r.view.Store(v)
+}
+
+func zoneNames(zones map[id.Zone]bool) []id.Zone { return slices.Sorted(maps.Keys(zones)) }
