--- /dev/null
+++ b/internal/beacon/beacon_test.go
@@ -0,0 +1,128 @@
+package beacon_test
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/netip"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/shallotpier/shallotpier/internal/beacon"
+	"github.com/shallotpier/shallotpier/pkg/id"
+)
+
+const timeout = 2 * time.Second
+
+var start = time.Unix(1000, 0)
+
+func node(n int, incarnation id.Incarnation) beacon.Node {
+	return beacon.Node{
+		Instance: id.Instance(fmt.Sprintf("entry-%d", n)), Incarnation: incarnation, Ready: true,
+		Callers: netip.MustParseAddrPort(fmt.Sprintf("10.0.0.%d:80", n)), Peers: netip.MustParseAddrPort(fmt.Sprintf("10.0.0.%d:90", n)),
+	}
+}
+
+func newBeacon() *beacon.Beacon {
+	return &beacon.Beacon{
+		Self: func() beacon.Node { return node(1, 1) }, Interval: 500 * time.Millisecond, Timeout: timeout,
+		Log: slog.New(slog.DiscardHandler),
+	}
+}
+
+func TestAlive(t *testing.T) {
+	leaving := node(2, 2)
+	leaving.Ready = false
+	tests := map[string]struct {
+		take []beacon.Node
+		age  time.Duration
+		want []beacon.Node
+	}{
+		"heard":                         {[]beacon.Node{node(2, 1)}, timeout, []beacon.Node{node(2, 1)}},
+		"silent":                        {[]beacon.Node{node(2, 1)}, timeout + 1, nil},
+		"itself":                        {[]beacon.Node{node(1, 1)}, 0, nil},
+		"without an address":            {[]beacon.Node{{Instance: "entry-2"}}, 0, nil},
+		"about to stop":                 {[]beacon.Node{node(2, 2), leaving}, 0, []beacon.Node{leaving}},
+		"an earlier process is late":    {[]beacon.Node{node(2, 2), node(2, 1)}, 0, []beacon.Node{node(2, 2)}},
+		"a later process took over":     {[]beacon.Node{leaving, node(2, 3)}, 0, []beacon.Node{node(2, 3)}},
+		"several, by name":              {[]beacon.Node{node(3, 1), node(2, 1)}, 0, []beacon.Node{node(2, 1), node(3, 1)}},
+		"said to be ready and then not": {[]beacon.Node{node(2, 2), leaving, leaving}, 0, []beacon.Node{leaving}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			b := newBeacon()
+			for _, n := range tt.take {
+				b.Take(start, n)
+			}
+			is.Equal(b.Alive(start.Add(tt.age)), tt.want)
+		})
+	}
+}
+
+// network carries datagrams between packet connections in memory.
+type network map[string]chan []byte
+
+type packetConn struct {
+	net.PacketConn
+	network network
+	address string
+	ended   chan struct{}
+}
+
+func (c *packetConn) WriteTo(p []byte, to net.Addr) (int, error) {
+	select {
+	case c.network[to.String()] <- append([]byte(nil), p...):
+	default:
+	}
+	return len(p), nil
+}
+
+func (c *packetConn) ReadFrom(p []byte) (int, net.Addr, error) {
+	select {
+	case data := <-c.network[c.address]:
+		return copy(p, data), nil, nil
+	case <-c.ended:
+		return 0, nil, net.ErrClosed
+	}
+}
+
+func (c *packetConn) SetReadDeadline(time.Time) error {
+	close(c.ended)
+	return nil
+}
+
+func TestOneAcquaintanceIsEnough(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		const entries = 3
+		n := network{}
+		var all []*beacon.Beacon
+		for i := 1; i <= entries; i++ {
+			self := node(i, 1)
+			n[self.Peers.String()] = make(chan []byte, 100)
+			b := newBeacon()
+			b.Self = func() beacon.Node { return self }
+			all = append(all, b)
+		}
+		// The first knows both others, who know nobody.
+		all[0].Meet(node(2, 1).Peers)
+		all[0].Meet(node(3, 1).Peers)
+		for i, b := range all {
+			conn := &packetConn{network: n, address: node(i+1, 1).Peers.String(), ended: make(chan struct{})}
+			go func() { _ = b.Run(ctx, conn) }()
+		}
+		time.Sleep(1200 * time.Millisecond)
+		is.Equal(len(all[0].Alive(time.Now())), 2)
+		is.Equal(len(all[1].Alive(time.Now())), 1)
+		is.Equal(len(all[2].Alive(time.Now())), 1)
+		cancel()
+		synctest.Wait()
+	})
+}
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -1,9 +1,7 @@
 // Package directory tells callers which entries to connect to.
 //
 // Callers get the entries of their availability zone that are ready, else those
-// of their region, else all. Callers pick an address at random, so an entry with
-// twice the processor of another appears as often, and is only named beside
-// others when it can carry its part.
+// of their region, else all. They pick one of the addresses at random.
 //
 // # Usage
 //
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -1,22 +1,30 @@
 // Package dispatch chooses the backend server for a request.
 //
-// The owner of a request's object comes first, in whatever region it stands: a
-// server answers much faster for objects that it handled recently. A server
-// that this entry already keeps busy, that is cold beyond its rate, or that
-// failed, is passed over for the next in the object's ranking, which is the same
-// at all entries.
+// The owner of a request's object comes first: a server answers much faster for
+// objects that it handled recently, so a short queue at the owner is better than
+// a free slot elsewhere. Owners are chosen among all regions, which spreads
+// objects by the servers that there are; uploads are owned by a server of the
+// entry's own region, since their bytes would fill the links between regions.
+//
+// The next server in the object's ranking is the owner if the first failed, lags
+// behind its service, or is cold beyond its rate. It also gets the request if the
+// owner has a long queue and it has a free slot itself; the ranking is the same at
+// all entries, so an object that is too hot for one server gets a second one that
+// all use. While no server has a free slot, requests stay with their owners or are
+// refused: elsewhere each would be more work, and overload would sustain itself.
 //
 // # Usage
 //
-//	d := dispatch.Dispatcher{Roster: r}
+//	d := dispatch.Dispatcher{Roster: r, Region: "fyn"}
 //	m := d.Choose(now, &dispatch.Request{Service: "registry", Key: key, Route: route})
 //	if m == nil {
 //		return errNoCapacity
 //	}
-//	defer m.End(time.Now(), health.Answered)
+//	defer m.End(time.Now(), outcome)
 package dispatch
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -24,12 +32,24 @@
 	"github.com/shallotpier/shallotpier/internal/roster"
 	"github.com/shallotpier/shallotpier/internal/route"
 	"github.com/shallotpier/shallotpier/pkg/id"
+	"github.com/shallotpier/shallotpier/pkg/service"
 )
 
-// overflow is how many requests of this entry a server may have, in multiples of
-// its slots, when no allowed server has a slot free by this entry's count. The
-// server queues them or refuses them unrun.
-const overflow = 2
+const (
+	// fullQueue is how many requests an owner may have, in multiples of its
+	// slots, before the next in the ranking is asked. At that point a request
+	// waits about as long as the work that a server saves for an object that it
+	// knows.
+	fullQueue = 2.0
+	// spareLoad is how many requests a server may have, in multiples of its
+	// slots, to take those of another owner.
+	spareLoad = 0.8
+	// overflow is how many requests an owner may have while no other server has
+	// room. Servers refuse what they can't queue, unrun.
+	overflow = 4.0
+	// anyLoad takes an owner however busy it is.
+	anyLoad = math.MaxFloat64
+)
 
 type (
 	// Request is what the choice depends on.
@@ -48,6 +68,16 @@
 	Dispatcher struct {
 		// Roster holds the servers.
 		Roster *roster.Roster
+		// Region is the entry's own.
+		Region id.Region
+	}
+
+	// candidate is a server with its rank for a request; the greatest is best.
+	candidate struct {
+		member *roster.Member
+		sound  bool // not an outlier
+		near   bool // in the preferred region
+		score  uint64
 	}
 )
 
@@ -55,39 +85,62 @@
 // if no server may get it now.
 func (d *Dispatcher) Choose(now time.Time, req *Request) *roster.Member {
 	members := d.Roster.View().Members(req.Service)
-	for _, limit := range []int{1, overflow} {
-		var skipped []*roster.Member
-		for {
-			m := best(now, members, req, limit, skipped)
-			if m == nil {
-				break
-			}
-			if m.Begin(now) {
-				return m
-			}
-			skipped = append(skipped, m)
+	var skipped []*roster.Member
+	for {
+		m := d.pick(now, members, req, skipped)
+		if m == nil || m.Begin(now) {
+			return m
 		}
+		// Another request took the last of its cold rate.
+		skipped = append(skipped, m)
+	}
+}
+
+// pick returns the server that should get the request.
+func (d *Dispatcher) pick(now time.Time, members []*roster.Member, req *Request, skipped []*roster.Member) *roster.Member {
+	first := d.best(now, members, req, anyLoad, skipped)
+	if first == nil || first.Busy(now) < fullQueue*float64(first.Slots) {
+		return first
+	}
+	if m := d.best(now, members, req, spareLoad, skipped); m != nil {
+		return m
+	}
+	if first.Busy(now) < overflow*float64(first.Slots) {
+		return first
 	}
 	return nil
 }
 
-// best returns the highest ranked server with fewer requests of this entry than
-// limit times its slots.
-func best(now time.Time, members []*roster.Member, req *Request, limit int, skipped []*roster.Member) *roster.Member {
-	var (
-		found *roster.Member
-		top   uint64
-	)
+// best returns the highest ranked server that has fewer requests than limit
+// times its slots.
+func (d *Dispatcher) best(now time.Time, members []*roster.Member, req *Request, limit float64, skipped []*roster.Member) *roster.Member {
+	var top candidate
 	for _, m := range members {
-		score := owner.Score(req.Key, m.Seed)
-		if found != nil && score <= top {
+		c := candidate{m, !m.Outlier(), d.near(m, req), owner.Score(req.Key, m.Seed)}
+		if top.member != nil && !c.before(&top) {
 			continue
 		}
-		if m.InFlight() >= limit*m.Slots || !req.Route.Allows(m.Region) || slices.Contains(req.Tried, m.Name) ||
+		if m.Busy(now) >= limit*float64(m.Slots) || !req.Route.Allows(m.Region) || slices.Contains(req.Tried, m.Name) ||
 			slices.Contains(skipped, m) || !m.Ready(now) {
 			continue
 		}
-		found, top = m, score
+		top = c
+	}
+	return top.member
+}
+
+// near tells whether a server stands where the request's bytes should stay.
+func (d *Dispatcher) near(m *roster.Member, req *Request) bool {
+	return req.Route.Kind != service.Upload || m.Region == d.Region
+}
+
+func (c *candidate) before(o *candidate) bool {
+	switch {
+	case c.sound != o.sound:
+		return c.sound
+	case c.near != o.near:
+		return c.near
+	default:
+		return c.score > o.score
 	}
-	return found
 }
--- /dev/null
+++ b/internal/dispatch/dispatcher_test.go
@@ -0,0 +1,167 @@
+package dispatch_test
+
+import (
+	"fmt"
+	"io"
+	"log/slog"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/shallotpier/shallotpier/internal/dispatch"
+	"github.com/shallotpier/shallotpier/internal/health"
+	"github.com/shallotpier/shallotpier/internal/roster"
+	"github.com/shallotpier/shallotpier/internal/route"
+	"github.com/shallotpier/shallotpier/pkg/id"
+	"github.com/shallotpier/shallotpier/pkg/service"
+)
+
+const (
+	svc   = id.Service("registry")
+	slots = 6
+)
+
+var start = time.Unix(1000, 0)
+
+// newDispatcher returns an entry in region a over ten servers in each of the
+// regions a and b.
+func newDispatcher() *dispatch.Dispatcher {
+	r := &roster.Roster{Log: slog.New(slog.NewTextHandler(io.Discard, nil))}
+	for _, region := range []id.Region{"a", "b"} {
+		for i := range 10 {
+			name := id.Server(fmt.Sprintf("%s-%d", region, i))
+			r.Put(start, roster.Server{Name: name, Service: svc, Address: "10.0.0.1:80", Region: region, Slots: slots})
+		}
+	}
+	return &dispatch.Dispatcher{Roster: r, Region: "a"}
+}
+
+func request(kind service.Kind, key uint64) *dispatch.Request {
+	return &dispatch.Request{Service: svc, Route: &route.Route{Kind: kind}, Key: key}
+}
+
+// fill gives a server n requests of this entry.
+func fill(m *roster.Member, n int) {
+	for range n {
+		m.Begin(start)
+	}
+}
+
+func TestAnObjectHasOneOwner(t *testing.T) {
+	is := is.New(t)
+	d, other := newDispatcher(), newDispatcher()
+	other.Region = "b"
+	regions := map[id.Region]int{}
+	for key := range uint64(200) {
+		m := d.Choose(start, request(service.Read, key))
+		m.End(start, roster.Outcome{Event: health.Answered})
+		same := other.Choose(start, request(service.Read, key))
+		same.End(start, roster.Outcome{Event: health.Answered})
+		is.Equal(same.Name, m.Name)
+		regions[m.Region]++
+	}
+	is.True(regions["a"] > 60 && regions["b"] > 60) // owners stand in all regions
+}
+
+func TestUploadsStayInTheRegion(t *testing.T) {
+	is := is.New(t)
+	d := newDispatcher()
+	for key := range uint64(50) {
+		is.Equal(d.Choose(start, request(service.Upload, key)).Region, id.Region("a"))
+	}
+}
+
+func TestSpill(t *testing.T) {
+	tests := map[string]struct {
+		owner, others int // requests that they have
+		want          string
+	}{
+		"owner free":                    {0, 0, "owner"},
+		"owner has a short queue":       {2*slots - 1, 0, "owner"},
+		"owner has a long queue":        {2 * slots, 0, "other"},
+		"all have all slots in use":     {2 * slots, slots, "owner"},
+		"owner can't queue any more":    {4 * slots, slots, "none"},
+		"owner full and others free":    {4 * slots, 0, "other"},
+		"others are nearly all in use":  {2 * slots, slots - 1, "owner"},
+		"others have a slot or two yet": {2 * slots, slots - 2, "other"},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			d := newDispatcher()
+			req := request(service.Write, 17)
+			first := d.Choose(start, req)
+			first.End(start, roster.Outcome{})
+			for _, m := range d.Roster.View().Members(svc) {
+				if m.Name == first.Name {
+					fill(m, tt.owner)
+					continue
+				}
+				fill(m, tt.others)
+			}
+			got := "none"
+			switch m := d.Choose(start, req); {
+			case m == nil:
+			case m.Name == first.Name:
+				got = "owner"
+			default:
+				got = "other"
+			}
+			is.Equal(got, tt.want)
+		})
+	}
+}
+
+func TestPassedOver(t *testing.T) {
+	tests := map[string]func(d *dispatch.Dispatcher, req *dispatch.Request, m *roster.Member){
+		"tried":   func(_ *dispatch.Dispatcher, req *dispatch.Request, m *roster.Member) { req.Tried = []id.Server{m.Name} },
+		"removed": func(d *dispatch.Dispatcher, _ *dispatch.Request, m *roster.Member) { d.Roster.Remove(start, m.Name) },
+		"region not allowed": func(_ *dispatch.Dispatcher, req *dispatch.Request, m *roster.Member) {
+			req.Route.Regions = []id.Region{"a"}
+			if m.Region == "a" {
+				req.Route.Regions = []id.Region{"b"}
+			}
+		},
+		"takes no connection": func(_ *dispatch.Dispatcher, _ *dispatch.Request, m *roster.Member) {
+			for range 2 {
+				m.Begin(start)
+				m.End(start, roster.Outcome{Event: health.ConnectFailed, Failed: true})
+			}
+		},
+		"fails where others don't": func(d *dispatch.Dispatcher, _ *dispatch.Request, m *roster.Member) {
+			for range 20 {
+				m.Begin(start)
+				m.End(start, roster.Outcome{Event: health.Answered, Failed: true})
+			}
+			d.Roster.Step(start)
+		},
+	}
+	for name, change := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			d := newDispatcher()
+			req := request(service.Read, 17)
+			first := d.Choose(start, req)
+			first.End(start, roster.Outcome{})
+			change(d, req, first)
+			is.True(d.Choose(start, req).Name != first.Name)
+		})
+	}
+}
+
+func TestNobodyIsPassedOverIfAllFail(t *testing.T) {
+	is := is.New(t)
+	d := newDispatcher()
+	req := request(service.Read, 17)
+	first := d.Choose(start, req)
+	first.End(start, roster.Outcome{})
+	for _, m := range d.Roster.View().Members(svc) {
+		for range 20 {
+			m.Begin(start)
+			m.End(start, roster.Outcome{Event: health.Answered, Failed: true})
+		}
+	}
+	d.Roster.Step(start)
+	is.Equal(d.Choose(start, req).Name, first.Name)
+}
--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -204,7 +204,7 @@
 	rep := &reply{Answer: ans, member: m}
 	if code := c.check(rep); code != 0 {
 		ans.Close()
-		m.End(time.Now(), health.EventOf(code))
+		m.End(time.Now(), c.outcome(rep, code))
 		return nil, code
 	}
 	return rep, 0
@@ -217,7 +217,7 @@
 			c.h.budget(c.service).First(time.Now())
 		}
 	}
-	m.End(time.Now(), health.EventOf(failed.Code))
+	m.End(time.Now(), roster.Outcome{Event: health.EventOf(failed.Code), Failed: true})
 	c.h.Log.Info("send failed", "request", c.id, "server", m.Name, "code", failed.Code, "sent", failed.Sent, "err", failed.Err)
 	return failed.Code
 }
@@ -320,7 +320,21 @@
 	if !rep.whole {
 		c.passRest(rep)
 	}
-	rep.member.End(time.Now(), health.EventOf(c.code))
+	rep.member.End(time.Now(), c.outcome(rep, c.code))
+}
+
+// outcome tells what an answer says of its server.
+func (c *call) outcome(rep *reply, code result.Code) roster.Outcome {
+	o := roster.Outcome{Event: health.EventOf(code), Load: c.h.Load(rep.Header)}
+	switch code {
+	case result.ShedByServer:
+		// The server is well; how often it refuses is judged by comparison.
+		o.Event, o.Failed = health.Answered, true
+	case result.Served:
+		o.Failed = rep.Status >= http.StatusInternalServerError
+		o.Times = c.h.baseline(c.service, c.route.Kind).Compare(rep.Latency)
+	}
+	return o
 }
 
 // passRest copies the rest of a long answer. One that breaks off ends the
@@ -335,7 +349,7 @@
 	if errors.As(err, &failed) {
 		c.code = failed.Code
 	}
-	rep.member.End(time.Now(), health.EventOf(c.code))
+	rep.member.End(time.Now(), c.outcome(rep, c.code))
 	rep.Close()
 	c.finish()
 	panic(http.ErrAbortHandler)
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -33,6 +33,7 @@
 
 	"github.com/shallotpier/shallotpier/internal/dispatch"
 	"github.com/shallotpier/shallotpier/internal/retry"
+	"github.com/shallotpier/shallotpier/internal/roster"
 	"github.com/shallotpier/shallotpier/internal/route"
 	"github.com/shallotpier/shallotpier/internal/upstream"
 	"github.com/shallotpier/shallotpier/pkg/id"
@@ -90,13 +91,16 @@
 		Leaving func() bool
 		// Headers names the headers.
 		Headers Headers
+		// Load returns what a server's answer says of its load, nil if nothing.
+		Load func(http.Header) *roster.Load
 		// Log gets one line for each request.
 		Log *slog.Logger
 		// Metrics gets counters and histograms.
 		Metrics *metrics.Set
 
-		budgets sync.Map // id.Service to *retry.Budget
-		running atomic.Int64
+		budgets   sync.Map // id.Service to *retry.Budget
+		baselines sync.Map // baselineKey to *outlier.Baseline
+		running   atomic.Int64
 	}
 )
 
@@ -143,18 +147,14 @@
 func (h *Handler) Running() int { return int(h.running.Load()) }
 
 func (h *Handler) budget(svc id.Service) *retry.Budget {
-	if v, ok := h.budgets.Load(svc); ok {
-		if b, ok := v.(*retry.Budget); ok {
-			return b
-		}
+	v, ok := h.budgets.Load(svc)
+	if !ok {
+		v, _ = h.budgets.LoadOrStore(svc, &retry.Budget{})
 	}
-	b := &retry.Budget{}
-	if v, loaded := h.budgets.LoadOrStore(svc, b); loaded {
-		if stored, ok := v.(*retry.Budget); ok {
-			return stored
-		}
+	if b, ok := v.(*retry.Budget); ok {
+		return b
 	}
-	return b
+	return &retry.Budget{}
 }
 
 // timeLeft returns how long the request may take: the caller's deadline or the
--- /dev/null
+++ b/internal/forward/handler_test.go
@@ -0,0 +1,315 @@
+package forward_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/matryer/is"
+
+	"github.com/shallotpier/shallotpier/internal/dispatch"
+	"github.com/shallotpier/shallotpier/internal/forward"
+	"github.com/shallotpier/shallotpier/internal/roster"
+	"github.com/shallotpier/shallotpier/internal/route"
+	"github.com/shallotpier/shallotpier/internal/upstream"
+	"github.com/shallotpier/shallotpier/pkg/id"
+	"github.com/shallotpier/shallotpier/pkg/service"
+)
+
+const svc = id.Service("registry")
+
+type (
+	// backend answers with what its script says, one line for each request
+	// over all servers, and the last one again.
+	backend struct {
+		script   []string
+		requests atomic.Int64
+		last     atomic.Pointer[http.Request]
+		body     atomic.Pointer[string]
+		left     chan struct{}
+	}
+
+	fixture struct {
+		*httptest.Server
+		backend *backend
+		roster  *roster.Roster
+		handler *forward.Handler
+	}
+)
+
+// answer plays a line of the script.
+func (b *backend) answer(c net.Conn, r *http.Request, line string) bool {
+	reqID := r.Header.Get("X-Id")
+	header := "X-Id: " + reqID + "\r\n"
+	ok := "HTTP/1.1 200 OK\r\nX-Signed: s\r\n" + header
+	switch line {
+	case "ok":
+		_, _ = io.WriteString(c, ok+"Content-Length: 3\r\n\r\none")
+	case "error":
+		_, _ = io.WriteString(c, "HTTP/1.1 500 Internal Server Error\r\nX-Signed: s\r\n"+header+"Content-Length: 3\r\n\r\nbad")
+	case "shed":
+		_, _ = io.WriteString(c, "HTTP/1.1 503 Service Unavailable\r\nX-Not-Run: 1\r\n"+header+"Content-Length: 0\r\n\r\n")
+	case "busy": // may have run
+		_, _ = io.WriteString(c, "HTTP/1.1 503 Service Unavailable\r\nX-Signed: s\r\n"+header+"Content-Length: 0\r\n\r\n")
+	case "other":
+		_, _ = io.WriteString(c, "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n")
+	case "unsigned":
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n"+header+"Content-Length: 3\r\n\r\none")
+	case "encoded":
+		_, _ = io.WriteString(c, ok+"Content-Encoding: gzip\r\nContent-Length: 3\r\n\r\none")
+	case "long":
+		_, _ = io.WriteString(c, ok+"Content-Length: 1000000\r\n\r\n"+strings.Repeat("x", 1000000))
+	case "long, cut":
+		_, _ = io.WriteString(c, ok+"Content-Length: 1000000\r\n\r\n"+strings.Repeat("x", 500000))
+		return false
+	case "chunked":
+		_, _ = io.WriteString(c, ok+"Transfer-Encoding: chunked\r\n\r\n3\r\none\r\n0\r\n\r\n")
+	case "until closed":
+		_, _ = io.WriteString(c, ok+"\r\none")
+		return false
+	case "cut":
+		return false
+	case "silent":
+		_, _ = bufio.NewReader(c).ReadByte()
+		b.left <- struct{}{}
+		return false
+	}
+	return true
+}
+
+func (b *backend) serve(c net.Conn) {
+	defer c.Close()
+	br := bufio.NewReader(c)
+	for {
+		r, err := http.ReadRequest(br)
+		if err != nil {
+			return
+		}
+		body, _ := io.ReadAll(r.Body)
+		text := string(body)
+		b.last.Store(r)
+		b.body.Store(&text)
+		n := int(b.requests.Add(1))
+		if !b.answer(c, r, b.script[min(n, len(b.script))-1]) {
+			return
+		}
+	}
+}
+
+func start(t *testing.T, kind service.Kind, script ...string) *fixture {
+	t.Helper()
+	b := &backend{script: script, left: make(chan struct{}, 10)}
+	r := &roster.Roster{Log: slog.New(slog.DiscardHandler)}
+	for i := range 3 {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { l.Close() })
+		go func() {
+			for {
+				c, err := l.Accept()
+				if err != nil {
+					return
+				}
+				go b.serve(c)
+			}
+		}()
+		r.Put(time.Now(), roster.Server{Name: id.Server(fmt.Sprintf("i-%d", i)), Service: svc, Address: l.Addr().String(), Slots: 6})
+	}
+	rt := &route.Route{
+		Name: "r", Host: "a.example", Prefix: "/x/", Kind: kind, Parts: []route.Part{{Service: svc, Weight: 1}},
+		Attempts: 2, Timeout: 400 * time.Millisecond,
+	}
+	config := &forward.Config{Version: 1, Routes: route.NewTable([]*route.Route{rt}), MaxBody: 4 << 20}
+	f := &fixture{backend: b, roster: r}
+	f.handler = &forward.Handler{
+		Config: func() *forward.Config { return config }, Dispatcher: &dispatch.Dispatcher{Roster: r},
+		Upstream: &upstream.Client{Connect: time.Second, Idle: time.Second, IdleOnce: time.Second, RequestID: "X-Id"},
+		Resends:  func() forward.Resends { return forward.Resends{Allowance: 10} },
+		Leaving:  func() bool { return false },
+		Headers: forward.Headers{
+			RequestID: "X-Id", Deadline: "X-Left", Object: "Object", Expect: "X-Expect", NotRun: "X-Not-Run", Signature: "X-Signed",
+		},
+		Load: func(http.Header) *roster.Load { return nil },
+		Log:  slog.New(slog.DiscardHandler), Metrics: metrics.NewSet(),
+	}
+	f.Server = httptest.NewServer(f.handler)
+	t.Cleanup(f.Server.Close)
+	return f
+}
+
+// ask sends a request to the entry and returns the status, the header and the
+// body of the answer; the status is 0 if there was no whole answer.
+func (f *fixture) ask(ctx context.Context, path, body string) (int, http.Header, string) {
+	method := http.MethodGet
+	if body != "" {
+		method = http.MethodPost
+	}
+	r, err := http.NewRequestWithContext(ctx, method, f.URL+path, strings.NewReader(body))
+	if err != nil {
+		return 0, nil, err.Error()
+	}
+	r.Host = "a.example"
+	r.Header.Set("X-Id", "abc")
+	r.Header.Set("X-Left", "2000")
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return 0, nil, err.Error()
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return 0, nil, err.Error()
+	}
+	return resp.StatusCode, resp.Header, string(data)
+}
+
+func TestOutcomes(t *testing.T) {
+	read, write, upload := service.Read, service.Write, service.Upload
+	tests := map[string]struct {
+		kind   service.Kind
+		script []string
+		status int
+		sends  int64
+		body   string
+	}{
+		"served":                                    {read, []string{"ok"}, 200, 1, "one"},
+		"chunked":                                   {write, []string{"chunked"}, 200, 1, "one"},
+		"end of the connection ends the answer":     {write, []string{"until closed"}, 200, 1, "one"},
+		"long answer":                               {read, []string{"long"}, 200, 1, strings.Repeat("x", 1000000)},
+		"long answer that breaks off":               {read, []string{"long, cut"}, 0, 1, ""},
+		"read is sent again after a cut":            {read, []string{"cut", "ok"}, 200, 2, "one"},
+		"read is cut twice":                         {read, []string{"cut"}, 502, 2, ""},
+		"write is never sent again after a cut":     {write, []string{"cut", "ok"}, 502, 1, ""},
+		"upload is never sent again after a cut":    {upload, []string{"cut", "ok"}, 502, 1, ""},
+		"write that was refused goes elsewhere":     {write, []string{"shed", "ok"}, 200, 2, "one"},
+		"write that all refused":                    {write, []string{"shed"}, 503, 2, ""},
+		"read is sent again after an error":         {read, []string{"error", "ok"}, 200, 2, "one"},
+		"read that meets only errors":               {read, []string{"error"}, 500, 2, "bad"},
+		"write's error is passed on":                {write, []string{"error", "ok"}, 500, 1, "bad"},
+		"503 that doesn't say not run is no 503":    {write, []string{"busy"}, 502, 1, ""},
+		"success without a signature is none":       {write, []string{"unsigned"}, 502, 1, ""},
+		"success in another encoding is none":       {write, []string{"encoded"}, 502, 1, ""},
+		"another server at the address is skipped":  {write, []string{"other", "ok"}, 200, 2, "one"},
+		"read without an answer ends at the time":   {read, []string{"silent"}, 504, 1, ""},
+		"write without an answer ends at the time":  {write, []string{"silent"}, 504, 1, ""},
+		"unsigned answer to a read is asked again":  {read, []string{"unsigned", "ok"}, 200, 2, "one"},
+		"upload that was refused is sent elsewhere": {upload, []string{"shed", "ok"}, 200, 2, "one"},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := start(t, tt.kind, tt.script...)
+			body := ""
+			if tt.kind != read {
+				body = "body"
+			}
+			began := time.Now()
+			status, header, got := f.ask(t.Context(), "/x/8", body)
+			is.Equal(status, tt.status)
+			is.Equal(f.backend.requests.Load(), tt.sends)
+			if tt.status != 0 {
+				is.Equal(got, tt.body)
+			}
+			is.True(time.Since(began) < 800*time.Millisecond)
+			if tt.status == http.StatusServiceUnavailable {
+				wait, err := strconv.ParseFloat(header.Get("Retry-After"), 64)
+				is.NoErr(err)
+				is.True(wait > 0 && wait < 0.4/3)
+			}
+		})
+	}
+}
+
+func TestRequestsArePassedOnUnchanged(t *testing.T) {
+	is := is.New(t)
+	f := start(t, service.Upload, "ok")
+	long := strings.Repeat("0123456789", 100_000) // more than is kept for another send
+	for _, body := range []string{"short", long} {
+		status, _, _ := f.ask(t.Context(), "/x/a%2Fb//c?q=%20&", body)
+		is.Equal(status, 200)
+		got := f.backend.last.Load()
+		is.Equal(got.RequestURI, "/x/a%2Fb//c?q=%20&")
+		is.Equal(got.Method, http.MethodPost)
+		is.Equal(got.Host, "a.example")
+		is.Equal(got.Header.Get("X-Id"), "abc")
+		is.True(strings.HasPrefix(got.Header.Get("X-Expect"), "i-"))
+		left, err := strconv.Atoi(got.Header.Get("X-Left"))
+		is.NoErr(err)
+		is.True(left > 0 && left <= 400) // the route's time, sooner than the caller's
+		is.True(*f.backend.body.Load() == body)
+	}
+}
+
+func TestRefusals(t *testing.T) {
+	tests := map[string]struct {
+		change func(f *fixture)
+		path   string
+		body   string
+		status int
+	}{
+		"no configuration yet": {func(f *fixture) { f.handler.Config = func() *forward.Config { return nil } }, "/x/8", "", 503},
+		"no route":             {func(*fixture) {}, "/y/8", "", 404},
+		"no server":            {func(f *fixture) { f.roster.Replace(time.Now(), nil) }, "/x/8", "", 503},
+		"body too large":       {func(*fixture) {}, "/x/8", strings.Repeat("x", 5<<20), 413},
+		"no server takes a connection": {func(f *fixture) {
+			f.roster.Replace(time.Now(), []roster.Server{{Name: "i-9", Service: svc, Address: "127.0.0.1:1", Slots: 6}})
+		}, "/x/8", "body", 503},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := start(t, service.Write, "ok")
+			tt.change(f)
+			status, _, _ := f.ask(t.Context(), tt.path, tt.body)
+			is.Equal(status, tt.status)
+			is.Equal(f.backend.requests.Load(), int64(0))
+		})
+	}
+}
+
+func TestACallerThatLeaves(t *testing.T) {
+	tests := map[string]struct {
+		kind   service.Kind
+		body   string
+		within bool
+	}{
+		"ends a read at the server":         {service.Read, "", true},
+		"doesn't end a write at its server": {service.Write, "body", false},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := start(t, tt.kind, "silent")
+			ctx, cancel := context.WithCancel(t.Context())
+			time.AfterFunc(50*time.Millisecond, cancel)
+			began := time.Now()
+			status, _, _ := f.ask(ctx, "/x/8", tt.body)
+			is.Equal(status, 0)
+			<-f.backend.left
+			is.Equal(time.Since(began) < 300*time.Millisecond, tt.within)
+		})
+	}
+}
+
+func TestResendsKeepToTheBudget(t *testing.T) {
+	is := is.New(t)
+	f := start(t, service.Write, "shed")
+	const requests = 30
+	for range requests {
+		f.ask(t.Context(), "/x/8", "body")
+	}
+	is.Equal(f.backend.requests.Load(), int64(requests+10))
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -92,6 +92,8 @@
 		Resends forward.Resends
 		// Headers names the headers of requests and answers.
 		Headers forward.Headers
+		// Load returns what a server's answer says of its load, nil if nothing.
+		Load func(http.Header) *roster.Load
 		// Log gets a line for each event.
 		Log *slog.Logger
 		// Metrics gets counters and histograms.
@@ -123,8 +125,8 @@
 	n.upstream = &upstream.Client{Connect: connectTime, Idle: idleTime, IdleOnce: idleOnceTime, RequestID: o.Headers.RequestID}
 	n.Beacon = &beacon.Beacon{Self: n.Self, Interval: o.BeaconInterval, Timeout: o.BeaconTimeout, Log: o.Log}
 	n.handler = &forward.Handler{
-		Config: n.forwardConfig, Dispatcher: &dispatch.Dispatcher{Roster: n.Roster}, Upstream: n.upstream,
-		Resends: n.resends, Leaving: n.leaving.Load, Headers: o.Headers, Log: o.Log, Metrics: o.Metrics,
+		Config: n.forwardConfig, Dispatcher: &dispatch.Dispatcher{Roster: n.Roster, Region: o.Self.Region}, Upstream: n.upstream,
+		Resends: n.resends, Leaving: n.leaving.Load, Headers: o.Headers, Load: o.Load, Log: o.Log, Metrics: o.Metrics,
 	}
 	return n
 }
--- /dev/null
+++ b/internal/outlier/record.go
@@ -0,0 +1,83 @@
+// Package outlier tells backend servers that fail or slow down from those that
+// are as good as the rest of their service.
+//
+// A [Record] holds what this entry's requests met at one server: how often they
+// failed, and how long they took as a multiple of what requests of their kind
+// usually take. Both fade, so that a server is tried again after a while. A
+// server is only an outlier in comparison: if all fail alike, none is.
+//
+// # Usage
+//
+//	r.Observe(now, false, 0)   // a request failed
+//	r.Observe(now, true, 1.2)  // one took 1.2 times as long as usual
+//	if r.Outlier(now, usual) {
+//		// other servers first
+//	}
+package outlier
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// fade is the time in which half of what was seen is forgotten, some times
+	// the usual gap between two requests of one entry to one server.
+	fade = 3 * time.Second
+	// weight is the part of one observation in the averages.
+	weight = 0.15
+	// failureMargin is how much more often a server must fail than the mean, as
+	// a part of its requests; single failures in a hundred are usual.
+	failureMargin = 0.15
+	// slowFactor is how many times as long as usual its requests must take;
+	// requests for objects that a server hasn't handled yet take three to four
+	// times as long as the others.
+	slowFactor = 2.5
+)
+
+// Record is what was seen of one server. The zero Record has seen nothing. It is
+// not safe for concurrent use.
+type Record struct {
+	at       time.Time
+	failures float64
+	slowness float64 // above 1, as a surplus
+}
+
+// Observe takes in one request: whether it was answered well, and how long the
+// answer took as a multiple of the usual; 0 if that says nothing.
+func (r *Record) Observe(now time.Time, ok bool, times float64) {
+	r.settle(now)
+	failed := 0.0
+	if !ok {
+		failed = 1
+	}
+	r.failures += weight * (failed - r.failures)
+	if ok && times > 0 {
+		r.slowness += weight * (max(times-1, 0) - r.slowness)
+	}
+}
+
+// Failures returns the share of failed requests, 0 to 1.
+func (r *Record) Failures(now time.Time) float64 {
+	r.settle(now)
+	return r.failures
+}
+
+// Outlier tells whether the server fails much more often than usual, or is much
+// slower.
+func (r *Record) Outlier(now time.Time, usualFailures float64) bool {
+	r.settle(now)
+	return r.failures > 2*usualFailures+failureMargin || r.slowness > slowFactor-1
+}
+
+// settle fades what was seen.
+func (r *Record) settle(now time.Time) {
+	if now.After(r.at) {
+		if !r.at.IsZero() {
+			f := math.Exp2(-float64(now.Sub(r.at)) / float64(fade))
+			r.failures *= f
+			r.slowness *= f
+		}
+		r.at = now
+	}
+}
--- /dev/null
+++ b/internal/outlier/record_test.go
@@ -0,0 +1,43 @@
+package outlier_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/shallotpier/shallotpier/internal/outlier"
+)
+
+func TestOutlier(t *testing.T) {
+	const requests = 40
+	tests := map[string]struct {
+		failEach int // every n-th request fails
+		times    float64
+		usual    float64
+		pause    time.Duration
+		want     bool
+	}{
+		"sound":                        {0, 1, 0, 0, false},
+		"half fail":                    {2, 1, 0, 0, true},
+		"half fail at all servers":     {2, 1, 0.5, 0, false},
+		"one in forty fails":           {40, 1, 0, 0, false},
+		"five times as slow":           {0, 5, 0, 0, true},
+		"twice as slow":                {0, 2, 0, 0, false},
+		"failed some time ago":         {2, 1, 0, 10 * time.Second, false},
+		"slow but seen some time ago":  {0, 5, 0, 10 * time.Second, false},
+		"faster than usual and failed": {3, 0.3, 0, 0, true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			now := time.Unix(100, 0)
+			var r outlier.Record
+			for i := 1; i <= requests; i++ {
+				now = now.Add(20 * time.Millisecond)
+				r.Observe(now, tt.failEach == 0 || i%tt.failEach != 0, tt.times)
+			}
+			is.Equal(r.Outlier(now.Add(tt.pause), tt.usual), tt.want)
+		})
+	}
+}
--- a/internal/roster/member.go
+++ b/internal/roster/member.go
@@ -1,15 +1,21 @@
 package roster
 
 import (
+	"math"
 	"sync"
 	"time"
 
 	"github.com/shallotpier/shallotpier/internal/coldrate"
 	"github.com/shallotpier/shallotpier/internal/health"
 	"github.com/shallotpier/shallotpier/internal/measured"
+	"github.com/shallotpier/shallotpier/internal/outlier"
 	"github.com/shallotpier/shallotpier/internal/owner"
 )
 
+// loadFade is the time in which half of what a server reported of other
+// entries' requests is forgotten: a few times what a request takes.
+const loadFade = 300 * time.Millisecond
+
 type (
 	// Member is a backend server in a view.
 	Member struct {
@@ -23,13 +29,40 @@
 		state   *state
 	}
 
+	// Load is a server's own count of its requests, of all entries.
+	Load struct {
+		// Running is how many it runs.
+		Running int
+		// Waiting is how many it has queued.
+		Waiting int
+	}
+
+	// Outcome is what a request met.
+	Outcome struct {
+		// Event is what it says of the server's health.
+		Event health.Event
+		// Failed tells that the server refused it or answered with an error.
+		Failed bool
+		// Times is how long the answer took as a multiple of the usual; 0 if
+		// that says nothing.
+		Times float64
+		// Load is what the server reported; nil if nothing.
+		Load *Load
+	}
+
 	// state is what this entry's requests met at one start of a server.
 	state struct {
 		mu       sync.Mutex
 		inFlight int
 		opinion  health.Opinion
+		record   outlier.Record
+		outlier  bool
 		cold     time.Time
 		rate     coldrate.Limiter
+		// others is how many requests of other entries the server had by its
+		// last report.
+		others   float64
+		reported time.Time
 	}
 )
 
@@ -51,6 +84,21 @@
 	return now.Before(m.state.cold)
 }
 
+// Busy estimates how many requests of all entries the server has, from its last
+// report and this entry's own count.
+func (m *Member) Busy(now time.Time) float64 {
+	m.state.mu.Lock()
+	defer m.state.mu.Unlock()
+	return m.state.busy(now)
+}
+
+// Outlier tells whether the server fails or lags in comparison with its service.
+func (m *Member) Outlier() bool {
+	m.state.mu.Lock()
+	defer m.state.mu.Unlock()
+	return m.state.outlier
+}
+
 // Ready tells whether a request may be begun now, as far as the server's health
 // and its cold rate go.
 func (m *Member) Ready(now time.Time) bool {
@@ -78,22 +126,48 @@
 }
 
 // End takes in what a begun request met.
-func (m *Member) End(now time.Time, e health.Event) {
+func (m *Member) End(now time.Time, o Outcome) {
 	s := m.state
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if o.Load != nil {
+		// The request itself is over for the server, but counted here.
+		s.others, s.reported = max(float64(o.Load.Running+o.Load.Waiting-s.inFlight), 0), now
+	}
 	s.inFlight--
-	if e == health.Answered && s.opinion.Out() {
+	if o.Event == health.Answered && s.opinion.Out() {
 		// A server that could not be reached may have been started anew.
 		s.cold = later(s.cold, now.Add(m.cold.ColdTime))
 	}
-	s.opinion.Observe(now, e)
+	s.opinion.Observe(now, o.Event)
+	if o.Event != health.Nothing {
+		s.record.Observe(now, !o.Failed && o.Event == health.Answered, o.Times)
+	}
 }
 
 // coldLimit returns how many requests this entry may send in a second while the
 // server is cold.
 func (m *Member) coldLimit() int { return coldrate.Share(m.cold.ColdRate, m.entries) }
 
+func (s *state) busy(now time.Time) float64 {
+	if s.others == 0 {
+		return float64(s.inFlight)
+	}
+	return float64(s.inFlight) + s.others*math.Exp2(-float64(now.Sub(s.reported))/float64(loadFade))
+}
+
+func (s *state) failures(now time.Time) float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.record.Failures(now)
+}
+
+func (s *state) judge(now time.Time, usual float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.outlier = s.record.Outlier(now, usual)
+}
+
 func (s *state) ready(now time.Time, m *Member) bool {
 	if v, _ := s.verdict(now); v == health.No {
 		return false
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -16,7 +16,7 @@
 //	r.Put(now, server)
 //	for _, m := range r.View().Members("registry") {
 //		if m.Ready(now) && m.Begin(now) {
-//			defer m.End(now, health.Answered)
+//			defer m.End(now, roster.Outcome{Event: health.Answered})
 //		}
 //	}
 package roster
@@ -142,7 +142,8 @@
 	r.resumed = now
 }
 
-// Step ends the graces that have passed. It is called some times a second.
+// Step ends the graces that have passed and compares the servers of each service.
+// It is called some times a second.
 func (r *Roster) Step(now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -156,6 +157,20 @@
 	if changed {
 		r.publish()
 	}
+	r.judge(now)
+}
+
+// judge compares the servers of each service.
+func (r *Roster) judge(now time.Time) {
+	for _, list := range r.View().services {
+		sum := 0.0
+		for _, m := range list {
+			sum += m.state.failures(now)
+		}
+		for _, m := range list {
+			m.state.judge(now, sum/float64(len(list)))
+		}
+	}
 }
 
 // Evacuate sets the zones whose servers get nothing. Servers of a zone that is
--- /dev/null
+++ b/internal/roster/roster_test.go
@@ -0,0 +1,171 @@
+package roster_test
+
+import (
+	"io"
+	"log/slog"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/shallotpier/shallotpier/internal/health"
+	"github.com/shallotpier/shallotpier/internal/roster"
+	"github.com/shallotpier/shallotpier/pkg/id"
+)
+
+const (
+	svc   = id.Service("registry")
+	grace = 2400 * time.Millisecond
+)
+
+var start = time.Unix(1000, 0)
+
+func newRoster() *roster.Roster {
+	r := &roster.Roster{Grace: grace, Log: slog.New(slog.NewTextHandler(io.Discard, nil))}
+	r.Configure(map[id.Service]roster.Service{svc: {ColdTime: 3 * time.Second, ColdRate: 30}})
+	r.SetEntries(7)
+	return r
+}
+
+func server(name id.Server) roster.Server {
+	return roster.Server{Name: name, Service: svc, Address: "10.0.0.1:80", Zone: "a-1", Region: "a", Slots: 6, Born: 1}
+}
+
+func names(r *roster.Roster) []id.Server {
+	var out []id.Server
+	for _, m := range r.View().Members(svc) {
+		out = append(out, m.Name)
+	}
+	return out
+}
+
+func TestWhoMayGetRequests(t *testing.T) {
+	at := func(d time.Duration) time.Time { return start.Add(d) }
+	tests := map[string]struct {
+		do   func(r *roster.Roster)
+		want []id.Server
+	}{
+		"all": {func(*roster.Roster) {}, []id.Server{"i-1", "i-2"}},
+		"leaving": {func(r *roster.Roster) {
+			s := server("i-1")
+			s.Leaving = true
+			r.Put(start, s)
+		}, []id.Server{"i-2"}},
+		"removed":              {func(r *roster.Roster) { r.Remove(start, "i-1") }, []id.Server{"i-2"}},
+		"missing in a list":    {func(r *roster.Roster) { r.Replace(start, []roster.Server{server("i-2")}) }, []id.Server{"i-2"}},
+		"zone evacuated":       {func(r *roster.Roster) { r.Evacuate(start, map[id.Zone]bool{"a-1": true}) }, nil},
+		"other zone evacuated": {func(r *roster.Roster) { r.Evacuate(start, map[id.Zone]bool{"b-1": true}) }, []id.Server{"i-1", "i-2"}},
+		"missing right after an outage": {func(r *roster.Roster) {
+			r.Resumed(start)
+			r.Replace(start, nil)
+			r.Step(at(grace - 1))
+		}, []id.Server{"i-1", "i-2"}},
+		"removed right after an outage, and back": {func(r *roster.Roster) {
+			r.Resumed(start)
+			r.Remove(start, "i-1")
+			r.Put(at(time.Second), server("i-1"))
+			r.Step(at(time.Minute))
+		}, []id.Server{"i-1", "i-2"}},
+		"missing since an outage for longer than the grace": {func(r *roster.Roster) {
+			r.Resumed(start)
+			r.Replace(start, []roster.Server{server("i-2")})
+			r.Step(at(grace))
+		}, []id.Server{"i-2"}},
+		"removed after the grace": {func(r *roster.Roster) {
+			r.Resumed(start)
+			r.Remove(at(grace), "i-1")
+		}, []id.Server{"i-2"}},
+		"was leaving before the outage": {func(r *roster.Roster) {
+			s := server("i-1")
+			s.Leaving = true
+			r.Put(start, s)
+			r.Resumed(start)
+			r.Replace(start, []roster.Server{server("i-2")})
+		}, []id.Server{"i-2"}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			r := newRoster()
+			r.Replace(start.Add(-time.Minute), []roster.Server{server("i-2"), server("i-1")})
+			tt.do(r)
+			is.Equal(names(r), tt.want)
+		})
+	}
+}
+
+// begun returns how many requests a server takes in a moment.
+func begun(r *roster.Roster, now time.Time) int {
+	n := 0
+	for n < 100 && r.View().Members(svc)[0].Begin(now) {
+		n++
+	}
+	return n
+}
+
+func TestColdServers(t *testing.T) {
+	const share = 3 // of 30 a second by seven entries, with a margin
+	fresh := func(r *roster.Roster) { r.Put(start, server("i-1")) }
+	tests := map[string]struct {
+		do   func(r *roster.Roster)
+		at   time.Duration
+		want int
+	}{
+		"warm": {fresh, 0, 100},
+		"started cold": {func(r *roster.Roster) {
+			s := server("i-1")
+			s.Cold = 3 * time.Second
+			r.Put(start, s)
+		}, 0, share},
+		"cold time over": {func(r *roster.Roster) {
+			s := server("i-1")
+			s.Cold = 3 * time.Second
+			r.Put(start, s)
+		}, 3 * time.Second, 100},
+		"zone taken back": {func(r *roster.Roster) {
+			fresh(r)
+			r.Evacuate(start, map[id.Zone]bool{"a-1": true})
+			r.Evacuate(start, nil)
+		}, 0, share},
+		"reached again after failures": {func(r *roster.Roster) {
+			fresh(r)
+			for range 2 {
+				m := r.View().Members(svc)[0]
+				m.Begin(start)
+				m.End(start, roster.Outcome{Event: health.ConnectFailed, Failed: true})
+			}
+			m := r.View().Members(svc)[0]
+			m.Begin(start.Add(5 * time.Second))
+			m.End(start.Add(5*time.Second), roster.Outcome{Event: health.Answered})
+		}, 5 * time.Second, share},
+		"another start under the same name": {func(r *roster.Roster) {
+			s := server("i-1")
+			s.Cold = 3 * time.Second
+			r.Put(start, s)
+			s.Cold, s.Born = 0, 2
+			r.Put(start, s)
+		}, 0, 100},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			r := newRoster()
+			tt.do(r)
+			is.Equal(begun(r, start.Add(tt.at)), tt.want)
+		})
+	}
+}
+
+func TestBusyCountsOtherEntries(t *testing.T) {
+	is := is.New(t)
+	r := newRoster()
+	r.Put(start, server("i-1"))
+	m := r.View().Members(svc)[0]
+	m.Begin(start)
+	m.Begin(start)
+	is.Equal(m.Busy(start), 2.0)
+	// Six run and two wait, of which this entry has two.
+	m.End(start, roster.Outcome{Event: health.Answered, Load: &roster.Load{Running: 6, Waiting: 2}})
+	is.Equal(m.Busy(start), 1.0+6.0)
+	is.True(m.Busy(start.Add(5*time.Second)) < 1.1) // the report has aged
+}
