outlier, dispatch: slow in comparison, spill below half of the slots, shorter queues

A zone that was cut off hid behind open connections. Ruled out: cold servers (none was started), the budget of resends. Change: outliers are judged against the mean of their service; spill below 0.5; an owner's queue ends at 2.5 times its slots; connections end when bytes are not acknowledged for 600 ms.

--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -10,6 +10,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"github.com/shallotpier/shallotpier/internal/sockopt"
 )
 
 const (
@@ -131,7 +133,7 @@
 		KeepAliveConfig: net.KeepAliveConfig{
 			Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount,
 		},
-		Control: limitUnacked,
+		Control: sockopt.LimitUnacked(unackedLimit),
 	}
 	return d.DialContext(ctx, "tcp", addr.String())
 }
--- a/internal/beacon/beacon_test.go
+++ b/internal/beacon/beacon_test.go
@@ -22,7 +22,7 @@
 
 func node(n int, incarnation id.Incarnation) beacon.Node {
 	return beacon.Node{
-		Instance: id.Instance(fmt.Sprintf("entry-%d", n)), Incarnation: incarnation, Ready: true,
+		Instance: id.Instance(fmt.Sprintf("entry-%d", n)), Incarnation: incarnation, Ready: true, Zone: "a-1", Region: "a",
 		Callers: netip.MustParseAddrPort(fmt.Sprintf("10.0.0.%d:80", n)), Peers: netip.MustParseAddrPort(fmt.Sprintf("10.0.0.%d:90", n)),
 	}
 }
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -42,11 +42,12 @@
 	// knows.
 	fullQueue = 2.0
 	// spareLoad is how many requests a server may have, in multiples of its
-	// slots, to take those of another owner.
-	spareLoad = 0.8
+	// slots, to take those of another owner: the reports that it is judged by
+	// are late, and all entries go by them.
+	spareLoad = 0.5
 	// overflow is how many requests an owner may have while no other server has
 	// room. Servers refuse what they can't queue, unrun.
-	overflow = 4.0
+	overflow = 2.5
 	// anyLoad takes an owner however busy it is.
 	anyLoad = math.MaxFloat64
 )
--- a/internal/dispatch/dispatcher_test.go
+++ b/internal/dispatch/dispatcher_test.go
@@ -77,14 +77,14 @@
 		owner, others int // requests that they have
 		want          string
 	}{
-		"owner free":                    {0, 0, "owner"},
-		"owner has a short queue":       {2*slots - 1, 0, "owner"},
-		"owner has a long queue":        {2 * slots, 0, "other"},
-		"all have all slots in use":     {2 * slots, slots, "owner"},
-		"owner can't queue any more":    {4 * slots, slots, "none"},
-		"owner full and others free":    {4 * slots, 0, "other"},
-		"others are nearly all in use":  {2 * slots, slots - 1, "owner"},
-		"others have a slot or two yet": {2 * slots, slots - 2, "other"},
+		"owner free":                  {0, 0, "owner"},
+		"owner has a short queue":     {2*slots - 1, 0, "owner"},
+		"owner has a long queue":      {2 * slots, 0, "other"},
+		"all have all slots in use":   {2 * slots, slots, "owner"},
+		"queue is past the objective": {5 * slots / 2, slots, "none"},
+		"owner full and others free":  {4 * slots, 0, "other"},
+		"others have half in use":     {2 * slots, slots / 2, "owner"},
+		"others have less than half":  {2 * slots, slots/2 - 1, "other"},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/internal/outlier/record.go
+++ b/internal/outlier/record.go
@@ -10,7 +10,7 @@
 //
 //	r.Observe(now, false, 0)   // a request failed
 //	r.Observe(now, true, 1.2)  // one took 1.2 times as long as usual
-//	if r.Outlier(now, usual) {
+//	if r.Outlier(now, meanOfTheService) {
 //		// other servers first
 //	}
 package outlier
@@ -29,19 +29,28 @@
 	// failureMargin is how much more often a server must fail than the mean, as
 	// a part of its requests; single failures in a hundred are usual.
 	failureMargin = 0.15
-	// slowFactor is how many times as long as usual its requests must take;
-	// requests for objects that a server hasn't handled yet take three to four
-	// times as long as the others.
+	// slowFactor is how many times as long as the mean its requests must take;
+	// chance alone makes averages differ by a factor of two.
 	slowFactor = 2.5
 )
 
-// Record is what was seen of one server. The zero Record has seen nothing. It is
-// not safe for concurrent use.
-type Record struct {
-	at       time.Time
-	failures float64
-	slowness float64 // above 1, as a surplus
-}
+type (
+	// Seen sums up what was seen of a server, or of all servers of a service.
+	Seen struct {
+		// Failures is the share of failed requests, 0 to 1.
+		Failures float64
+		// Surplus is how much longer than usual requests took, as a multiple
+		// of the usual; 0 is as long as usual.
+		Surplus float64
+	}
+
+	// Record is what was seen of one server. The zero Record has seen nothing.
+	// It is not safe for concurrent use.
+	Record struct {
+		at   time.Time
+		seen Seen
+	}
+)
 
 // Observe takes in one request: whether it was answered well, and how long the
 // answer took as a multiple of the usual; 0 if that says nothing.
@@ -51,23 +60,23 @@
 	if !ok {
 		failed = 1
 	}
-	r.failures += weight * (failed - r.failures)
+	r.seen.Failures += weight * (failed - r.seen.Failures)
 	if ok && times > 0 {
-		r.slowness += weight * (max(times-1, 0) - r.slowness)
+		r.seen.Surplus += weight * (max(times-1, 0) - r.seen.Surplus)
 	}
 }
 
-// Failures returns the share of failed requests, 0 to 1.
-func (r *Record) Failures(now time.Time) float64 {
+// Seen returns what is remembered.
+func (r *Record) Seen(now time.Time) Seen {
 	r.settle(now)
-	return r.failures
+	return r.seen
 }
 
-// Outlier tells whether the server fails much more often than usual, or is much
-// slower.
-func (r *Record) Outlier(now time.Time, usualFailures float64) bool {
+// Outlier tells whether the server fails much more often than the mean of its
+// service, or is much slower.
+func (r *Record) Outlier(now time.Time, mean Seen) bool {
 	r.settle(now)
-	return r.failures > 2*usualFailures+failureMargin || r.slowness > slowFactor-1
+	return r.seen.Failures > 2*mean.Failures+failureMargin || 1+r.seen.Surplus > slowFactor*(1+mean.Surplus)
 }
 
 // settle fades what was seen.
@@ -75,8 +84,8 @@
 	if now.After(r.at) {
 		if !r.at.IsZero() {
 			f := math.Exp2(-float64(now.Sub(r.at)) / float64(fade))
-			r.failures *= f
-			r.slowness *= f
+			r.seen.Failures *= f
+			r.seen.Surplus *= f
 		}
 		r.at = now
 	}
--- a/internal/outlier/record_test.go
+++ b/internal/outlier/record_test.go
@@ -11,22 +11,24 @@
 
 func TestOutlier(t *testing.T) {
 	const requests = 40
+	var none outlier.Seen
 	tests := map[string]struct {
 		failEach int // every n-th request fails
 		times    float64
-		usual    float64
+		mean     outlier.Seen
 		pause    time.Duration
 		want     bool
 	}{
-		"sound":                        {0, 1, 0, 0, false},
-		"half fail":                    {2, 1, 0, 0, true},
-		"half fail at all servers":     {2, 1, 0.5, 0, false},
-		"one in forty fails":           {40, 1, 0, 0, false},
-		"five times as slow":           {0, 5, 0, 0, true},
-		"twice as slow":                {0, 2, 0, 0, false},
-		"failed some time ago":         {2, 1, 0, 10 * time.Second, false},
-		"slow but seen some time ago":  {0, 5, 0, 10 * time.Second, false},
-		"faster than usual and failed": {3, 0.3, 0, 0, true},
+		"sound":                        {0, 1, none, 0, false},
+		"half fail":                    {2, 1, none, 0, true},
+		"half fail at all servers":     {2, 1, outlier.Seen{Failures: 0.5}, 0, false},
+		"one in forty fails":           {40, 1, none, 0, false},
+		"five times as slow":           {0, 5, none, 0, true},
+		"slow like all others":         {0, 5, outlier.Seen{Surplus: 4}, 0, false},
+		"twice as slow":                {0, 2, none, 0, false},
+		"failed some time ago":         {2, 1, none, 10 * time.Second, false},
+		"slow but seen some time ago":  {0, 5, none, 10 * time.Second, false},
+		"faster than usual and failed": {3, 0.3, none, 0, true},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -37,7 +39,7 @@
 				now = now.Add(20 * time.Millisecond)
 				r.Observe(now, tt.failEach == 0 || i%tt.failEach != 0, tt.times)
 			}
-			is.Equal(r.Outlier(now.Add(tt.pause), tt.usual), tt.want)
+			is.Equal(r.Outlier(now.Add(tt.pause), tt.mean), tt.want)
 		})
 	}
 }
--- a/internal/roster/member.go
+++ b/internal/roster/member.go
@@ -156,16 +156,16 @@
 	return float64(s.inFlight) + s.others*math.Exp2(-float64(now.Sub(s.reported))/float64(loadFade))
 }
 
-func (s *state) failures(now time.Time) float64 {
+func (s *state) seen(now time.Time) outlier.Seen {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.record.Failures(now)
+	return s.record.Seen(now)
 }
 
-func (s *state) judge(now time.Time, usual float64) {
+func (s *state) judge(now time.Time, mean outlier.Seen) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.outlier = s.record.Outlier(now, usual)
+	s.outlier = s.record.Outlier(now, mean)
 }
 
 func (s *state) ready(now time.Time, m *Member) bool {
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -30,6 +30,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/shallotpier/shallotpier/internal/outlier"
 	"github.com/shallotpier/shallotpier/pkg/id"
 )
 
@@ -163,12 +164,14 @@
 // judge compares the servers of each service.
 func (r *Roster) judge(now time.Time) {
 	for _, list := range r.View().services {
-		sum := 0.0
+		var mean outlier.Seen
 		for _, m := range list {
-			sum += m.state.failures(now)
+			seen := m.state.seen(now)
+			mean.Failures += seen.Failures / float64(len(list))
+			mean.Surplus += seen.Surplus / float64(len(list))
 		}
 		for _, m := range list {
-			m.state.judge(now, sum/float64(len(list)))
+			m.state.judge(now, mean)
 		}
 	}
 }
--- /dev/null
+++ b/internal/sockopt/unacked_other.go
@@ -0,0 +1,13 @@
+//go:build !linux
+
+package sockopt
+
+import (
+	"syscall"
+	"time"
+)
+
+// LimitUnacked returns nil: the option is Linux's.
+func LimitUnacked(time.Duration) func(network, address string, raw syscall.RawConn) error {
+	return nil
+}
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -33,6 +33,7 @@
 	"syscall"
 	"time"
 
+	"github.com/shallotpier/shallotpier/internal/sockopt"
 	"github.com/shallotpier/shallotpier/pkg/id"
 	"github.com/shallotpier/shallotpier/pkg/result"
 )
@@ -48,6 +49,13 @@
 	// inlineBody is the longest body that is written before the answer is
 	// read; it fits in the smallest socket buffers.
 	inlineBody = 4 << 10
+	// unackedTime is how long the kernel waits for the acknowledgement of bytes
+	// or probes before it ends a connection: three retransmissions between
+	// regions.
+	unackedTime = 600 * time.Millisecond
+	// probeTime is the pause before and between probes of a connection on which
+	// nothing moves, the least that kernels take.
+	probeTime = time.Second
 	// idleMargin is how much sooner than the server's announced idle timeout a
 	// connection is given up.
 	idleMargin = time.Second
@@ -250,7 +258,10 @@
 }
 
 func dialTCP(ctx context.Context, address string) (net.Conn, error) {
-	var d net.Dialer
+	d := net.Dialer{
+		Control:         sockopt.LimitUnacked(unackedTime),
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probeTime, Interval: probeTime, Count: 1},
+	}
 	return d.DialContext(ctx, "tcp", address)
 }
 
@@ -376,9 +387,11 @@
 }
 
 func failCode(err, cause error, sent bool) result.Code {
-	timeout := errors.Is(err, syscall.ETIMEDOUT) || isTimeout(err)
 	switch {
-	case errors.Is(cause, context.DeadlineExceeded), cause == nil && timeout:
+	case cause == nil && sent && errors.Is(err, syscall.ETIMEDOUT):
+		// The kernel ended a connection whose bytes were not acknowledged.
+		return result.ConnectionSilent
+	case errors.Is(cause, context.DeadlineExceeded), cause == nil && isTimeout(err):
 		return choose(sent, result.AnswerLate, result.DeadlinePassed)
 	case cause != nil:
 		return choose(sent, result.CallerGone, result.CallerLeft)
