forward, quarantine, platform: requests that crash servers, settings that change

Cause: a request that crashes what runs it was sent on for ever; settings were read at the start alone. Change: a broken answer of a server that then takes no connection is a crash of the request's fingerprint (method, host, path, caller, object, body); after three, it is kept away for 30 minutes, and entries tell each other in beacons. Ruled out: quarantine from the first crash on, as the daemon does it: one crashed server would keep the objects of all its requests away.

--- a/cmd/shallotpier-entry/main.go
+++ b/cmd/shallotpier-entry/main.go
@@ -23,17 +23,20 @@
 
 func run() int {
 	out := logpipe.New(os.Stdout, queuedLines)
-	defer out.Close()
+	defer func() { _ = out.Close() }()
 	log := slog.New(slog.NewTextHandler(out, nil))
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	signal.Ignore(syscall.SIGHUP) // changed settings are noticed without it
-	settings, err := platform.Load(os.Getenv(platform.SettingsVariable))
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	path := os.Getenv(platform.SettingsVariable)
+	settings, err := platform.Load(path)
 	if err != nil {
 		log.Error("settings rejected", "err", err.Error())
 		return 1
 	}
-	if err := platform.Run(ctx, settings, log); err != nil {
+	watch := &platform.Watch{Path: path, Reload: reload, Log: log}
+	if err := platform.Run(ctx, settings, watch, log); err != nil {
 		log.Error("ended", "err", err.Error())
 		return 1
 	}
--- a/internal/beacon/beacon.go
+++ b/internal/beacon/beacon.go
@@ -29,11 +29,17 @@
 	"sync"
 	"time"
 
+	"github.com/shallotpier/shallotpier/internal/quarantine"
 	"github.com/shallotpier/shallotpier/pkg/id"
 )
 
-// maxDatagram is the longest beacon that is read, in bytes.
-const maxDatagram = 2048
+const (
+	// maxDatagram is the longest beacon that is read, in bytes.
+	maxDatagram = 4096
+	// MaxCrashes is how many crashes a beacon tells of, so that it stays within
+	// one packet.
+	MaxCrashes = 3
+)
 
 type (
 	// Node is what an entry says of itself.
@@ -55,6 +61,8 @@
 		Share float64 `json:"share"`
 		// Ready tells that it serves callers and is not about to stop.
 		Ready bool `json:"ready"`
+		// Crashes is the latest news of requests that crash servers.
+		Crashes []quarantine.Sighting `json:"crashes,omitempty"`
 	}
 
 	// Beacon sends and receives beacons. Its exported fields are set before
@@ -66,6 +74,8 @@
 		Interval time.Duration
 		// Timeout is how long an entry may be silent while it counts as alive.
 		Timeout time.Duration
+		// Heard is called with each beacon that is taken in; nil is not.
+		Heard func(now time.Time, n Node)
 		// Log gets a line for each entry that comes or goes.
 		Log *slog.Logger
 
@@ -150,6 +160,9 @@
 	if !node.Peers.IsValid() || !node.Callers.IsValid() || node.Peers == b.Self().Peers {
 		return
 	}
+	if b.Heard != nil {
+		b.Heard(now, node)
+	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	p := b.peer(node.Peers)
--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -218,6 +218,9 @@
 		}
 	}
 	m.End(time.Now(), roster.Outcome{Event: health.EventOf(failed.Code), Failed: true})
+	if failed.Code == result.AnswerCut {
+		c.suspect(m)
+	}
 	c.h.Log.Info("send failed", "request", c.id, "server", m.Name, "code", failed.Code, "sent", failed.Sent, "err", failed.Err)
 	return failed.Code
 }
@@ -301,6 +304,9 @@
 func (c *call) pass(rep *reply) {
 	defer rep.Close()
 	c.code, c.status = result.Served, rep.Status
+	if c.h.Quarantine.Watching() {
+		c.h.Quarantine.Clear(time.Now(), c.fingerprint())
+	}
 	header := c.w.Header()
 	passOn(header, rep.Header)
 	if _, ok := header["Content-Type"]; !ok {
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -32,6 +32,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/shallotpier/shallotpier/internal/dispatch"
+	"github.com/shallotpier/shallotpier/internal/quarantine"
 	"github.com/shallotpier/shallotpier/internal/retry"
 	"github.com/shallotpier/shallotpier/internal/roster"
 	"github.com/shallotpier/shallotpier/internal/route"
@@ -85,6 +86,8 @@
 		Dispatcher *dispatch.Dispatcher
 		// Upstream sends.
 		Upstream *upstream.Client
+		// Quarantine keeps requests away that crash servers.
+		Quarantine *quarantine.List
 		// Resends returns the bound on what is sent again.
 		Resends func() Resends
 		// Leaving tells whether callers are asked to close their connections.
@@ -140,6 +143,10 @@
 		return
 	}
 	c.service = c.pickService()
+	if h.Quarantine.Watching() && h.Quarantine.Check(c.began, c.fingerprint()).Refused {
+		c.refuse(result.Quarantined)
+		return
+	}
 	c.carry()
 }
 
--- a/internal/forward/handler_test.go
+++ b/internal/forward/handler_test.go
@@ -20,10 +20,12 @@
 
 	"github.com/shallotpier/shallotpier/internal/dispatch"
 	"github.com/shallotpier/shallotpier/internal/forward"
+	"github.com/shallotpier/shallotpier/internal/quarantine"
 	"github.com/shallotpier/shallotpier/internal/roster"
 	"github.com/shallotpier/shallotpier/internal/route"
 	"github.com/shallotpier/shallotpier/internal/upstream"
 	"github.com/shallotpier/shallotpier/pkg/id"
+	"github.com/shallotpier/shallotpier/pkg/result"
 	"github.com/shallotpier/shallotpier/pkg/service"
 )
 
@@ -38,6 +40,8 @@
 		last     atomic.Pointer[http.Request]
 		body     atomic.Pointer[string]
 		left     chan struct{}
+		// listeners are those of the servers; one that crashes closes its own.
+		listeners []net.Listener
 	}
 
 	fixture struct {
@@ -80,6 +84,13 @@
 		return false
 	case "cut":
 		return false
+	case "crash":
+		for _, l := range b.listeners {
+			if l.Addr().String() == c.LocalAddr().String() {
+				l.Close()
+			}
+		}
+		return false
 	case "silent":
 		_, _ = bufio.NewReader(c).ReadByte()
 		b.left <- struct{}{}
@@ -116,6 +127,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
+		b.listeners = append(b.listeners, l)
 		t.Cleanup(func() { l.Close() })
 		go func() {
 			for {
@@ -136,9 +148,10 @@
 	f := &fixture{backend: b, roster: r}
 	f.handler = &forward.Handler{
 		Config: func() *forward.Config { return config }, Dispatcher: &dispatch.Dispatcher{Roster: r},
-		Upstream: &upstream.Client{Connect: time.Second, Idle: time.Second, IdleOnce: time.Second, RequestID: "X-Id"},
-		Resends:  func() forward.Resends { return forward.Resends{Allowance: 10} },
-		Leaving:  func() bool { return false },
+		Upstream:   &upstream.Client{Connect: time.Second, Idle: time.Second, IdleOnce: time.Second, RequestID: "X-Id"},
+		Quarantine: &quarantine.List{Instance: "e-1", Tolerated: 2},
+		Resends:    func() forward.Resends { return forward.Resends{Allowance: 10} },
+		Leaving:    func() bool { return false },
 		Headers: forward.Headers{
 			RequestID: "X-Id", Deadline: "X-Left", Object: "Object", Expect: "X-Expect", NotRun: "X-Not-Run", Signature: "X-Signed",
 		},
@@ -146,7 +159,7 @@
 		Log:  slog.New(slog.DiscardHandler), Metrics: metrics.NewSet(),
 	}
 	f.Server = httptest.NewServer(f.handler)
-	t.Cleanup(f.Server.Close)
+	t.Cleanup(f.Close)
 	return f
 }
 
@@ -313,3 +326,41 @@
 	}
 	is.Equal(f.backend.requests.Load(), int64(requests+10))
 }
+
+func TestARequestThatCrashesServersIsKeptAway(t *testing.T) {
+	is := is.New(t)
+	f := start(t, service.Write, "crash")
+	for n := range 3 {
+		status, _, _ := f.ask(t.Context(), "/x/8", "body")
+		is.Equal(status, http.StatusBadGateway)
+		for i := 0; f.crashes() <= n && i < 100; i++ {
+			time.Sleep(20 * time.Millisecond)
+		}
+	}
+	is.Equal(f.backend.requests.Load(), int64(3))
+	status, header, _ := f.ask(t.Context(), "/x/8", "body")
+	is.Equal(status, http.StatusServiceUnavailable)
+	is.Equal(header.Get(result.HeaderCode), result.Quarantined.String())
+	is.Equal(f.backend.requests.Load(), int64(3))
+	_, header, _ = f.ask(t.Context(), "/x/8", "other")
+	is.True(header.Get(result.HeaderCode) != result.Quarantined.String())
+}
+
+func TestABrokenAnswerOfALiveServerIsNoCrash(t *testing.T) {
+	is := is.New(t)
+	f := start(t, service.Write, "cut", "cut", "cut", "cut", "ok")
+	for range 4 {
+		f.ask(t.Context(), "/x/8", "body")
+	}
+	time.Sleep(200 * time.Millisecond)
+	is.Equal(f.crashes(), 0)
+}
+
+// crashes returns how many crashes the entry has noted.
+func (f *fixture) crashes() int {
+	n := 0
+	for _, e := range f.handler.Quarantine.Entries(time.Now()) {
+		n += e.Sightings
+	}
+	return n
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -8,6 +8,7 @@
 // # Usage
 //
 //	n := node.New(node.Options{Instance: "entry-1", Callers: addr, Log: log})
+//	n.SetBounds(bounds)
 //	n.Configure(config)
 //	n.Roster.Replace(now, servers)
 //	n.Listed()
@@ -32,6 +33,7 @@
 	"github.com/shallotpier/shallotpier/internal/directory"
 	"github.com/shallotpier/shallotpier/internal/dispatch"
 	"github.com/shallotpier/shallotpier/internal/forward"
+	"github.com/shallotpier/shallotpier/internal/quarantine"
 	"github.com/shallotpier/shallotpier/internal/roster"
 	"github.com/shallotpier/shallotpier/internal/upstream"
 	"github.com/shallotpier/shallotpier/pkg/id"
@@ -60,6 +62,10 @@
 	serveShare = 0.45
 	// exitTime is left of a planned stop's time for the process to end.
 	exitTime = 300 * time.Millisecond
+	// toleratedCrashes is how many servers a request may crash before it is kept
+	// away: a server may also have crashed for another reason, and its callers
+	// should not pay for it.
+	toleratedCrashes = 2
 	// budgetShare is the part of the bound on resends that is used, since
 	// entries count over windows that don't begin together.
 	budgetShare = 0.8
@@ -75,12 +81,20 @@
 		Idle time.Duration
 	}
 
+	// Bounds are what may change while an entry runs.
+	Bounds struct {
+		// Grace is the time between a planned stop and the kill.
+		Grace time.Duration
+		// Resends bounds what all entries together send again.
+		Resends forward.Resends
+		// Cold bounds what all entries together send to a cold server.
+		Cold roster.ColdBound
+	}
+
 	// Options say what an entry is and how it serves.
 	Options struct {
 		// Self is what the entry says of itself to the others.
 		Self beacon.Node
-		// Grace is the time between a planned stop and the kill.
-		Grace time.Duration
 		// Lapse is how long after the store's return a missing server is kept.
 		Lapse time.Duration
 		// BeaconInterval is the time between two beacons to one entry.
@@ -88,8 +102,6 @@
 		// BeaconTimeout is how long an entry may be silent while it counts as
 		// alive.
 		BeaconTimeout time.Duration
-		// Resends bounds what all entries together send again.
-		Resends forward.Resends
 		// Headers names the headers of requests and answers.
 		Headers forward.Headers
 		// Load returns what a server's answer says of its load, nil if nothing.
@@ -104,10 +116,13 @@
 	Node struct {
 		// Roster holds the backend servers.
 		Roster *roster.Roster
+		// Quarantine holds the requests that crash servers.
+		Quarantine *quarantine.List
 		// Beacon knows the other entries.
 		Beacon *beacon.Beacon
 
 		options  Options
+		bounds   atomic.Pointer[Bounds]
 		config   atomic.Pointer[Config]
 		listed   atomic.Bool
 		leaving  atomic.Bool
@@ -123,10 +138,11 @@
 func New(o Options) *Node {
 	n := &Node{options: o, Roster: &roster.Roster{Grace: o.Lapse, Log: o.Log}}
 	n.upstream = &upstream.Client{Connect: connectTime, Idle: idleTime, IdleOnce: idleOnceTime, RequestID: o.Headers.RequestID}
-	n.Beacon = &beacon.Beacon{Self: n.Self, Interval: o.BeaconInterval, Timeout: o.BeaconTimeout, Log: o.Log}
+	n.Quarantine = &quarantine.List{Instance: o.Self.Instance, Tolerated: toleratedCrashes}
+	n.Beacon = &beacon.Beacon{Self: n.Self, Interval: o.BeaconInterval, Timeout: o.BeaconTimeout, Heard: n.heard, Log: o.Log}
 	n.handler = &forward.Handler{
 		Config: n.forwardConfig, Dispatcher: &dispatch.Dispatcher{Roster: n.Roster, Region: o.Self.Region}, Upstream: n.upstream,
-		Resends: n.resends, Leaving: n.leaving.Load, Headers: o.Headers, Load: o.Load, Log: o.Log, Metrics: o.Metrics,
+		Quarantine: n.Quarantine, Resends: n.resends, Leaving: n.leaving.Load, Headers: o.Headers, Load: o.Load, Log: o.Log, Metrics: o.Metrics,
 	}
 	return n
 }
@@ -150,6 +166,12 @@
 	n.options.Log.Info("configuration in force", "version", c.Version, "services", len(c.Services))
 }
 
+// SetBounds sets the bounds. It is called before Run, and when they change.
+func (n *Node) SetBounds(b Bounds) {
+	n.bounds.Store(&b)
+	n.Roster.SetColdBound(b.Cold)
+}
+
 // Listed notes that the roster holds a whole list of the servers.
 func (n *Node) Listed() { n.listed.Store(true) }
 
@@ -162,9 +184,19 @@
 func (n *Node) Self() beacon.Node {
 	self := n.options.Self
 	self.Ready = n.Ready()
+	if n.Quarantine.Watching() {
+		self.Crashes = n.Quarantine.News(time.Now(), beacon.MaxCrashes)
+	}
 	return self
 }
 
+// heard takes in another entry's news.
+func (n *Node) heard(now time.Time, other beacon.Node) {
+	for _, news := range other.Crashes {
+		n.Quarantine.Learn(now, news)
+	}
+}
+
 // Entries returns the addresses of the entries for a caller.
 func (n *Node) Entries(zone id.Zone, region id.Region) []netip.AddrPort {
 	return directory.Choose(append(n.Beacon.Alive(time.Now()), n.Self()), zone, region)
@@ -181,7 +213,7 @@
 	if err != nil {
 		return eris.Wrap(err, "listen for entries")
 	}
-	defer n.peers.Close()
+	defer func() { _ = n.peers.Close() }()
 	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	n.wg.Go(func() { n.tick(background) })
@@ -214,9 +246,10 @@
 	o.Log.Info("leaving", "running", n.handler.Running())
 	n.leaving.Store(true)
 	n.Beacon.Announce(n.peers)
-	serve := time.Duration(float64(o.Grace) * serveShare)
+	grace := n.bounds.Load().Grace
+	serve := time.Duration(float64(grace) * serveShare)
 	time.Sleep(serve)
-	ctx, cancel := context.WithTimeout(context.Background(), o.Grace-serve-exitTime)
+	ctx, cancel := context.WithTimeout(context.Background(), grace-serve-exitTime)
 	defer cancel()
 	err := server.Shutdown(ctx)
 	if errors.Is(err, context.DeadlineExceeded) {
@@ -260,7 +293,7 @@
 
 // resends returns this entry's part of what all may send again.
 func (n *Node) resends() forward.Resends {
-	r := n.options.Resends
+	r := n.bounds.Load().Resends
 	entries := float64(n.Beacon.Known() + 1)
 	return forward.Resends{Share: r.Share * budgetShare, Allowance: r.Allowance * budgetShare / entries}
 }
--- a/internal/quarantine/list.go
+++ b/internal/quarantine/list.go
@@ -92,6 +92,10 @@
 		Hold time.Duration
 		// Memory is how long a crash counts; 0 is 30 min.
 		Memory time.Duration
+		// Tolerated is the number of crashes after which the next one
+		// quarantines a fingerprint; nothing is kept away before. 0 keeps
+		// a fingerprint away, on probation, from its first crash on.
+		Tolerated int
 		// Listed is the greatest number of fingerprints; 0 is 10,000. Past it
 		// the one with the oldest news leaves the list.
 		Listed int
@@ -128,9 +132,9 @@
 		return Verdict{}
 	}
 	switch held := s.at.Add(l.hold()).Sub(now); {
-	case s.quarantined():
+	case l.quarantined(s):
 		return Verdict{Refused: true, RetryAfter: s.at.Add(l.memory()).Sub(now)}
-	case len(s.sightings) == 0:
+	case len(s.sightings) == 0, l.Tolerated > 0:
 		return Verdict{}
 	case s.sightings[0].Instance != l.Instance && held > 0:
 		return Verdict{Refused: true, RetryAfter: held}
@@ -149,7 +153,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	s := l.listed[fp]
-	return s != nil && s.quarantined() && now.Sub(s.at) < l.memory()
+	return s != nil && l.quarantined(s) && now.Sub(s.at) < l.memory()
 }
 
 // Done notes the end of a send that Check allowed on probation.
@@ -176,7 +180,7 @@
 	}
 	l.mu.Lock()
 	s := l.listed[fp]
-	probation := s != nil && len(s.sightings) > 0 && !s.quarantined()
+	probation := s != nil && len(s.sightings) > 0 && !l.quarantined(s)
 	l.mu.Unlock()
 	if !probation {
 		return Sighting{}, false
@@ -218,6 +222,17 @@
 	}
 }
 
+// Watching tells whether there is any news. Without, no fingerprint needs to be
+// checked.
+func (l *List) Watching() bool { return l.size.Load() > 0 }
+
+func (l *List) quarantined(s *state) bool {
+	if l.Tolerated > 0 {
+		return len(s.sightings) > l.Tolerated
+	}
+	return s.quarantined()
+}
+
 // quarantined tells whether a send broke that was begun once another had
 // broken. Sends that were under way together count as one: they may have met
 // the same stop of several servers.
@@ -276,7 +291,7 @@
 			continue
 		}
 		first := &s.sightings[0]
-		all = append(all, Entry{Fingerprint: fp, Service: first.Service, Class: first.Class, Sightings: len(s.sightings), Quarantined: s.quarantined(), Until: until})
+		all = append(all, Entry{Fingerprint: fp, Service: first.Service, Class: first.Class, Sightings: len(s.sightings), Quarantined: l.quarantined(s), Until: until})
 	}
 	slices.SortFunc(all, func(a, b Entry) int { return slices.Compare(a.Fingerprint[:], b.Fingerprint[:]) })
 	return all
--- a/internal/roster/member.go
+++ b/internal/roster/member.go
@@ -23,10 +23,12 @@
 		// Seed stands for the server in rankings.
 		Seed uint64
 
-		lapses  time.Time
-		cold    Service
-		entries int
-		state   *state
+		lapses time.Time
+		cold   Service
+		// coldLimit is how many requests this entry may send in a second while
+		// the server is cold.
+		coldLimit int
+		state     *state
 	}
 
 	// Load is a server's own count of its requests, of all entries.
@@ -115,7 +117,7 @@
 	if !s.ready(now, m) {
 		return false
 	}
-	if now.Before(s.cold) && !s.rate.Take(now, m.coldLimit()) {
+	if now.Before(s.cold) && !s.rate.Take(now, m.coldLimit) {
 		return false
 	}
 	if v, _ := s.verdict(now); v == health.Trial {
@@ -145,10 +147,6 @@
 	}
 }
 
-// coldLimit returns how many requests this entry may send in a second while the
-// server is cold.
-func (m *Member) coldLimit() int { return coldrate.Share(m.cold.ColdRate, m.entries) }
-
 func (s *state) busy(now time.Time) float64 {
 	if s.others == 0 {
 		return float64(s.inFlight)
@@ -172,7 +170,7 @@
 	if v, _ := s.verdict(now); v == health.No {
 		return false
 	}
-	return !now.Before(s.cold) || s.rate.Free(now, m.coldLimit())
+	return !now.Before(s.cold) || s.rate.Free(now, m.coldLimit)
 }
 
 // verdict is the health's, where nothing known counts as well.
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -30,6 +30,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/shallotpier/shallotpier/internal/coldrate"
 	"github.com/shallotpier/shallotpier/internal/outlier"
 	"github.com/shallotpier/shallotpier/pkg/id"
 )
@@ -67,6 +68,15 @@
 		ColdRate float64
 	}
 
+	// ColdBound is how far the requests of all entries to a cold server may go
+	// over its rate.
+	ColdBound struct {
+		// Overshoot is a factor on the rate.
+		Overshoot float64
+		// Allowance is how many more they may be in a second.
+		Allowance float64
+	}
+
 	// View is an immutable state of the roster.
 	View struct {
 		services map[id.Service][]*Member
@@ -88,6 +98,7 @@
 		evacuated map[id.Zone]bool
 		resumed   time.Time
 		entries   int
+		coldBound ColdBound
 	}
 )
 
@@ -202,6 +213,14 @@
 	r.publish()
 }
 
+// SetColdBound sets how far requests may go over a cold server's rate.
+func (r *Roster) SetColdBound(b ColdBound) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.coldBound = b
+	r.publish()
+}
+
 // SetEntries sets the number of entries that share a cold server's rate.
 func (r *Roster) SetEntries(n int) {
 	r.mu.Lock()
@@ -263,7 +282,8 @@
 			continue
 		}
 		c := *m
-		c.cold, c.entries = r.services[m.Service], r.entries
+		c.cold = r.services[m.Service]
+		c.coldLimit = coldrate.Share(c.cold.ColdRate*r.coldBound.Overshoot+r.coldBound.Allowance, r.entries)
 		v.services[m.Service] = append(v.services[m.Service], &c)
 	}
 	for _, list := range v.services {
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -23,6 +23,7 @@
 func newRoster() *roster.Roster {
 	r := &roster.Roster{Grace: grace, Log: slog.New(slog.NewTextHandler(io.Discard, nil))}
 	r.Configure(map[id.Service]roster.Service{svc: {ColdTime: 3 * time.Second, ColdRate: 30}})
+	r.SetColdBound(roster.ColdBound{Overshoot: 1})
 	r.SetEntries(7)
 	return r
 }
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -230,6 +230,16 @@
 	}
 }
 
+// Alive tells whether a server takes a new connection.
+func (c *Client) Alive(ctx context.Context, address string) bool {
+	cn, err := c.connect(ctx, address)
+	if err != nil {
+		return false
+	}
+	c.put(cn)
+	return true
+}
+
 func connectCode(ctx context.Context) result.Code {
 	switch {
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
