--- /dev/null
+++ b/internal/node/node_test.go
@@ -0,0 +1,163 @@
+package node_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/matryer/is"
+
+	"github.com/shallotpier/shallotpier/internal/beacon"
+	"github.com/shallotpier/shallotpier/internal/forward"
+	"github.com/shallotpier/shallotpier/internal/node"
+	"github.com/shallotpier/shallotpier/internal/roster"
+	"github.com/shallotpier/shallotpier/internal/route"
+	"github.com/shallotpier/shallotpier/pkg/id"
+	"github.com/shallotpier/shallotpier/pkg/service"
+)
+
+const (
+	svc   = id.Service("registry")
+	grace = 2 * time.Second
+)
+
+func freePort(t *testing.T) netip.AddrPort {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return netip.MustParseAddrPort(l.Addr().String())
+}
+
+func configOf(version id.Version, prefix string) *node.Config {
+	r := &route.Route{
+		Name: "r", Host: "a.example", Prefix: prefix, Kind: service.Write, Attempts: 1, Timeout: 10 * time.Second,
+		Parts: []route.Part{{Service: svc, Weight: 1}},
+	}
+	return &node.Config{Config: forward.Config{Version: version, Routes: route.NewTable([]*route.Route{r})}, Idle: time.Second}
+}
+
+func newNode(t *testing.T) *node.Node {
+	t.Helper()
+	n := node.New(node.Options{
+		Self: beacon.Node{
+			Instance: "entry-1", Incarnation: 1, Zone: "a-1", Region: "a", Callers: freePort(t), Peers: freePort(t),
+		},
+		Lapse: time.Second, BeaconInterval: 100 * time.Millisecond, BeaconTimeout: time.Second,
+		Headers: forward.Headers{RequestID: "X-Id", Deadline: "X-Left", Object: "Object", Expect: "X-Expect", NotRun: "X-Not-Run", Signature: "X-Signed"},
+		Load:    func(http.Header) *roster.Load { return nil }, Log: slog.New(slog.DiscardHandler), Metrics: metrics.NewSet(),
+	})
+	n.SetBounds(node.Bounds{Grace: grace})
+	return n
+}
+
+func TestReady(t *testing.T) {
+	is := is.New(t)
+	n := newNode(t)
+	is.True(!n.Ready())
+	n.Configure(configOf(1, "/x/"))
+	is.True(!n.Ready()) // no list of servers yet
+	is.Equal(len(n.Entries("a-1", "a")), 0)
+	n.Listed()
+	is.True(n.Ready())
+	is.Equal(len(n.Entries("a-1", "a")), 1)
+}
+
+// slowServer answers after a delay.
+func slowServer(t *testing.T, delay time.Duration) string {
+	t.Helper()
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(delay)
+		w.Header().Set("X-Id", r.Header.Get("X-Id"))
+		w.Header().Set("X-Signed", "s")
+		_, _ = io.WriteString(w, "one")
+	}))
+	t.Cleanup(s.Close)
+	return s.Listener.Addr().String()
+}
+
+func ask(client *http.Client, addr netip.AddrPort, path string) (int, error) {
+	r, err := http.NewRequest(http.MethodPost, fmt.Sprintf("http://%s%s", addr, path), nil)
+	if err != nil {
+		return 0, err
+	}
+	r.Host = "a.example"
+	r.Header.Set("X-Id", "abc")
+	resp, err := client.Do(r)
+	if err != nil {
+		return 0, err
+	}
+	defer resp.Body.Close()
+	_, err = io.Copy(io.Discard, resp.Body)
+	return resp.StatusCode, err
+}
+
+func TestAPlannedStopCutsNothingOff(t *testing.T) {
+	is := is.New(t)
+	n := newNode(t)
+	n.Configure(configOf(1, "/x/"))
+	n.Roster.Put(time.Now(), roster.Server{Name: "i-1", Service: svc, Address: slowServer(t, time.Second), Slots: 6})
+	n.Listed()
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- n.Run(ctx) }()
+	addr := n.Self().Callers
+	client := &http.Client{Transport: &http.Transport{}}
+	for i := 0; i < 100; i++ {
+		if c, err := net.Dial("tcp", addr.String()); err == nil {
+			c.Close()
+			break
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	answered := make(chan int, 1)
+	go func() {
+		status, _ := ask(client, addr, "/x/1")
+		answered <- status
+	}()
+	time.Sleep(300 * time.Millisecond)
+	began := time.Now()
+	cancel()
+	time.Sleep(50 * time.Millisecond)
+	is.True(!n.Ready())
+	is.Equal(len(n.Entries("a-1", "a")), 0)
+	// Callers that haven't heard of the stop are still served for a while.
+	status, err := ask(client, addr, "/x/2")
+	is.NoErr(err)
+	is.Equal(status, http.StatusOK)
+	is.Equal(<-answered, http.StatusOK)
+	is.NoErr(<-ended)
+	is.True(time.Since(began) < grace)
+	_, err = ask(client, addr, "/x/3")
+	is.True(err != nil)
+}
+
+func TestConfigurationsNeverGoBack(t *testing.T) {
+	is := is.New(t)
+	n := newNode(t)
+	n.Listed()
+	n.Configure(configOf(5, "/new/"))
+	n.Configure(configOf(4, "/old/"))
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- n.Run(ctx) }()
+	client := &http.Client{Transport: &http.Transport{}}
+	status := 0
+	for i := 0; i < 100 && status == 0; i++ {
+		status, _ = ask(client, n.Self().Callers, "/old/1")
+		time.Sleep(10 * time.Millisecond)
+	}
+	is.Equal(status, http.StatusNotFound)
+	cancel()
+	is.NoErr(<-ended)
+}
