--- a/cmd/shallotpier-entry/main.go
+++ b/cmd/shallotpier-entry/main.go
@@ -8,20 +8,27 @@
 	"log/slog"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/shallotpier/shallotpier/internal/logpipe"
 	"github.com/shallotpier/shallotpier/platform"
 )
 
-// queuedLines is how many log lines may wait for a slow reader.
-const queuedLines = 4096
+const (
+	// queuedLines is how many log lines may wait for a slow reader.
+	queuedLines = 2048
+	// gcPercent lets the heap grow by half between two collections: an entry
+	// has little memory and collects in well under a millisecond.
+	gcPercent = 50
+)
 
 func main() {
 	os.Exit(run())
 }
 
 func run() int {
+	debug.SetGCPercent(gcPercent)
 	out := logpipe.New(os.Stdout, queuedLines)
 	defer func() { _ = out.Close() }()
 	log := slog.New(slog.NewTextHandler(out, nil))
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -146,6 +146,7 @@
 		net.Conn
 		address string
 		read    *bufio.Reader
+		write   *bufio.Writer
 		wrote   atomic.Int64
 		used    time.Time
 		keep    time.Duration
@@ -263,7 +264,7 @@
 		return nil, err
 	}
 	cn := &conn{Conn: raw, address: address, keep: c.Idle}
-	cn.read = bufio.NewReaderSize(raw, bufferSize)
+	cn.read, cn.write = bufio.NewReaderSize(raw, bufferSize), bufio.NewWriterSize(cn, bufferSize)
 	return cn, nil
 }
 
@@ -348,12 +349,19 @@
 		(x.request.HTTP.ContentLength < 0 || x.request.HTTP.ContentLength > inlineBody)
 	if !long {
 		x.written <- nil
-		return x.request.HTTP.Write(x.conn)
+		return x.conn.send(x.request.HTTP)
 	}
-	go func() { x.written <- x.request.HTTP.Write(x.conn) }()
+	go func() { x.written <- x.conn.send(x.request.HTTP) }()
 	return nil
 }
 
+func (c *conn) send(r *http.Request) error {
+	if err := r.Write(c.write); err != nil {
+		return err
+	}
+	return c.write.Flush()
+}
+
 // answer reads up to the header of the request's answer.
 func (x *exchange) answer() error {
 	for {
