--- a/internal/cli/publish.go
+++ b/internal/cli/publish.go
@@ -24,6 +24,8 @@
 		Ticket     string             `json:"ticket,omitempty"`
 		Difference publish.Difference `json:"difference"`
 		Outcome    *publish.Outcome   `json:"outcome,omitempty"`
+
+		all bool
 	}
 
 	versions []versionRow
@@ -52,6 +54,7 @@
 			&urfave.StringFlag{Name: "author", Usage: "`NAME` of who publishes", Sources: urfave.EnvVars("USER")},
 			&urfave.StringSliceFlag{Name: "remove", Usage: "remove this `SERVICE`; may be given again"},
 			&urfave.Uint64Flag{Name: "base", Usage: "`VERSION` that the change was made on; another one in force refuses it"},
+			&urfave.BoolFlag{Name: "all", Usage: "show every key of services that are new or gone"},
 			&urfave.BoolFlag{Name: "dry-run", Usage: "show the difference and submit nothing"},
 			&urfave.StringFlag{Name: "find", Usage: "tell what became of the submission with this `TICKET`"},
 			&urfave.DurationFlag{Name: "wait", Value: publishWait, Usage: "longest `TIME` to try for a certain outcome"},
@@ -94,7 +97,7 @@
 	if refused != nil {
 		return a.outcome(&published{Outcome: refused})
 	}
-	out := &published{Ticket: draft.Ticket.String(), Difference: draft.Difference}
+	out := &published{Ticket: draft.Ticket.String(), Difference: draft.Difference, all: cmd.Bool("all")}
 	a.progressf("ticket %s, %d changes", out.Ticket, len(out.Difference))
 	if cmd.Bool("dry-run") || len(out.Difference) == 0 {
 		return a.show(out)
@@ -193,7 +196,11 @@
 }
 
 func (p *published) text(w io.Writer) error {
-	if _, err := fmt.Fprint(w, p.Difference.String()); err != nil {
+	difference := p.Difference.Summary()
+	if p.all {
+		difference = p.Difference.String()
+	}
+	if _, err := fmt.Fprint(w, difference); err != nil {
 		return err
 	}
 	switch {
--- a/internal/publish/difference.go
+++ b/internal/publish/difference.go
@@ -10,6 +10,10 @@
 	"github.com/shallotpier/shallotpier/pkg/service"
 )
 
+// summarised is how many added or removed keys are listed one by one in a
+// summary: as many as fit on half of a screen.
+const summarised = 12
+
 type (
 	// Change is one value that differs between two sets of service files.
 	Change struct {
@@ -37,6 +41,55 @@
 	return b.String()
 }
 
+// Summary formats the difference with one change a line for what exists on both
+// sides, and a count of keys for each service that is new or gone.
+func (d Difference) Summary() string {
+	var b strings.Builder
+	for _, name := range d.services() {
+		of := d.of(name)
+		added, removed := 0, 0
+		for _, c := range of {
+			switch {
+			case c.Old == "":
+				added++
+			case c.New == "":
+				removed++
+			}
+		}
+		switch {
+		case added == len(of) && added > summarised:
+			fmt.Fprintf(&b, "%s: new, %d keys\n", name, added)
+		case removed == len(of) && removed > summarised:
+			fmt.Fprintf(&b, "%s: gone, %d keys\n", name, removed)
+		default:
+			b.WriteString(of.String())
+		}
+	}
+	return b.String()
+}
+
+// services returns the names of the services that differ, in the order of the
+// difference.
+func (d Difference) services() []id.Service {
+	var names []id.Service
+	for _, c := range d {
+		if !slices.Contains(names, c.Service) {
+			names = append(names, c.Service)
+		}
+	}
+	return names
+}
+
+func (d Difference) of(name id.Service) Difference {
+	var out Difference
+	for _, c := range d {
+		if c.Service == name {
+			out = append(out, c)
+		}
+	}
+	return out
+}
+
 // Compare returns what differs from old to new.
 func Compare(from, to []service.File) Difference {
 	before, after := flatten(from), flatten(to)
