coldrate, roster: a cold server's rate is shared by rank

Cause: on deployments with more entries than a cold server's rate, each entry's part was 0, so that such servers got nothing while cold. Change: parts are whole requests, and the rest goes to the entries that rank first for the server by rendezvous hashing.

--- a/internal/beacon/beacon.go
+++ b/internal/beacon/beacon.go
@@ -109,11 +109,12 @@
 	}
 }
 
-// Known returns how many other entries there may be, alive or not.
-func (b *Beacon) Known() int {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return len(b.known)
+// Known returns the addresses for beacons of the other entries that there may
+// be, alive or not, in order.
+func (b *Beacon) Known() []netip.AddrPort {
+	out := b.addresses()
+	slices.SortFunc(out, netip.AddrPort.Compare)
+	return out
 }
 
 // Alive returns the other entries that are alive, by name.
--- a/internal/coldrate/limiter.go
+++ b/internal/coldrate/limiter.go
@@ -2,13 +2,15 @@
 // that is cold.
 //
 // A cold server carries only a few requests a second from all entries together.
-// Entries don't ask each other before a send, so each has an equal part of the
-// rate, counted over every span of a second.
+// Entries don't ask each other before a send, so each has a part of the rate,
+// counted over every span of a second. Parts are whole requests; what is left over
+// goes to the entries that rank first for the server, so that a server whose rate
+// is smaller than the number of entries still gets requests.
 //
 // # Usage
 //
 //	var l coldrate.Limiter
-//	if l.Take(now, coldrate.Share(30, entries)) {
+//	if l.Take(now, coldrate.Share(30, entries, rank)) {
 //		send()
 //	}
 package coldrate
@@ -29,10 +31,15 @@
 }
 
 // Share returns how many requests one of the entries may send in any Span of a
-// rate that all share, in requests a Span. It may be 0: a rate that is too
-// small to be shared isn't used.
-func Share(rate float64, entries int) int {
-	return int(rate * (1 - margin) / float64(max(entries, 1)))
+// rate that all share, in requests a Span. The rank is the entry's among all for
+// the server, from 0.
+func Share(rate float64, entries, rank int) int {
+	whole, entries := int(rate*(1-margin)), max(entries, 1)
+	share := whole / entries
+	if rank < whole%entries {
+		share++
+	}
+	return share
 }
 
 // Take counts a request and returns true if at most limit requests are then
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -269,7 +269,7 @@
 			return
 		case now := <-t.C:
 			n.Roster.Step(now)
-			n.Roster.SetEntries(n.Beacon.Known() + 1)
+			n.Roster.SetEntries(n.options.Self.Peers, n.Beacon.Known())
 			n.upstream.CloseIdle(now)
 			n.idle.close(now, n.idleLimit())
 		}
@@ -294,6 +294,6 @@
 // resends returns this entry's part of what all may send again.
 func (n *Node) resends() forward.Resends {
 	r := n.bounds.Load().Resends
-	entries := float64(n.Beacon.Known() + 1)
+	entries := float64(len(n.Beacon.Known()) + 1)
 	return forward.Resends{Share: r.Share * budgetShare, Allowance: r.Allowance * budgetShare / entries}
 }
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -24,6 +24,7 @@
 import (
 	"log/slog"
 	"maps"
+	"net/netip"
 	"slices"
 	"strings"
 	"sync"
@@ -32,6 +33,7 @@
 
 	"github.com/shallotpier/shallotpier/internal/coldrate"
 	"github.com/shallotpier/shallotpier/internal/outlier"
+	"github.com/shallotpier/shallotpier/internal/owner"
 	"github.com/shallotpier/shallotpier/pkg/id"
 )
 
@@ -97,8 +99,12 @@
 		services  map[id.Service]Service
 		evacuated map[id.Zone]bool
 		resumed   time.Time
-		entries   int
-		coldBound ColdBound
+		self      netip.AddrPort
+		others    []netip.AddrPort
+		// selfSeed and otherSeeds stand for the entries in rankings.
+		selfSeed   uint64
+		otherSeeds []uint64
+		coldBound  ColdBound
 	}
 )
 
@@ -221,16 +227,35 @@
 	r.publish()
 }
 
-// SetEntries sets the number of entries that share a cold server's rate.
-func (r *Roster) SetEntries(n int) {
+// SetEntries sets the entries that share a cold server's rate, by an address of
+// each.
+func (r *Roster) SetEntries(self netip.AddrPort, others []netip.AddrPort) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if n != r.entries {
-		r.entries = n
-		r.publish()
+	if self == r.self && slices.Equal(others, r.others) {
+		return
+	}
+	r.self, r.others = self, slices.Clone(others)
+	r.selfSeed, r.otherSeeds = entrySeed(self), nil
+	for _, other := range others {
+		r.otherSeeds = append(r.otherSeeds, entrySeed(other))
 	}
+	r.publish()
 }
 
+// rank returns how many other entries come before this one for a server.
+func (r *Roster) rank(m *Member) int {
+	own, rank := owner.Score(r.selfSeed, m.Seed), 0
+	for _, seed := range r.otherSeeds {
+		if owner.Score(seed, m.Seed) > own {
+			rank++
+		}
+	}
+	return rank
+}
+
+func entrySeed(entry netip.AddrPort) uint64 { return owner.Seed(id.Server(entry.String())) }
+
 func (r *Roster) put(now time.Time, s Server) {
 	if r.members == nil {
 		r.members = make(map[id.Server]*Member)
@@ -283,7 +308,8 @@
 		}
 		c := *m
 		c.cold = r.services[m.Service]
-		c.coldLimit = coldrate.Share(c.cold.ColdRate*r.coldBound.Overshoot+r.coldBound.Allowance, r.entries)
+		bound := c.cold.ColdRate*r.coldBound.Overshoot + r.coldBound.Allowance
+		c.coldLimit = coldrate.Share(bound, len(r.others)+1, r.rank(m))
 		v.services[m.Service] = append(v.services[m.Service], &c)
 	}
 	for _, list := range v.services {
