platform, beacon, roster: long watches with scouts and hints

Beacons tell the newest change that an entry knows, so that one that is behind lists anew, and for how long the store has answered it. Ruled out: stale reads (seconds old), one reader that relays (a cut reader would hold up entries that are well).

--- a/cmd/shallotpier-entry/main.go
+++ b/cmd/shallotpier-entry/main.go
@@ -31,7 +31,7 @@
 	debug.SetGCPercent(gcPercent)
 	out := logpipe.New(os.Stdout, queuedLines)
 	defer func() { _ = out.Close() }()
-	log := slog.New(slog.NewTextHandler(out, nil))
+	log := slog.New(slog.NewTextHandler(out, &slog.HandlerOptions{ReplaceAttr: logpipe.PlainError}))
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	reload := make(chan os.Signal, 1)
@@ -39,12 +39,12 @@
 	path := os.Getenv(platform.SettingsVariable)
 	settings, err := platform.Load(path)
 	if err != nil {
-		log.Error("settings rejected", "err", err.Error())
+		log.Error("settings rejected", "err", err)
 		return 1
 	}
 	watch := &platform.Watch{Path: path, Reload: reload, Log: log}
 	if err := platform.Run(ctx, settings, watch, log); err != nil {
-		log.Error("ended", "err", err.Error())
+		log.Error("ended", "err", err)
 		return 1
 	}
 	return 0
--- a/internal/beacon/beacon.go
+++ b/internal/beacon/beacon.go
@@ -61,6 +61,12 @@
 		Share float64 `json:"share"`
 		// Ready tells that it serves callers and is not about to stop.
 		Ready bool `json:"ready"`
+		// Changes are the revisions of the newest changes of the store that the
+		// entry knows, by kind of object.
+		Changes map[string]uint64 `json:"changes,omitempty"`
+		// Steady is for how long the store has answered the entry all along;
+		// 0 if it doesn't or if the entry can't tell.
+		Steady time.Duration `json:"steady,omitempty"`
 		// Crashes is the latest news of requests that crash servers.
 		Crashes []quarantine.Sighting `json:"crashes,omitempty"`
 	}
--- a/internal/logs/logs.go
+++ b/internal/logs/logs.go
@@ -9,6 +9,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/zeromicro/go-zero/core/logx"
 
+	"github.com/shallotpier/shallotpier/internal/logpipe"
 	"github.com/shallotpier/shallotpier/internal/settings"
 )
 
@@ -18,21 +19,13 @@
 // New returns a logger that writes lines of the form and from the level that
 // the settings name.
 func New(w io.Writer, s settings.Log) *slog.Logger {
-	options := slog.HandlerOptions{Level: s.Level.Slog(), ReplaceAttr: plainError}
+	options := slog.HandlerOptions{Level: s.Level.Slog(), ReplaceAttr: logpipe.PlainError}
 	if s.Format == settings.JSON {
 		return slog.New(slog.NewJSONHandler(w, &options))
 	}
 	return slog.New(slog.NewTextHandler(w, &options))
 }
 
-// plainError keeps an error's stack out of the line.
-func plainError(_ []string, a slog.Attr) slog.Attr {
-	if err, ok := a.Value.Any().(error); ok {
-		a.Value = slog.StringValue(err.Error())
-	}
-	return a
-}
-
 // Adopt brings the lines of go-zero and of the standard library's log into log,
 // for the whole process. net/http writes to the latter what it finds odd on a
 // connection; those lines are warnings. Adopt must run before any go-zero server
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -62,6 +62,9 @@
 	serveShare = 0.45
 	// exitTime is left of a planned stop's time for the process to end.
 	exitTime = 300 * time.Millisecond
+	// scouts is how many entries look after an outage of the store for all, so
+	// that the loss of a zone or a region seldom takes all of them.
+	scouts = 3
 	// toleratedCrashes is how many servers a request may crash before it is kept
 	// away: a server may also have crashed for another reason, and its callers
 	// should not pay for it.
@@ -102,6 +105,14 @@
 		// BeaconTimeout is how long an entry may be silent while it counts as
 		// alive.
 		BeaconTimeout time.Duration
+		// Changes returns the newest changes of the store that the entry knows,
+		// by kind of object; nil if there is no such source.
+		Changes func() map[string]uint64
+		// Steady returns for how long the store has answered all along; nil if
+		// there is no such source.
+		Steady func(now time.Time) time.Duration
+		// Heard takes in those that another entry knows.
+		Heard func(changes map[string]uint64)
 		// Headers names the headers of requests and answers.
 		Headers forward.Headers
 		// Load returns what a server's answer says of its load, nil if nothing.
@@ -184,6 +195,12 @@
 func (n *Node) Self() beacon.Node {
 	self := n.options.Self
 	self.Ready = n.Ready()
+	if n.options.Changes != nil {
+		self.Changes = n.options.Changes()
+	}
+	if n.options.Steady != nil {
+		self.Steady = n.options.Steady(time.Now())
+	}
 	if n.Quarantine.Watching() {
 		self.Crashes = n.Quarantine.News(time.Now(), beacon.MaxCrashes)
 	}
@@ -192,11 +209,36 @@
 
 // heard takes in another entry's news.
 func (n *Node) heard(now time.Time, other beacon.Node) {
+	if n.options.Heard != nil {
+		n.options.Heard(other.Changes)
+	}
 	for _, news := range other.Crashes {
 		n.Quarantine.Learn(now, news)
 	}
 }
 
+// OthersSteady returns the longest time for which the store has answered another
+// entry all along.
+func (n *Node) OthersSteady(now time.Time) time.Duration {
+	longest := time.Duration(0)
+	for _, other := range n.Beacon.Alive(now) {
+		longest = max(longest, other.Steady)
+	}
+	return longest
+}
+
+// Scout tells whether the entry is one of those that look after an outage of the
+// store for all: a few of those that are alive, by name.
+func (n *Node) Scout() bool {
+	before := 0
+	for _, other := range n.Beacon.Alive(time.Now()) {
+		if other.Instance < n.options.Self.Instance {
+			before++
+		}
+	}
+	return before < scouts
+}
+
 // Entries returns the addresses of the entries for a caller.
 func (n *Node) Entries(zone id.Zone, region id.Region) []netip.AddrPort {
 	return directory.Choose(append(n.Beacon.Alive(time.Now()), n.Self()), zone, region)
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -77,6 +77,10 @@
 			r.Replace(start, []roster.Server{server("i-2")})
 			r.Step(at(grace))
 		}, []id.Server{"i-2"}},
+		"removed before, by an entry that others were ahead of": {func(r *roster.Roster) {
+			r.Resumed(start.Add(-grace)) // the store was back for others by then
+			r.Replace(start, []roster.Server{server("i-2")})
+		}, []id.Server{"i-2"}},
 		"removed after the grace": {func(r *roster.Roster) {
 			r.Resumed(start)
 			r.Remove(at(grace), "i-1")
