dispatch, forward: the reason of each choice in the log of a request

Cause: a request's line named the server and not why it was chosen, nor how old the knowledge was. Change: reason, object, the server's load, its slots, configuration version and the age of the store's last answer; a request that finds all queues full is refused as noCapacity and not as noServer.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -16,9 +16,9 @@
 // # Usage
 //
 //	d := dispatch.Dispatcher{Roster: r, Region: "fyn"}
-//	m := d.Choose(now, &dispatch.Request{Service: "registry", Key: key, Route: route})
+//	m, reason := d.Choose(now, &dispatch.Request{Service: "registry", Key: key, Route: route})
 //	if m == nil {
-//		return errNoCapacity
+//		return refused(reason)
 //	}
 //	defer m.End(time.Now(), outcome)
 package dispatch
@@ -52,7 +52,24 @@
 	anyLoad = math.MaxFloat64
 )
 
+// Reasons of a choice.
+const (
+	// Owner means that the server is the best ranked one.
+	Owner Reason = "owner"
+	// Spill means that the owner has a long queue and the server has room.
+	Spill Reason = "spill"
+	// Queue means that no server has room, and the owner can still queue.
+	Queue Reason = "queue"
+	// Full means that the owner's queue is too long, and no server has room.
+	Full Reason = "full"
+	// NoServer means that no server may get the request.
+	NoServer Reason = "noServer"
+)
+
 type (
+	// Reason says why a server was chosen, or none.
+	Reason string
+
 	// Request is what the choice depends on.
 	Request struct {
 		// Service is the service that gets the request.
@@ -82,15 +99,15 @@
 	}
 )
 
-// Choose returns the server for a request, with the request begun there, or nil
-// if no server may get it now.
-func (d *Dispatcher) Choose(now time.Time, req *Request) *roster.Member {
+// Choose returns the server for a request, with the request begun there, and the
+// reason. The server is nil if none may get it now.
+func (d *Dispatcher) Choose(now time.Time, req *Request) (*roster.Member, Reason) {
 	members := d.Roster.View().Members(req.Service)
 	var skipped []*roster.Member
 	for {
-		m := d.pick(now, members, req, skipped)
+		m, reason := d.pick(now, members, req, skipped)
 		if m == nil || m.Begin(now) {
-			return m
+			return m, reason
 		}
 		// Another request took the last of its cold rate.
 		skipped = append(skipped, m)
@@ -98,18 +115,21 @@
 }
 
 // pick returns the server that should get the request.
-func (d *Dispatcher) pick(now time.Time, members []*roster.Member, req *Request, skipped []*roster.Member) *roster.Member {
+func (d *Dispatcher) pick(now time.Time, members []*roster.Member, req *Request, skipped []*roster.Member) (*roster.Member, Reason) {
 	first := d.best(now, members, req, anyLoad, skipped)
-	if first == nil || first.Busy(now) < fullQueue*float64(first.Slots) {
-		return first
+	if first == nil {
+		return nil, NoServer
+	}
+	if first.Busy(now) < fullQueue*float64(first.Slots) {
+		return first, Owner
 	}
 	if m := d.best(now, members, req, spareLoad, skipped); m != nil {
-		return m
+		return m, Spill
 	}
 	if first.Busy(now) < overflow*float64(first.Slots) {
-		return first
+		return first, Queue
 	}
-	return nil
+	return nil, Full
 }
 
 // best returns the highest ranked server that has fewer requests than limit
--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"log/slog"
+	"math"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
@@ -35,6 +36,8 @@
 	// keptAnswer is the longest answer that is read whole before it is passed
 	// on, so that one that breaks off can be asked for again.
 	keptAnswer = 256 << 10
+	// logAttrs is how many attributes the line of a request has at most.
+	logAttrs = 16
 	// maxUnconnected is how many servers that take no connection are passed
 	// over for one request.
 	maxUnconnected = 3
@@ -66,6 +69,10 @@
 		sends       int
 		unconnected int
 		tried       []id.Server
+		key         uint64
+		choice      dispatch.Reason
+		busy        float64
+		slots       int
 	}
 
 	// reply is a server's answer with what was read of its body.
@@ -128,20 +135,26 @@
 
 // carry sends the request until it has a final outcome.
 func (c *call) carry() {
-	req := &dispatch.Request{Service: c.service, Route: c.route, Key: c.object()}
+	c.key = c.object()
+	req := &dispatch.Request{Service: c.service, Route: c.route, Key: c.key}
 	// failed is what the last send ended with.
-	failed := result.NoServer
+	var failed result.Code
 	for {
 		if code, gone := c.ended(); gone {
 			c.refuse(code)
 			return
 		}
 		req.Tried = c.tried
-		m := c.h.Dispatcher.Choose(time.Now(), req)
+		m, reason := c.h.Dispatcher.Choose(time.Now(), req)
+		c.choice = reason
 		if m == nil {
+			if failed == 0 {
+				failed = unchosen(reason)
+			}
 			c.refuse(failed)
 			return
 		}
+		c.busy, c.slots = m.Busy(time.Now()), m.Slots
 		rep, code := c.send(m)
 		if code == 0 {
 			c.pass(rep)
@@ -155,6 +168,14 @@
 	}
 }
 
+// unchosen returns the code of a request that no server may get.
+func unchosen(reason dispatch.Reason) result.Code {
+	if reason == dispatch.Full {
+		return result.NoCapacity
+	}
+	return result.NoServer
+}
+
 // ended tells whether nothing may be sent any more.
 func (c *call) ended() (result.Code, bool) {
 	switch err := c.ctx.Err(); {
@@ -409,15 +430,21 @@
 		return
 	}
 	took := time.Since(c.began)
-	name := ""
+	c.h.observe(c, took)
+	attrs := make([]slog.Attr, 0, logAttrs)
+	attrs = append(attrs, slog.String("request", c.id), slog.Int("code", int(c.code)), slog.Int("status", c.status))
+	if c.config != nil {
+		attrs = append(attrs, slog.Uint64("version", uint64(c.config.Version)))
+	}
 	if c.route != nil {
-		name = c.route.Name
+		attrs = append(attrs, slog.String("route", c.route.Name), slog.Duration("left", time.Until(c.deadline)))
 	}
-	c.h.observe(c, took)
-	c.h.Log.LogAttrs(c.r.Context(), slog.LevelInfo, "request",
-		slog.String("request", c.id), slog.String("route", name), slog.String("service", string(c.service)),
-		slog.Int("code", int(c.code)), slog.Int("status", c.status), slog.String("server", string(c.server)),
-		slog.Int("sends", c.sends), slog.Int("unconnected", c.unconnected), slog.Duration("took", took),
-		slog.Duration("left", time.Until(c.deadline)))
+	if c.choice != "" {
+		attrs = append(attrs, slog.String("service", string(c.service)), slog.String("object", strconv.FormatUint(c.key, 16)),
+			slog.String("choice", string(c.choice)), slog.String("server", string(c.server)),
+			slog.Float64("busy", math.Round(10*c.busy)/10), slog.Int("slots", c.slots),
+			slog.Int("sends", c.sends), slog.Int("unconnected", c.unconnected), slog.Duration("storeAge", c.h.StoreAge()))
+	}
+	c.h.Log.LogAttrs(c.r.Context(), slog.LevelInfo, "request", append(attrs, slog.Duration("took", took))...)
 	c.code = 0
 }
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -96,6 +96,9 @@
 		Headers Headers
 		// Load returns what a server's answer says of its load, nil if nothing.
 		Load func(http.Header) *roster.Load
+		// StoreAge returns how long ago the platform's store said which servers
+		// there are.
+		StoreAge func() time.Duration
 		// Log gets one line for each request.
 		Log *slog.Logger
 		// Metrics gets counters and histograms.
--- a/internal/forward/handler_test.go
+++ b/internal/forward/handler_test.go
@@ -155,8 +155,9 @@
 		Headers: forward.Headers{
 			RequestID: "X-Id", Deadline: "X-Left", Object: "Object", Expect: "X-Expect", NotRun: "X-Not-Run", Signature: "X-Signed",
 		},
-		Load: func(http.Header) *roster.Load { return nil },
-		Log:  slog.New(slog.DiscardHandler), Metrics: metrics.NewSet(),
+		Load:     func(http.Header) *roster.Load { return nil },
+		StoreAge: func() time.Duration { return 0 },
+		Log:      slog.New(slog.DiscardHandler), Metrics: metrics.NewSet(),
 	}
 	f.Server = httptest.NewServer(f.handler)
 	t.Cleanup(f.Close)
--- a/internal/model/entry.go
+++ b/internal/model/entry.go
@@ -65,7 +65,7 @@
 		e.model.done(r, 0)
 		return
 	}
-	m := e.policy.Choose(now, &dispatch.Request{
+	m, _ := e.policy.Choose(now, &dispatch.Request{
 		Service: serviceName, Route: r.route, Key: owner.Key(serviceName, r.object), Tried: r.tried,
 	})
 	if m == nil {
--- a/internal/model/model.go
+++ b/internal/model/model.go
@@ -78,8 +78,8 @@
 	// Chooser is a policy.
 	Chooser interface {
 		// Choose returns the server for a request, with the request begun there,
-		// or nil.
-		Choose(now time.Time, req *dispatch.Request) *roster.Member
+		// or nil, and the reason.
+		Choose(now time.Time, req *dispatch.Request) (*roster.Member, dispatch.Reason)
 	}
 
 	// Model is a simulation. Its fields are set before Run.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -113,6 +113,9 @@
 		Steady func(now time.Time) time.Duration
 		// Heard takes in those that another entry knows.
 		Heard func(changes map[string]uint64)
+		// StoreAge returns how long ago the store said which servers there are;
+		// nil if there is no such source.
+		StoreAge func(now time.Time) time.Duration
 		// Headers names the headers of requests and answers.
 		Headers forward.Headers
 		// Load returns what a server's answer says of its load, nil if nothing.
@@ -153,7 +156,8 @@
 	n.Beacon = &beacon.Beacon{Self: n.Self, Interval: o.BeaconInterval, Timeout: o.BeaconTimeout, Heard: n.heard, Log: o.Log}
 	n.handler = &forward.Handler{
 		Config: n.forwardConfig, Dispatcher: &dispatch.Dispatcher{Roster: n.Roster, Region: o.Self.Region}, Upstream: n.upstream,
-		Quarantine: n.Quarantine, Resends: n.resends, Leaving: n.leaving.Load, Headers: o.Headers, Load: o.Load, Log: o.Log, Metrics: o.Metrics,
+		Quarantine: n.Quarantine, Resends: n.resends, Leaving: n.leaving.Load, Headers: o.Headers, Load: o.Load,
+		StoreAge: n.storeAge, Log: o.Log, Metrics: o.Metrics,
 	}
 	return n
 }
@@ -333,6 +337,13 @@
 	return &c.Config
 }
 
+func (n *Node) storeAge() time.Duration {
+	if n.options.StoreAge == nil {
+		return 0
+	}
+	return n.options.StoreAge(time.Now())
+}
+
 // resends returns this entry's part of what all may send again.
 func (n *Node) resends() forward.Resends {
 	r := n.bounds.Load().Resends
