--- a/internal/model/model_test.go
+++ b/internal/model/model_test.go
@@ -89,6 +89,9 @@
 		"a third of the servers leaves": {
 			func(m *model.Model) { m.At(10*second, func(s *model.Servers) { s.Leave(8) }) }, 15 * second, 24 * second, 0.75, spill,
 		},
+		"two fifths of the servers turn very slow": {
+			func(m *model.Model) { m.At(10*second, func(s *model.Servers) { s.Slow(12, 12) }) }, 14 * second, 24 * second, 0.6, spill,
+		},
 		"servers turn slow": {
 			func(m *model.Model) { m.At(10*second, func(s *model.Servers) { s.Slow(5, 8) }) }, 13 * second, 24 * second, 0.8, spill,
 		},
