dispatch: hot objects are shared with servers that know them

Cause: an owner without a free slot kept its objects' requests in its queue up to twice its slots, since any other server was taken to need three times the work; but a server that got an object's requests before knows it.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -41,6 +41,10 @@
 	// waits about as long as the work that a server saves for an object that it
 	// knows.
 	fullQueue = 2.0
+	// familiarLoad is how many requests a server may have, in multiples of its
+	// slots, to take those of an owner without a free slot, if it should know the
+	// object.
+	familiarLoad = 0.8
 	// spareLoad is how many requests a server may have, in multiples of its
 	// slots, to take those of another owner: the reports that it is judged by
 	// are late, and all entries go by them.
@@ -56,6 +60,9 @@
 const (
 	// Owner means that the server is the best ranked one.
 	Owner Reason = "owner"
+	// Familiar means that the owner has no free slot, and the server has one and
+	// was sent requests on the same object.
+	Familiar Reason = "familiar"
 	// Spill means that the owner has a long queue and the server has room.
 	Spill Reason = "spill"
 	// Queue means that no server has room, and the owner can still queue.
@@ -88,6 +95,8 @@
 		Roster *roster.Roster
 		// Region is the entry's own.
 		Region id.Region
+
+		visits familiar
 	}
 
 	// candidate is a server with its rank for a request; the greatest is best.
@@ -106,7 +115,11 @@
 	var skipped []*roster.Member
 	for {
 		m, reason := d.pick(now, members, req, skipped)
-		if m == nil || m.Begin(now) {
+		if m == nil {
+			return nil, reason
+		}
+		if m.Begin(now) {
+			d.visits.note(now, req.Key, m.Name)
 			return m, reason
 		}
 		// Another request took the last of its cold rate.
@@ -120,18 +133,47 @@
 	if first == nil {
 		return nil, NoServer
 	}
-	if first.Busy(now) < fullQueue*float64(first.Slots) {
+	load := first.Busy(now) / float64(first.Slots)
+	if load < 1 {
+		return first, Owner
+	}
+	if m := d.familiar(now, members, req, skipped); m != nil {
+		return m, Familiar
+	}
+	if load < fullQueue {
 		return first, Owner
 	}
 	if m := d.best(now, members, req, spareLoad, skipped); m != nil {
 		return m, Spill
 	}
-	if first.Busy(now) < overflow*float64(first.Slots) {
+	if load < overflow {
 		return first, Queue
 	}
 	return nil, Full
 }
 
+// familiar returns the least busy server that has a free slot and should know
+// the request's object, nil if there is none.
+func (d *Dispatcher) familiar(now time.Time, members []*roster.Member, req *Request, skipped []*roster.Member) *roster.Member {
+	var found *roster.Member
+	least := familiarLoad
+	for _, m := range members {
+		if !d.visits.knows(now, req.Key, m.Name) {
+			continue
+		}
+		load := m.Busy(now) / float64(m.Slots)
+		if load < least && !m.Outlier() && d.near(m, req) && eligible(now, m, req, skipped) {
+			found, least = m, load
+		}
+	}
+	return found
+}
+
+// eligible tells whether a server may get the request at all.
+func eligible(now time.Time, m *roster.Member, req *Request, skipped []*roster.Member) bool {
+	return req.Route.Allows(m.Region) && !slices.Contains(req.Tried, m.Name) && !slices.Contains(skipped, m) && m.Ready(now)
+}
+
 // best returns the highest ranked server that has fewer requests than limit
 // times its slots.
 func (d *Dispatcher) best(now time.Time, members []*roster.Member, req *Request, limit float64, skipped []*roster.Member) *roster.Member {
@@ -141,8 +183,7 @@
 		if top.member != nil && !c.before(&top) {
 			continue
 		}
-		if m.Busy(now) >= limit*float64(m.Slots) || !req.Route.Allows(m.Region) || slices.Contains(req.Tried, m.Name) ||
-			slices.Contains(skipped, m) || !m.Ready(now) {
+		if m.Busy(now) >= limit*float64(m.Slots) || !eligible(now, m, req, skipped) {
 			continue
 		}
 		top = c
