dispatch, forward: a refusal's line names the owner and its load; 421 costs budget

Change: Choose returns the owner and its load with the reason; 421 counts as a refusal by the server, and as a failed connection for its health.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -16,11 +16,11 @@
 // # Usage
 //
 //	d := dispatch.Dispatcher{Roster: r, Region: "fyn"}
-//	m, reason := d.Choose(now, &dispatch.Request{Service: "registry", Key: key, Route: route})
-//	if m == nil {
-//		return refused(reason)
+//	c := d.Choose(now, &dispatch.Request{Service: "registry", Key: key, Route: route})
+//	if c.Server == nil {
+//		return refused(c.Reason)
 //	}
-//	defer m.End(time.Now(), outcome)
+//	defer c.Server.End(time.Now(), outcome)
 package dispatch
 
 import (
@@ -77,6 +77,18 @@
 	// Reason says why a server was chosen, or none.
 	Reason string
 
+	// Choice is a server for a request, and why.
+	Choice struct {
+		// Server is the server, nil if none may get the request now.
+		Server *roster.Member
+		// Reason says why.
+		Reason Reason
+		// Owner is the best ranked server, nil if there is none.
+		Owner *roster.Member
+		// OwnerBusy is how many requests the owner has, of all entries.
+		OwnerBusy float64
+	}
+
 	// Request is what the choice depends on.
 	Request struct {
 		// Service is the service that gets the request.
@@ -108,48 +120,52 @@
 	}
 )
 
-// Choose returns the server for a request, with the request begun there, and the
-// reason. The server is nil if none may get it now.
-func (d *Dispatcher) Choose(now time.Time, req *Request) (*roster.Member, Reason) {
+// Choose returns the server for a request, with the request begun there.
+func (d *Dispatcher) Choose(now time.Time, req *Request) Choice {
 	members := d.Roster.View().Members(req.Service)
 	var skipped []*roster.Member
 	for {
-		m, reason := d.pick(now, members, req, skipped)
-		if m == nil {
-			return nil, reason
+		c := d.pick(now, members, req, skipped)
+		if c.Server == nil {
+			return c
 		}
-		if m.Begin(now) {
-			d.visits.note(now, req.Key, m.Name)
-			return m, reason
+		if c.Server.Begin(now) {
+			d.visits.note(now, req.Key, c.Server.Name)
+			return c
 		}
 		// Another request took the last of its cold rate.
-		skipped = append(skipped, m)
+		skipped = append(skipped, c.Server)
 	}
 }
 
 // pick returns the server that should get the request.
-func (d *Dispatcher) pick(now time.Time, members []*roster.Member, req *Request, skipped []*roster.Member) (*roster.Member, Reason) {
+func (d *Dispatcher) pick(now time.Time, members []*roster.Member, req *Request, skipped []*roster.Member) Choice {
 	first := d.best(now, members, req, anyLoad, skipped)
 	if first == nil {
-		return nil, NoServer
+		return Choice{Reason: NoServer}
 	}
-	load := first.Busy(now) / float64(first.Slots)
+	c := Choice{Server: first, Reason: Owner, Owner: first, OwnerBusy: first.Busy(now)}
+	load := c.OwnerBusy / float64(first.Slots)
 	if load < 1 {
-		return first, Owner
+		return c
 	}
 	if m := d.familiar(now, members, req, skipped); m != nil {
-		return m, Familiar
+		c.Server, c.Reason = m, Familiar
+		return c
 	}
 	if load < fullQueue {
-		return first, Owner
+		return c
 	}
 	if m := d.best(now, members, req, spareLoad, skipped); m != nil {
-		return m, Spill
+		c.Server, c.Reason = m, Spill
+		return c
 	}
 	if load < overflow {
-		return first, Queue
+		c.Reason = Queue
+		return c
 	}
-	return nil, Full
+	c.Server, c.Reason = nil, Full
+	return c
 }
 
 // familiar returns the least busy server that has a free slot and should know
--- a/internal/dispatch/dispatcher_test.go
+++ b/internal/dispatch/dispatcher_test.go
@@ -39,8 +39,7 @@
 
 // choose returns the server alone.
 func choose(d *dispatch.Dispatcher, req *dispatch.Request) *roster.Member {
-	m, _ := d.Choose(start, req)
-	return m
+	return d.Choose(start, req).Server
 }
 
 func request(kind service.Kind, key uint64) *dispatch.Request {
@@ -106,7 +105,9 @@
 				}
 				fill(m, tt.others)
 			}
-			m, got := d.Choose(start, req)
+			c := d.Choose(start, req)
+			m, got := c.Server, c.Reason
+			is.Equal(c.Owner.Name, first.Name)
 			is.Equal(got, tt.want)
 			is.Equal(m != nil && m.Name == first.Name, got == dispatch.Owner || got == dispatch.Queue)
 			is.Equal(m == nil, got == dispatch.Full)
--- a/internal/dispatch/familiar_test.go
+++ b/internal/dispatch/familiar_test.go
@@ -19,20 +19,21 @@
 	req := request(service.Read, 17)
 	owner := choose(d, req)
 	fill(owner, 2*slots-1)
-	second, reason := d.Choose(start, req)
-	is.Equal(reason, dispatch.Spill)
+	c := d.Choose(start, req)
+	is.Equal(c.Reason, dispatch.Spill)
+	second := c.Server
 	second.End(start, roster.Outcome{})
 	for range slots {
 		owner.End(start, roster.Outcome{})
 	}
 	// The owner has all slots in use and no queue worth a spill.
-	m, reason := d.Choose(start.Add(10*time.Second), req)
-	is.Equal(reason, dispatch.Familiar)
-	is.Equal(m.Name, second.Name)
-	m.End(start, roster.Outcome{})
-	m, reason = d.Choose(start.Add(26*time.Second), req)
-	is.Equal(reason, dispatch.Owner)
-	is.Equal(m.Name, owner.Name)
-	_, reason = d.Choose(start.Add(10*time.Second), request(service.Read, 18))
-	is.Equal(reason, dispatch.Owner) // another object
+	c = d.Choose(start.Add(10*time.Second), req)
+	is.Equal(c.Reason, dispatch.Familiar)
+	is.Equal(c.Server.Name, second.Name)
+	c.Server.End(start, roster.Outcome{})
+	c = d.Choose(start.Add(26*time.Second), req)
+	is.Equal(c.Reason, dispatch.Owner)
+	is.Equal(c.Server.Name, owner.Name)
+	c = d.Choose(start.Add(10*time.Second), request(service.Read, 18))
+	is.Equal(c.Reason, dispatch.Owner) // another object
 }
--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -37,7 +37,7 @@
 	// on, so that one that breaks off can be asked for again.
 	keptAnswer = 256 << 10
 	// logAttrs is how many attributes the line of a request has at most.
-	logAttrs = 16
+	logAttrs = 18
 	// maxUnconnected is how many servers that take no connection are passed
 	// over for one request.
 	maxUnconnected = 3
@@ -70,7 +70,7 @@
 		unconnected int
 		tried       []id.Server
 		key         uint64
-		choice      dispatch.Reason
+		choice      dispatch.Choice
 		busy        float64
 		slots       int
 	}
@@ -145,11 +145,11 @@
 			return
 		}
 		req.Tried = c.tried
-		m, reason := c.h.Dispatcher.Choose(time.Now(), req)
-		c.choice = reason
+		c.choice = c.h.Dispatcher.Choose(time.Now(), req)
+		m := c.choice.Server
 		if m == nil {
 			if failed == 0 {
-				failed = unchosen(reason)
+				failed = unchosen(c.choice.Reason)
 			}
 			c.refuse(failed)
 			return
@@ -262,7 +262,7 @@
 	switch status := rep.Status; {
 	case status == http.StatusMisdirectedRequest:
 		c.h.Log.Warn("another server has the address", "request", c.id, "server", rep.member.Name, "address", rep.member.Address)
-		return result.ConnectFailed
+		return result.ShedByServer
 	case notRun && status != http.StatusBadRequest:
 		return result.ShedByServer
 	case status < http.StatusMultipleChoices && (!signed || rep.Header.Get("Content-Encoding") != ""):
@@ -357,6 +357,10 @@
 	case result.ShedByServer:
 		// The server is well; how often it refuses is judged by comparison.
 		o.Event, o.Failed = health.Answered, true
+		if rep.Status == http.StatusMisdirectedRequest {
+			// The server that the entry knows is not there.
+			o.Event = health.ConnectFailed
+		}
 	case result.Served:
 		o.Failed = rep.Status >= http.StatusInternalServerError
 		o.Times = c.h.baseline(c.service, c.route.Kind).Compare(rep.Latency)
@@ -439,9 +443,12 @@
 	if c.route != nil {
 		attrs = append(attrs, slog.String("route", c.route.Name), slog.Duration("left", time.Until(c.deadline)))
 	}
-	if c.choice != "" {
+	if owner := c.choice.Owner; owner != nil {
+		attrs = append(attrs, slog.String("owner", string(owner.Name)), slog.Float64("ownerBusy", math.Round(10*c.choice.OwnerBusy)/10))
+	}
+	if c.choice.Reason != "" {
 		attrs = append(attrs, slog.String("service", string(c.service)), slog.String("object", strconv.FormatUint(c.key, 16)),
-			slog.String("choice", string(c.choice)), slog.String("server", string(c.server)),
+			slog.String("choice", string(c.choice.Reason)), slog.String("server", string(c.server)),
 			slog.Float64("busy", math.Round(10*c.busy)/10), slog.Int("slots", c.slots),
 			slog.Int("sends", c.sends), slog.Int("unconnected", c.unconnected), slog.Duration("storeAge", c.h.StoreAge()))
 	}
--- a/internal/forward/handler_test.go
+++ b/internal/forward/handler_test.go
@@ -319,13 +319,26 @@
 }
 
 func TestResendsKeepToTheBudget(t *testing.T) {
-	is := is.New(t)
-	f := start(t, service.Write, "shed")
-	const requests = 30
-	for range requests {
-		f.ask(t.Context(), "/x/8", "body")
+	const allowance, requests = 10, 30
+	tests := map[string]struct {
+		line  string
+		sends int64
+	}{
+		"refused by the server": {"shed", requests + allowance},
+		// Each server is out after two of them.
+		"another server at the address": {"other", 6},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := start(t, service.Write, tt.line)
+			for range requests {
+				status, _, _ := f.ask(t.Context(), "/x/8", "body")
+				is.Equal(status, http.StatusServiceUnavailable)
+			}
+			is.Equal(f.backend.requests.Load(), tt.sends)
+		})
 	}
-	is.Equal(f.backend.requests.Load(), int64(requests+10))
 }
 
 func TestARequestThatCrashesServersIsKeptAway(t *testing.T) {
--- a/internal/model/entry.go
+++ b/internal/model/entry.go
@@ -65,9 +65,9 @@
 		e.model.done(r, 0)
 		return
 	}
-	m, _ := e.policy.Choose(now, &dispatch.Request{
+	m := e.policy.Choose(now, &dispatch.Request{
 		Service: serviceName, Route: r.route, Key: owner.Key(serviceName, r.object), Tried: r.tried,
-	})
+	}).Server
 	if m == nil {
 		e.refuse(r)
 		return
--- a/internal/model/model.go
+++ b/internal/model/model.go
@@ -77,9 +77,8 @@
 
 	// Chooser is a policy.
 	Chooser interface {
-		// Choose returns the server for a request, with the request begun there,
-		// or nil, and the reason.
-		Choose(now time.Time, req *dispatch.Request) (*roster.Member, dispatch.Reason)
+		// Choose returns the server for a request, with the request begun there.
+		Choose(now time.Time, req *dispatch.Request) dispatch.Choice
 	}
 
 	// Model is a simulation. Its fields are set before Run.
--- a/internal/model/model_test.go
+++ b/internal/model/model_test.go
@@ -21,7 +21,7 @@
 // slot, by the entry's own count, and else the highest ranked one.
 type spillAtOnce struct{ roster *roster.Roster }
 
-func (p spillAtOnce) Choose(now time.Time, req *dispatch.Request) (*roster.Member, dispatch.Reason) {
+func (p spillAtOnce) Choose(now time.Time, req *dispatch.Request) dispatch.Choice {
 	for _, limit := range []float64{1, 4} {
 		var best *roster.Member
 		for _, m := range p.roster.View().Members(req.Service) {
@@ -31,16 +31,16 @@
 			}
 		}
 		if best != nil && best.Begin(now) {
-			return best, dispatch.Owner
+			return dispatch.Choice{Server: best}
 		}
 	}
-	return nil, dispatch.Full
+	return dispatch.Choice{}
 }
 
 // random is a policy to compare with: no owners.
 type random struct{ next dispatch.Dispatcher }
 
-func (p *random) Choose(now time.Time, req *dispatch.Request) (*roster.Member, dispatch.Reason) {
+func (p *random) Choose(now time.Time, req *dispatch.Request) dispatch.Choice {
 	other := *req
 	other.Key = uint64(now.UnixNano()) * 0x9e3779b97f4a7c15
 	return p.next.Choose(now, &other)
