--- a/cmd/shallotpier-entry/main.go
+++ b/cmd/shallotpier-entry/main.go
@@ -14,6 +14,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/shallotpier/shallotpier/internal/logpipe"
+	"github.com/shallotpier/shallotpier/internal/reload"
 	"github.com/shallotpier/shallotpier/platform"
 )
 
@@ -36,8 +37,8 @@
 	log := slog.New(slog.NewTextHandler(out, &slog.HandlerOptions{ReplaceAttr: logpipe.PlainError}))
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	reload := make(chan os.Signal, 1)
-	signal.Notify(reload, syscall.SIGHUP)
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
 	path := os.Getenv(platform.SettingsVariable)
 	settings, err := platform.Load(path)
 	if err != nil {
@@ -46,7 +47,7 @@
 	}
 	set := metrics.NewSet()
 	set.NewGauge("shallotpier_log_lines_dropped_total", func() float64 { return float64(out.Dropped()) })
-	watch := &platform.Watch{Path: path, Reload: reload, Log: log}
+	watch := &reload.Watch[platform.Settings]{Path: path, Load: platform.Load, Signal: hangup, Log: log}
 	if err := platform.Run(ctx, settings, watch, log, set); err != nil {
 		log.Error("ended", "err", err)
 		return 1
