directory: entries with small links are left out where larger ones carry more

Change: of a zone's entries those are named that carry most under an even share; a zone with less than half of an even share of its region's capacity sends its callers to the region's entries.

--- a/internal/beacon/beacon.go
+++ b/internal/beacon/beacon.go
@@ -56,9 +56,9 @@
 		Callers netip.AddrPort `json:"callers"`
 		// Peers is its address for beacons.
 		Peers netip.AddrPort `json:"peers"`
-		// Share is its part of a processor, which weighs how many callers it
-		// gets.
-		Share float64 `json:"share"`
+		// LinkMbps is the rate of its network link in Mbit/s; 0 if it is not
+		// known.
+		LinkMbps float64 `json:"linkMbps,omitempty"`
 		// Ready tells that it serves callers and is not about to stop.
 		Ready bool `json:"ready"`
 		// Changes are the revisions of the newest changes of the store that the
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/shallotpier/shallotpier/internal/beacon"
 	"github.com/shallotpier/shallotpier/internal/directory"
+	"github.com/shallotpier/shallotpier/pkg/id"
 )
 
 func TestChoose(t *testing.T) {
@@ -33,3 +34,32 @@
 		})
 	}
 }
+
+func TestChooseByLinks(t *testing.T) {
+	node := func(zone id.Zone, n byte, link float64) beacon.Node {
+		return beacon.Node{
+			Zone: zone, Region: "a", Ready: true, LinkMbps: link,
+			Callers: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, n}), 80),
+		}
+	}
+	tests := map[string]struct {
+		nodes []beacon.Node
+		want  []byte
+	}{
+		"equal links":                  {[]beacon.Node{node("a-1", 1, 100), node("a-1", 2, 100)}, []byte{1, 2}},
+		"links that differ a little":   {[]beacon.Node{node("a-1", 1, 70), node("a-1", 2, 100)}, []byte{2, 1}},
+		"small links are left out":     {[]beacon.Node{node("a-1", 1, 11), node("a-1", 2, 200), node("a-1", 3, 200)}, []byte{2, 3}},
+		"many small links carry more":  {[]beacon.Node{node("a-1", 1, 30), node("a-1", 2, 40), node("a-1", 3, 30), node("a-1", 4, 30)}, []byte{2, 1, 3, 4}},
+		"a small zone's callers go on": {[]beacon.Node{node("a-1", 1, 14), node("a-2", 2, 200), node("a-3", 3, 200)}, []byte{2, 3}},
+		"a zone with its share keeps":  {[]beacon.Node{node("a-1", 1, 100), node("a-2", 2, 200), node("a-3", 3, 200)}, []byte{1}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			var want []netip.AddrPort
+			for _, n := range tt.want {
+				want = append(want, netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, n}), 80))
+			}
+			is.New(t).Equal(directory.Choose(tt.nodes, "a-1", "a"), want)
+		})
+	}
+}
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -65,8 +65,7 @@
 	return fmt.Sprintf(`instance = %q
 zone = %q
 region = %q
-processorShare = 1.0
-memoryMB = 200
+linkMbps = 1000
 
 [listen]
 callers = "127.0.0.1:%d"
