roster: a zone that is out of reach is found by three of its servers

Change: three servers of a zone out of reach within 2 s, with no answer from the zone since, suspend the zone but for a trial each 300 ms; any answer ends it. Found on the way: a 421 shows that the address is reached, and must not count.

--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -359,7 +359,7 @@
 		o.Event, o.Failed = health.Answered, true
 		if rep.Status == http.StatusMisdirectedRequest {
 			// The server that the entry knows is not there.
-			o.Event = health.ConnectFailed
+			o.Event, o.Reached = health.ConnectFailed, true
 		}
 	case result.Served:
 		o.Failed = rep.Status >= http.StatusInternalServerError
--- a/internal/roster/member.go
+++ b/internal/roster/member.go
@@ -29,6 +29,7 @@
 		// the server is cold.
 		coldLimit int
 		state     *state
+		reach     *reach
 	}
 
 	// Load is a server's own count of its requests, of all entries.
@@ -43,6 +44,9 @@
 	Outcome struct {
 		// Event is what it says of the server's health.
 		Event health.Event
+		// Reached tells that something answered at the server's address, whatever
+		// Event says.
+		Reached bool
 		// Failed tells that the server refused it or answered with an error.
 		Failed bool
 		// Times is how long the answer took as a multiple of the usual; 0 if
@@ -68,8 +72,8 @@
 	}
 )
 
-func newMember(s Server) *Member {
-	return &Member{Server: s, Seed: owner.Seed(s.Name), state: &state{}}
+func newMember(s Server, path *reach) *Member {
+	return &Member{Server: s, Seed: owner.Seed(s.Name), state: &state{}, reach: path}
 }
 
 // InFlight returns how many requests of this entry the server has.
@@ -124,6 +128,7 @@
 		s.opinion.BeginTrial(now)
 	}
 	s.inFlight++
+	m.reach.try(now)
 	return true
 }
 
@@ -141,6 +146,12 @@
 		// A server that could not be reached may have been started anew.
 		s.cold = later(s.cold, now.Add(m.cold.ColdTime))
 	}
+	switch {
+	case o.Reached, o.Event == health.Answered:
+		m.reach.answered()
+	case o.Event == health.ConnectFailed:
+		m.reach.unreached(now, m.Name)
+	}
 	s.opinion.Observe(now, o.Event)
 	if o.Event != health.Nothing {
 		s.record.Observe(now, !o.Failed && o.Event == health.Answered, o.Times)
@@ -167,7 +178,7 @@
 }
 
 func (s *state) ready(now time.Time, m *Member) bool {
-	if v, _ := s.verdict(now); v == health.No {
+	if v, _ := s.verdict(now); v == health.No || !m.reach.open(now) {
 		return false
 	}
 	return !now.Before(s.cold) || s.rate.Free(now, m.coldLimit)
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -96,6 +96,7 @@
 
 		mu        sync.Mutex
 		members   map[id.Server]*Member
+		reaches   map[id.Zone]*reach
 		services  map[id.Service]Service
 		evacuated map[id.Zone]bool
 		resumed   time.Time
@@ -264,7 +265,7 @@
 	if old != nil && old.Server == s && old.lapses.IsZero() {
 		return
 	}
-	m := newMember(s)
+	m := newMember(s, r.reach(s.Zone))
 	if old != nil && old.Born == s.Born && old.Service == s.Service && old.Address == s.Address {
 		m.state = old.state
 	}
@@ -276,6 +277,17 @@
 		"leaving", s.Leaving, "cold", s.Cold, "new", old == nil)
 }
 
+// reach returns what is known of the path to a zone.
+func (r *Roster) reach(zone id.Zone) *reach {
+	if r.reaches == nil {
+		r.reaches = make(map[id.Zone]*reach)
+	}
+	if r.reaches[zone] == nil {
+		r.reaches[zone] = &reach{}
+	}
+	return r.reaches[zone]
+}
+
 func (r *Roster) remove(now time.Time, name id.Server) {
 	m := r.members[name]
 	if m == nil {
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -213,3 +213,49 @@
 		})
 	}
 }
+
+// A zone that is out of reach is found by a few of its servers, and tried from time
+// to time.
+func TestZoneOutOfReach(t *testing.T) {
+	fail := func(r *roster.Roster, i int) {
+		m := r.View().Members(svc)[i]
+		m.Begin(start)
+		m.End(start, roster.Outcome{Event: health.ConnectFailed, Failed: true})
+	}
+	tests := map[string]struct {
+		do   func(r *roster.Roster)
+		at   time.Duration
+		want int // requests that the fifth server takes at once
+	}{
+		"two servers fail":   {func(r *roster.Roster) { fail(r, 0); fail(r, 1) }, time.Second, 100},
+		"three servers fail": {func(r *roster.Roster) { fail(r, 0); fail(r, 1); fail(r, 2) }, time.Second, 1},
+		"three servers failed some time ago": {func(r *roster.Roster) {
+			fail(r, 0)
+			fail(r, 1)
+			fail(r, 2)
+		}, 3 * time.Second, 100},
+		"another answers": {func(r *roster.Roster) {
+			fail(r, 0)
+			fail(r, 1)
+			fail(r, 2)
+			m := r.View().Members(svc)[3]
+			m.Begin(start.Add(time.Second))
+			m.End(start, roster.Outcome{Event: health.Answered})
+		}, time.Second, 100},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			r := newRoster()
+			for _, name := range []id.Server{"i-1", "i-2", "i-3", "i-4", "i-5"} {
+				r.Put(start, server(name))
+			}
+			tt.do(r)
+			n := 0
+			for n < 100 && r.View().Members(svc)[4].Begin(start.Add(tt.at)) {
+				n++
+			}
+			is.Equal(n, tt.want)
+		})
+	}
+}
