forward: an error that is asked again costs the budget once

Cause: found while reading: a read's 5xx asked the budget in check and once more in carry, so that half of the resends were lost, and a refused second asking turned the server's 500 into 502; and two errors in a row put a server out, though an error is an answer and outliers are judged by comparison. Change: the grant is kept; an error counts as answered and failed. The test asks for 30 first sends and 10 resends, and the server's status each time; it got 5 sends.

--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -69,6 +69,7 @@
 		sends       int
 		unconnected int
 		tried       []id.Server
+		granted     bool // another send is within the budget already
 		key         uint64
 		choice      dispatch.Choice
 		busy        float64
@@ -161,10 +162,11 @@
 			return
 		}
 		failed = code
-		if !c.again(code) {
+		if !c.granted && !c.again(code) {
 			c.refuse(code)
 			return
 		}
+		c.granted = false
 	}
 }
 
@@ -271,7 +273,8 @@
 		// The server doesn't say that the request did not run.
 		return result.AnswerCut
 	case status >= http.StatusInternalServerError && c.repeatable() && c.sends < c.route.Attempts:
-		if c.again(result.AnswerCut) {
+		// The server's error is passed on unless another server may be asked.
+		if c.granted = c.again(result.AnswerCut); c.granted {
 			return result.AnswerCut
 		}
 	}
@@ -361,6 +364,12 @@
 			// The server that the entry knows is not there.
 			o.Event, o.Reached = health.ConnectFailed, true
 		}
+	case result.AnswerCut:
+		if rep.Status >= http.StatusInternalServerError {
+			// An error is an answer; how often there is one is judged by
+			// comparison.
+			o.Event, o.Failed = health.Answered, true
+		}
 	case result.Served:
 		o.Failed = rep.Status >= http.StatusInternalServerError
 		o.Times = c.h.baseline(c.service, c.route.Kind).Compare(rep.Latency)
--- a/internal/forward/handler_test.go
+++ b/internal/forward/handler_test.go
@@ -321,20 +321,27 @@
 func TestResendsKeepToTheBudget(t *testing.T) {
 	const allowance, requests = 10, 30
 	tests := map[string]struct {
-		line  string
-		sends int64
+		kind   service.Kind
+		line   string
+		sends  int64
+		status int
 	}{
-		"refused by the server": {"shed", requests + allowance},
+		"refused by the server": {service.Write, "shed", requests + allowance, http.StatusServiceUnavailable},
 		// Each server is out after two of them.
-		"another server at the address": {"other", 6},
+		"another server at the address": {service.Write, "other", 6, http.StatusServiceUnavailable},
+		"errors of the server":          {service.Read, "error", requests + allowance, http.StatusInternalServerError},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			f := start(t, service.Write, tt.line)
+			f := start(t, tt.kind, tt.line)
+			body := "body"
+			if tt.kind == service.Read {
+				body = ""
+			}
 			for range requests {
-				status, _, _ := f.ask(t.Context(), "/x/8", "body")
-				is.Equal(status, http.StatusServiceUnavailable)
+				status, _, _ := f.ask(t.Context(), "/x/8", body)
+				is.Equal(status, tt.status)
 			}
 			is.Equal(f.backend.requests.Load(), tt.sends)
 		})
