--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -4,7 +4,6 @@
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
-	"encoding/json"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -15,6 +14,7 @@
 	"time"
 
 	"github.com/shallotpier/shallotpier/platform"
+	"github.com/shallotpier/shallotpier/platform/standin"
 )
 
 const (
@@ -89,21 +89,13 @@
 func (s *soak) lookup(client *http.Client, n int) []*process {
 	for k := range s.entries {
 		at := s.entries[(n+k)%len(s.entries)]
-		resp, err := client.Get(fmt.Sprintf("http://127.0.0.1:%d/resolve?name=%s&zone=%s&region=%s", at.ports[2], host, zone(n), region(n)))
+		addresses, err := standin.Lookup(client, fmt.Sprintf("127.0.0.1:%d", at.ports[2]), host, zone(n), region(n))
 		if err != nil {
-			continue
-		}
-		var answer struct {
-			Addresses []string `json:"addresses"`
-		}
-		err = json.NewDecoder(resp.Body).Decode(&answer)
-		_ = resp.Body.Close()
-		if err != nil || resp.StatusCode != http.StatusOK {
-			continue
+			continue // another entry may answer
 		}
 		var found []*process
 		for _, e := range s.entries {
-			for _, address := range answer.Addresses {
+			for _, address := range addresses {
 				if strings.HasSuffix(address, ":"+strconv.Itoa(e.ports[0])) {
 					found = append(found, e)
 				}
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -14,6 +14,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/shallotpier/shallotpier/platform"
+	"github.com/shallotpier/shallotpier/platform/standin"
 )
 
 const (
@@ -167,11 +168,5 @@
 }
 
 func (e *process) isReady() bool {
-	c := http.Client{Timeout: pollTime}
-	resp, err := c.Get(fmt.Sprintf("http://127.0.0.1:%d/readiness", e.ports[1]))
-	if err != nil {
-		return false
-	}
-	_ = resp.Body.Close()
-	return resp.StatusCode == http.StatusOK
+	return standin.Ready(&http.Client{Timeout: pollTime}, fmt.Sprintf("127.0.0.1:%d", e.ports[1]))
 }
