soak: entries take ports that outgoing connections don't use

Change: ports below that range, held for TCP and UDP until the settings are written; an entry that ends at its start takes others.

--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -21,6 +22,11 @@
 	// graceTime is what the entries' settings say of a planned stop.
 	graceTime = 3 * time.Second
 	pollTime  = 500 * time.Millisecond
+	// Ports lie below those that systems give to outgoing connections, which
+	// would take them between two starts of an entry.
+	firstPort = 23_000
+	lastPort  = 32_000
+	portTries = 100
 )
 
 // process is an entry, which may be started several times.
@@ -43,23 +49,57 @@
 
 func newProcess(s *soak, i int) (*process, error) {
 	e := &process{soak: s, name: fmt.Sprintf("entry-%d", i), zone: i % 2}
-	for k := range e.ports {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return nil, eris.Wrap(err, "find a port")
-		}
-		if tcp, ok := l.Addr().(*net.TCPAddr); ok {
-			e.ports[k] = tcp.Port
-		}
-		defer func() { _ = l.Close() }()
-	}
 	p, err := newProxy(s.store.Address())
 	if err != nil {
 		return nil, eris.Wrap(err, "start a proxy")
 	}
 	e.store = p
 	e.path = filepath.Join(s.options.Folder, e.name+".toml")
-	return e, eris.Wrap(os.WriteFile(e.path, []byte(e.settings()), 0o600), "write settings")
+	return e, e.settle()
+}
+
+// settle finds free ports for the entry and writes its settings.
+func (e *process) settle() error {
+	for k := range e.ports {
+		port, free, err := findPort()
+		if err != nil {
+			return err
+		}
+		defer free()
+		e.ports[k] = port
+	}
+	return eris.Wrap(os.WriteFile(e.path, []byte(e.settings()), 0o600), "write settings")
+}
+
+// findPort takes a port that is free for TCP and UDP, until free is called.
+func findPort() (port int, free func(), err error) {
+	for range portTries {
+		port = firstPort + rand.IntN(lastPort-firstPort)
+		address := fmt.Sprintf("127.0.0.1:%d", port)
+		l, err := net.Listen("tcp", address)
+		if err != nil {
+			continue
+		}
+		u, err := net.ListenPacket("udp", address)
+		if err != nil {
+			_ = l.Close()
+			continue
+		}
+		return port, func() { _, _ = l.Close(), u.Close() }, nil
+	}
+	return 0, nil, eris.Errorf("no free port after %d tries", portTries)
+}
+
+// hasExited tells whether the process has ended.
+func (e *process) hasExited() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	select {
+	case <-e.exited:
+		return true
+	default:
+		return false
+	}
 }
 
 func (e *process) settings() string {
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -194,10 +194,31 @@
 		if s.ready() == len(s.entries) {
 			return nil
 		}
+		if err := s.startAgain(); err != nil {
+			return err
+		}
 	}
 	return eris.Errorf("%d of %d entries are ready after %v", s.ready(), len(s.entries), startTime)
 }
 
+// startAgain starts the entries that ended before any fault, at other ports:
+// another process took one of theirs.
+func (s *soak) startAgain() error {
+	for _, e := range s.entries {
+		if !e.hasExited() {
+			continue
+		}
+		s.note("%s ended at its start", e.name)
+		if err := e.settle(); err != nil {
+			return err
+		}
+		if err := e.begin(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // listen starts the server behind a proxy.
 func (b *backend) listen(name id.Server) error {
 	if err := b.Start(name); err != nil {
