soak: two faults that overlap start an entry once

Cause: three entries were found running after their runs: a kill and a stop of the same entry both saw it ended and started it, and the first process was forgotten. Change: the look and the start hold one lock. Figures: go test -race ./internal/soak: passed, no entry left running.

--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -82,12 +82,9 @@
 
 // restart starts an entry again, unless another fault did.
 func (s *soak) restart(e *process) {
-	e.mu.Lock()
-	exited := e.exited
-	e.mu.Unlock()
-	select {
-	case <-exited:
-	default:
+	e.restarting.Lock()
+	defer e.restarting.Unlock()
+	if !e.hasExited() {
 		return
 	}
 	e.disturbed.add(time.Now().Add(time.Second))
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -40,6 +40,10 @@
 	// disturbed holds when faults struck the entry or its path to the store.
 	disturbed disturbance
 
+	// restarting is held from seeing that the process has ended to starting it
+	// again, so that faults that overlap do not start two.
+	restarting sync.Mutex
+
 	mu       sync.Mutex
 	cmd      *exec.Cmd
 	exited   chan struct{}
