node, forward, beacon: stops end in time; three leftovers of a read-through

Also: a quarantined request is told when it may come back in truth; a late beacon of an earlier process hands on no news; one way out of an answer that breaks off.

--- a/internal/beacon/beacon.go
+++ b/internal/beacon/beacon.go
@@ -167,19 +167,28 @@
 	if !node.Peers.IsValid() || !node.Callers.IsValid() || node.Peers == b.Self().Peers {
 		return
 	}
+	if !b.note(now, node) {
+		return
+	}
 	if b.Heard != nil {
 		b.Heard(now, node)
 	}
+}
+
+// note takes in who sent a beacon. It returns false for one of an earlier process
+// than the latest.
+func (b *Beacon) note(now time.Time, node Node) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	p := b.peer(node.Peers)
 	if node.Incarnation < p.node.Incarnation {
-		return
+		return false
 	}
 	if !p.alive || p.node.Ready != node.Ready || p.node.Incarnation != node.Incarnation {
 		b.Log.Info("entry heard", "instance", node.Instance, "incarnation", node.Incarnation, "ready", node.Ready, "silent", since(now, p.heard))
 	}
 	p.node, p.heard, p.alive = node, now, true
+	return true
 }
 
 // Announce sends one beacon to all others at once.
--- a/internal/beacon/beacon_test.go
+++ b/internal/beacon/beacon_test.go
@@ -64,6 +64,17 @@
 	}
 }
 
+// News of an earlier process of an entry is not handed on.
+func TestNewsOfAnEarlierProcess(t *testing.T) {
+	is := is.New(t)
+	b := newBeacon()
+	var heard []id.Incarnation
+	b.Heard = func(_ time.Time, n beacon.Node) { heard = append(heard, n.Incarnation) }
+	b.Take(start, node(2, 2))
+	b.Take(start, node(2, 1))
+	is.Equal(heard, []id.Incarnation{2})
+}
+
 // network carries datagrams between packet connections in memory.
 type network map[string]chan []byte
 
--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -69,7 +69,8 @@
 		sends       int
 		unconnected int
 		tried       []id.Server
-		granted     bool // another send is within the budget already
+		granted     bool          // another send is within the budget already
+		after       time.Duration // when a refused caller may come back, 0 if it depends on the deadline alone
 		key         uint64
 		choice      dispatch.Choice
 		busy        float64
@@ -331,6 +332,25 @@
 	if c.h.Quarantine.Watching() {
 		c.h.Quarantine.Clear(time.Now(), c.fingerprint())
 	}
+	c.passHeader(rep)
+	if _, err := c.w.Write(rep.head); err != nil {
+		c.code = result.CallerGone
+	}
+	cut := false
+	if !rep.whole {
+		if _, err := io.Copy(c.w, rep.Body); err != nil {
+			c.code, cut = cutCode(err), true
+		}
+	}
+	rep.member.End(time.Now(), c.outcome(rep, c.code))
+	if cut {
+		// The caller's connection ends, so that the answer doesn't look complete.
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// passHeader writes the header of the server's answer.
+func (c *call) passHeader(rep *reply) {
 	header := c.w.Header()
 	passOn(header, rep.Header)
 	if _, ok := header["Content-Type"]; !ok {
@@ -344,13 +364,16 @@
 		header.Set("Content-Length", strconv.FormatInt(rep.Length, 10))
 	}
 	c.w.WriteHeader(rep.Status)
-	if _, err := c.w.Write(rep.head); err != nil {
-		c.code = result.CallerGone
-	}
-	if !rep.whole {
-		c.passRest(rep)
+}
+
+// cutCode returns the code of an answer that broke off on its way to the caller:
+// the server's end of it, or the caller's.
+func cutCode(err error) result.Code {
+	var failed *upstream.SendError
+	if errors.As(err, &failed) {
+		return failed.Code
 	}
-	rep.member.End(time.Now(), c.outcome(rep, c.code))
+	return result.CallerGone
 }
 
 // outcome tells what an answer says of its server.
@@ -377,24 +400,6 @@
 	return o
 }
 
-// passRest copies the rest of a long answer. One that breaks off ends the
-// caller's connection, so that it doesn't look complete.
-func (c *call) passRest(rep *reply) {
-	_, err := io.Copy(c.w, rep.Body)
-	if err == nil {
-		return
-	}
-	c.code = result.CallerGone
-	var failed *upstream.SendError
-	if errors.As(err, &failed) {
-		c.code = failed.Code
-	}
-	rep.member.End(time.Now(), c.outcome(rep, c.code))
-	rep.Close()
-	c.finish()
-	panic(http.ErrAbortHandler)
-}
-
 // refuse ends the request with an answer of the entry's own.
 func (c *call) refuse(code result.Code) {
 	c.code, c.status = code, c.refusal(code)
@@ -402,7 +407,10 @@
 	header.Set(result.HeaderCode, code.String())
 	header.Set("Content-Length", "0")
 	if c.status == http.StatusServiceUnavailable {
-		wait := c.retryAfter()
+		wait := c.after
+		if wait == 0 {
+			wait = c.retryAfter()
+		}
 		header.Set("Retry-After", strconv.FormatFloat(wait.Seconds(), 'f', 3, 64))
 	}
 	c.w.WriteHeader(c.status)
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -146,9 +146,12 @@
 		return
 	}
 	c.service = c.pickService()
-	if h.Quarantine.Watching() && h.Quarantine.Check(c.began, c.fingerprint()).Refused {
-		c.refuse(result.Quarantined)
-		return
+	if h.Quarantine.Watching() {
+		if v := h.Quarantine.Check(c.began, c.fingerprint()); v.Refused {
+			c.after = v.RetryAfter
+			c.refuse(result.Quarantined)
+			return
+		}
 	}
 	c.carry()
 }
--- a/internal/forward/handler_test.go
+++ b/internal/forward/handler_test.go
@@ -363,6 +363,9 @@
 	is.Equal(status, http.StatusServiceUnavailable)
 	is.Equal(header.Get(result.HeaderCode), result.Quarantined.String())
 	is.Equal(f.backend.requests.Load(), int64(3))
+	wait, err := strconv.ParseFloat(header.Get("Retry-After"), 64)
+	is.NoErr(err)
+	is.True(wait > 60) // as long as the request is kept away
 	_, header, _ = f.ask(t.Context(), "/x/8", "other")
 	is.True(header.Get(result.HeaderCode) != result.Quarantined.String())
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -114,6 +114,10 @@
 		Steady func(now time.Time) time.Duration
 		// Heard takes in those that another entry knows.
 		Heard func(changes map[string]uint64)
+		// Closing is called during a planned stop when callers are not listened to
+		// any more; the stop waits for its return as long as it may. nil is not
+		// called.
+		Closing func()
 		// StoreAge returns how long ago the store said which servers there are;
 		// nil if there is no such source.
 		StoreAge func(now time.Time) time.Duration
@@ -332,7 +336,19 @@
 	time.Sleep(serve)
 	ctx, cancel := context.WithTimeout(context.Background(), grace-serve-exitTime)
 	defer cancel()
+	closed := make(chan struct{})
+	go func() {
+		defer close(closed)
+		if o.Closing != nil {
+			o.Closing()
+		}
+	}()
 	err := server.Shutdown(ctx)
+	select {
+	case <-closed:
+	case <-ctx.Done():
+		o.Log.Warn("stopped before the work of closing was done", "limit", grace-serve-exitTime)
+	}
 	if errors.Is(err, context.DeadlineExceeded) {
 		o.Log.Warn("stopped with requests running", "running", n.handler.Running())
 		return nil
