follow, node: an entry takes over from another what the store doesn't tell it

Change: the followers of the store's objects move out of platform/ into internal/follow, which speaks package store's types. Ruled out: keeping state on the machine (there is no disk), a relay in calm times (one entry that is cut off would hold up others).

--- a/internal/beacon/beacon.go
+++ b/internal/beacon/beacon.go
@@ -29,7 +29,9 @@
 	"sync"
 	"time"
 
+	"github.com/shallotpier/shallotpier/internal/follow"
 	"github.com/shallotpier/shallotpier/internal/quarantine"
+	"github.com/shallotpier/shallotpier/internal/store"
 	"github.com/shallotpier/shallotpier/pkg/id"
 )
 
@@ -61,9 +63,9 @@
 		LinkMbps float64 `json:"linkMbps,omitempty"`
 		// Ready tells that it serves callers and is not about to stop.
 		Ready bool `json:"ready"`
-		// Changes are the revisions of the newest changes of the store that the
+		// Changes are the versions of the newest changes of the store that the
 		// entry knows, by kind of object.
-		Changes map[string]uint64 `json:"changes,omitempty"`
+		Changes map[follow.Kind]store.Version `json:"changes,omitempty"`
 		// Steady is for how long the store has answered the entry all along;
 		// 0 if it doesn't or if the entry can't tell.
 		Steady time.Duration `json:"steady,omitempty"`
--- a/platform/follower.go
+++ b/internal/follow/follower.go
@@ -1,12 +1,30 @@
-package platform
+// Package follow keeps an entry up to date with the objects of the platform's
+// store.
+//
+// A [Follower] lists the objects of one kind and then asks for their changes, one
+// long call after the other. Most of those calls would only show that a connection
+// has not gone silent, so only a few entries, the scouts, wait for a short time.
+// Entries tell each other the newest change that they know; one that does not get
+// it from the store in time lists anew. While the store doesn't answer an entry, it
+// may take over what another entry knows, which the version of the newest change
+// guards from going back.
+//
+// # Usage
+//
+//	f := &follow.Follower{Feed: feed, Kind: follow.Servers, Sink: sink, Scout: isScout, Log: log}
+//	go f.Run(ctx)
+//	f.Hint(version)                  // another entry knows a change
+//	f.Adopt(version, func() { ... }) // and has told what it knows
+package follow
 
 import (
 	"context"
 	"errors"
 	"log/slog"
-	"net/http"
 	"sync"
 	"time"
+
+	"github.com/shallotpier/shallotpier/internal/store"
 )
 
 const (
@@ -19,15 +37,28 @@
 	idleRetry  = 1600 * time.Millisecond
 )
 
+// Kinds of objects that an entry follows.
+const (
+	// Servers are the registrations of backend servers.
+	Servers Kind = "servers"
+	// Configuration is the configuration of operators.
+	Configuration Kind = "configuration"
+	// EvacuatedZones are the zones whose servers get nothing.
+	EvacuatedZones Kind = "evacuatedZones"
+)
+
 type (
+	// Kind names a kind of objects, between entries and in logs.
+	Kind string
+
 	// Sink takes what a Follower learns. Its methods are called one at a time.
 	Sink interface {
 		// Replace takes in all objects of the kind.
-		Replace(now time.Time, all []Object)
+		Replace(now time.Time, all []store.Object)
 		// Change takes in a changed object.
-		Change(now time.Time, o Object)
+		Change(now time.Time, o store.Object)
 		// Remove takes in that an object is gone.
-		Remove(now time.Time, name string)
+		Remove(now time.Time, key string)
 		// Resumed is called before Replace when the store answers again after
 		// it had been away for a time.
 		Resumed(now time.Time, away time.Duration)
@@ -39,10 +70,13 @@
 	// passed. Only scouts wait for a short time; the others wait long and are
 	// told by Hint of changes that another entry has seen and they have not.
 	Follower struct {
-		// Client calls the store.
-		Client *Client
+		// Feed is the store's feed of the objects.
+		Feed store.Feed
+		// Timeout is how long Feed waits for an answer beyond the wait that the
+		// store was asked for.
+		Timeout time.Duration
 		// Kind is the objects' kind.
-		Kind string
+		Kind Kind
 		// Scout tells whether this entry is one of those that notice an outage
 		// for all.
 		Scout func() bool
@@ -63,13 +97,17 @@
 		retry time.Duration
 		wake  chan struct{}
 
+		// applying is held while Sink takes something in, together with the
+		// change of latest that belongs to it.
+		applying sync.Mutex
+
 		mu       sync.Mutex
 		lost     bool
-		heard    time.Time // when the store answered last
-		regained time.Time // since when it has answered all along
-		covered  Revision  // all changes up to here are known
-		latest   Revision  // the newest change that is known
-		hint     Revision  // the newest change that another entry knows
+		heard    time.Time     // when the store answered last
+		regained time.Time     // since when it has answered all along
+		covered  store.Version // all changes up to here are known
+		latest   store.Version // the newest change that is known
+		hint     store.Version // the newest change that another entry knows
 		behind   context.CancelCauseFunc
 	}
 )
@@ -79,19 +117,18 @@
 // Run follows the kind until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		all, rev, err := f.Client.List(ctx, f.Kind, false)
+		all, rev, err := f.Feed.All(ctx)
 		if err != nil {
 			f.failed(ctx, err)
 			continue
 		}
 		f.listed(all, rev)
-		f.Sink.Replace(time.Now(), all)
 		f.watch(ctx, rev)
 	}
 }
 
-// Latest returns the revision of the newest change that is known.
-func (f *Follower) Latest() Revision {
+// Latest returns the version of the newest change that is known.
+func (f *Follower) Latest() store.Version {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.latest
@@ -99,7 +136,7 @@
 
 // Hint takes in that another entry knows a change. If a watch doesn't bring it in
 // time, the objects are listed anew.
-func (f *Follower) Hint(rev Revision) {
+func (f *Follower) Hint(rev store.Version) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if rev <= f.covered || rev <= f.hint {
@@ -114,6 +151,41 @@
 	time.AfterFunc(f.Patience, func() { f.check(rev) })
 }
 
+// Missing tells whether the store doesn't answer, and either never did or another
+// entry knows a change that this one doesn't.
+func (f *Follower) Missing() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.lost && (f.latest == 0 || f.hint > f.latest)
+}
+
+// Adopt takes in by take what another entry knows, which is up to date with a
+// version. It returns false, and doesn't call take, if this entry knows as much.
+func (f *Follower) Adopt(version store.Version, take func()) bool {
+	f.applying.Lock()
+	defer f.applying.Unlock()
+	f.mu.Lock()
+	known := f.latest
+	f.latest = max(known, version)
+	f.mu.Unlock()
+	if version <= known {
+		return false
+	}
+	f.Log.Info("taken over from another entry", "kind", f.Kind, "version", version, "before", known)
+	take()
+	return true
+}
+
+// Capture calls read with the version of what is known, which read may copy. It
+// is not called if nothing is.
+func (f *Follower) Capture(read func(version store.Version)) {
+	f.applying.Lock()
+	defer f.applying.Unlock()
+	if version := f.Latest(); version > 0 {
+		read(version)
+	}
+}
+
 // Age returns how long ago the store answered last.
 func (f *Follower) Age(now time.Time) time.Duration {
 	f.mu.Lock()
@@ -126,14 +198,14 @@
 func (f *Follower) Steady(now time.Time) time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.lost || now.Sub(f.heard) > f.ShortWait+f.Client.Timeout {
+	if f.lost || now.Sub(f.heard) > f.ShortWait+f.Timeout {
 		return 0
 	}
 	return now.Sub(f.regained)
 }
 
 // check ends a watch that has not brought a change.
-func (f *Follower) check(rev Revision) {
+func (f *Follower) check(rev store.Version) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.covered < rev && f.behind != nil {
@@ -143,37 +215,36 @@
 }
 
 // watch takes in changes until they can't be had any more without a new list.
-func (f *Follower) watch(ctx context.Context, rev Revision) {
+func (f *Follower) watch(ctx context.Context, rev store.Version) {
 	for ctx.Err() == nil {
 		wait := f.LongWait
 		if f.Scout() {
 			wait = f.ShortWait
 		}
-		events, next, err := f.ask(ctx, rev, wait)
-		var status *StatusError
+		changes, next, err := f.ask(ctx, rev, wait)
 		switch {
-		case errors.As(err, &status) && status.Status == http.StatusGone:
-			f.Log.Info("history of the store gone", "kind", f.Kind, "revision", rev)
+		case errors.Is(err, store.ErrCompacted):
+			f.Log.Info("history of the store gone", "kind", f.Kind, "version", rev)
 			f.gap = true
 			return
 		case errors.Is(err, errBehind):
 			return
 		case err != nil:
 			// A new list is asked for at once: the watch may just have been cut.
-			f.Log.Info("watch ended", "kind", f.Kind, "revision", rev, "err", err)
+			f.Log.Info("watch ended", "kind", f.Kind, "version", rev, "err", err)
 			f.gap = true
 			return
 		}
 		rev = next
-		f.changed(events, next)
-		if len(events) > 0 {
+		f.changed(changes, next)
+		if len(changes) > 0 {
 			sleep(ctx, f.Batch)
 		}
 	}
 }
 
 // ask makes one watch call, which Hint may end.
-func (f *Follower) ask(ctx context.Context, rev Revision, wait time.Duration) ([]Event, Revision, error) {
+func (f *Follower) ask(ctx context.Context, rev store.Version, wait time.Duration) ([]store.Change, store.Version, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	f.mu.Lock()
@@ -183,46 +254,50 @@
 		time.AfterFunc(f.Patience, func() { f.check(hint) })
 	}
 	f.mu.Unlock()
-	events, next, err := f.Client.Watch(ctx, f.Kind, rev, wait)
+	changes, next, err := f.Feed.Changes(ctx, rev, wait)
 	f.mu.Lock()
 	f.behind = nil
 	f.mu.Unlock()
 	if errors.Is(context.Cause(ctx), errBehind) {
 		return nil, 0, errBehind
 	}
-	return events, next, err
+	return changes, next, err
 }
 
 // changed takes in the answer of a watch.
-func (f *Follower) changed(events []Event, covered Revision) {
+func (f *Follower) changed(changes []store.Change, covered store.Version) {
+	f.applying.Lock()
+	defer f.applying.Unlock()
 	f.answered()
 	f.mu.Lock()
 	before := f.latest
-	for _, e := range events {
-		f.latest = max(f.latest, e.Object.Metadata.Revision)
+	for i := range changes {
+		f.latest = max(f.latest, changes[i].Version)
 	}
-	if len(events) > 0 && f.latest == before {
-		// The events name no new revision; the change is at most this one.
+	if len(changes) > 0 && f.latest == before {
+		// The changes name no new version; the newest is at most this one.
 		f.latest = covered
 	}
 	f.covered = covered
 	f.mu.Unlock()
 	now := time.Now()
-	for _, e := range events {
-		if e.Removed {
-			f.Sink.Remove(now, e.Object.Metadata.Name)
+	for i := range changes {
+		if changes[i].Removed {
+			f.Sink.Remove(now, changes[i].Key)
 			continue
 		}
-		f.Sink.Change(now, e.Object)
+		f.Sink.Change(now, changes[i].Object)
 	}
 }
 
-// listed takes in the revision of a list.
-func (f *Follower) listed(all []Object, covered Revision) {
+// listed takes in a list.
+func (f *Follower) listed(all []store.Object, covered store.Version) {
+	f.applying.Lock()
+	defer f.applying.Unlock()
 	f.mu.Lock()
 	f.covered = covered
 	for _, o := range all {
-		f.latest = max(f.latest, o.Metadata.Revision)
+		f.latest = max(f.latest, o.Version)
 	}
 	f.latest = max(f.latest, min(f.hint, covered))
 	if f.gap {
@@ -231,6 +306,7 @@
 	}
 	f.mu.Unlock()
 	f.answered()
+	f.Sink.Replace(time.Now(), all)
 }
 
 func (f *Follower) answered() {
--- /dev/null
+++ b/internal/follow/follower_test.go
@@ -0,0 +1,159 @@
+package follow_test
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/shallotpier/shallotpier/internal/follow"
+	"github.com/shallotpier/shallotpier/internal/store"
+)
+
+type (
+	// feed is a store that can be away.
+	feed struct {
+		mu      sync.Mutex
+		away    bool
+		version store.Version
+		keys    []string
+	}
+
+	// sink keeps the keys that it was told last.
+	sink struct {
+		mu   sync.Mutex
+		keys []string
+	}
+)
+
+func (f *feed) All(context.Context) ([]store.Object, store.Version, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.away {
+		return nil, 0, store.ErrUnavailable
+	}
+	var all []store.Object
+	for _, key := range f.keys {
+		all = append(all, store.Object{Key: key, Version: f.version})
+	}
+	return all, f.version, nil
+}
+
+func (f *feed) Changes(ctx context.Context, after store.Version, wait time.Duration) ([]store.Change, store.Version, error) {
+	select {
+	case <-time.After(wait):
+	case <-ctx.Done():
+		return nil, 0, ctx.Err()
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.away {
+		return nil, 0, store.ErrUnavailable
+	}
+	return nil, after, nil
+}
+
+func (f *feed) set(away bool, version store.Version, keys ...string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.away, f.version, f.keys = away, version, keys
+}
+
+func (s *sink) Replace(_ time.Time, all []store.Object) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.keys = nil
+	for _, o := range all {
+		s.keys = append(s.keys, o.Key)
+	}
+}
+
+func (*sink) Change(time.Time, store.Object) {}
+
+func (*sink) Remove(time.Time, string) {}
+
+func (*sink) Resumed(time.Time, time.Duration) {}
+
+func (s *sink) set(keys ...string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.keys = keys
+}
+
+func (s *sink) has() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.keys
+}
+
+// TestTakingOver tells what another entry's knowledge does while the store is away
+// and after it is back.
+func TestTakingOver(t *testing.T) {
+	tests := map[string]struct {
+		// before is the store's first state; version 0 is a store that was
+		// away from the start.
+		before store.Version
+		// hint is the newest change that another entry says it knows.
+		hint store.Version
+		// missing tells whether something is to be asked of it.
+		missing bool
+		// adopt is the version that it tells then.
+		adopt store.Version
+		// adopted tells whether that is taken in.
+		adopted bool
+	}{
+		"nothing known yet":            {0, 5, true, 5, true},
+		"nobody to ask":                {0, 0, true, 0, false},
+		"the other knows more":         {4, 5, true, 5, true},
+		"the other knows as much":      {5, 5, false, 5, false},
+		"the other has learnt more":    {4, 5, true, 6, true},
+		"an old answer comes too late": {4, 5, true, 3, false},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				ctx, cancel := context.WithCancel(t.Context())
+				fd, s := &feed{}, &sink{}
+				fd.set(tt.before == 0, tt.before, "listed")
+				f := &follow.Follower{
+					Feed: fd, Kind: follow.Servers, Sink: s, Timeout: time.Second, ShortWait: time.Second, LongWait: time.Minute,
+					Batch: time.Second, Patience: time.Second, Scout: func() bool { return true }, Log: slog.New(slog.DiscardHandler),
+				}
+				go f.Run(ctx)
+				time.Sleep(10 * time.Second)
+				fd.set(true, 0)
+				time.Sleep(10 * time.Second)
+				f.Hint(tt.hint)
+				time.Sleep(10 * time.Second)
+				is.Equal(f.Missing(), tt.missing)
+				is.Equal(f.Adopt(tt.adopt, func() { s.set("told") }), tt.adopted)
+				is.Equal(len(s.has()) > 0 && s.has()[0] == "told", tt.adopted)
+				// The store's word goes before that of another entry.
+				fd.set(false, 9, "listed anew")
+				time.Sleep(10 * time.Second)
+				is.Equal(s.has(), []string{"listed anew"})
+				is.True(!f.Missing())
+				is.True(!f.Adopt(8, func() { s.set("told late") }))
+				is.Equal(s.has(), []string{"listed anew"})
+				cancel()
+				synctest.Wait()
+			})
+		})
+	}
+}
+
+func TestCapture(t *testing.T) {
+	is := is.New(t)
+	f := &follow.Follower{Log: slog.New(slog.DiscardHandler)}
+	var got store.Version
+	f.Capture(func(v store.Version) { got = v })
+	is.Equal(got, store.Version(0)) // nothing is known
+	is.True(f.Adopt(7, func() {}))
+	f.Capture(func(v store.Version) { got = v })
+	is.Equal(got, store.Version(7))
+}
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -45,11 +45,11 @@
 	// Config is a configuration in force. It must not be changed.
 	Config struct {
 		// Version is its version.
-		Version id.Version
+		Version id.Version `json:"version"`
 		// Routes finds routes.
-		Routes *route.Table
+		Routes *route.Table `json:"routes"`
 		// MaxBody is the longest body of a request in bytes; 0 is no bound.
-		MaxBody int64
+		MaxBody int64 `json:"maxBody"`
 	}
 
 	// Headers names the headers that callers, entries and servers exchange.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -33,7 +33,10 @@
 	"github.com/shallotpier/shallotpier/internal/beacon"
 	"github.com/shallotpier/shallotpier/internal/directory"
 	"github.com/shallotpier/shallotpier/internal/dispatch"
+	"github.com/shallotpier/shallotpier/internal/follow"
 	"github.com/shallotpier/shallotpier/internal/forward"
+	"github.com/shallotpier/shallotpier/internal/peer"
+	"github.com/shallotpier/shallotpier/internal/peer/rpc"
 	"github.com/shallotpier/shallotpier/internal/quarantine"
 	"github.com/shallotpier/shallotpier/internal/roster"
 	"github.com/shallotpier/shallotpier/internal/upstream"
@@ -80,9 +83,9 @@
 	Config struct {
 		forward.Config
 		// Services holds what it says of the services' servers.
-		Services map[id.Service]roster.Service
+		Services map[id.Service]roster.Service `json:"services"`
 		// Idle is how long a caller's connection may stay unused.
-		Idle time.Duration
+		Idle time.Duration `json:"idle"`
 	}
 
 	// Bounds are what may change while an entry runs.
@@ -106,21 +109,13 @@
 		// BeaconTimeout is how long an entry may be silent while it counts as
 		// alive.
 		BeaconTimeout time.Duration
-		// Changes returns the newest changes of the store that the entry knows,
-		// by kind of object; nil if there is no such source.
-		Changes func() map[string]uint64
-		// Steady returns for how long the store has answered all along; nil if
-		// there is no such source.
-		Steady func(now time.Time) time.Duration
-		// Heard takes in those that another entry knows.
-		Heard func(changes map[string]uint64)
+		// Store holds the followers of the store's objects. They may be added
+		// until Run.
+		Store follow.Group
 		// Closing is called during a planned stop when callers are not listened to
 		// any more; the stop waits for its return as long as it may. nil is not
 		// called.
 		Closing func()
-		// StoreAge returns how long ago the store said which servers there are;
-		// nil if there is no such source.
-		StoreAge func(now time.Time) time.Duration
 		// Headers names the headers of requests and answers.
 		Headers forward.Headers
 		// Load returns what a server's answer says of its load, nil if nothing.
@@ -148,7 +143,8 @@
 		upstream *upstream.Client
 		handler  *forward.Handler
 		idle     idleConnections
-		peers    net.PacketConn
+		beacons  net.PacketConn
+		peers    rpc.Node
 		wg       sync.WaitGroup
 	}
 )
@@ -164,6 +160,9 @@
 		Quarantine: n.Quarantine, Resends: n.resends, Leaving: n.leaving.Load, Headers: o.Headers, Load: o.Load,
 		StoreAge: n.storeAge, Log: o.Log, Metrics: o.Metrics,
 	}
+	n.peers.Self = peer.Sender{Instance: o.Self.Instance, Incarnation: o.Self.Incarnation}
+	n.peers.Dial = n.dialPeer
+	n.peers.Register(snapshotMethod, n.answerSnapshot)
 	n.gauges(o.Metrics)
 	return n
 }
@@ -194,6 +193,9 @@
 	n.Roster.SetColdBound(b.Cold)
 }
 
+// Store returns the followers of the store's objects.
+func (n *Node) Store() follow.Group { return n.options.Store }
+
 // Listed notes that the roster holds a whole list of the servers.
 func (n *Node) Listed() { n.listed.Store(true) }
 
@@ -206,12 +208,8 @@
 func (n *Node) Self() beacon.Node {
 	self := n.options.Self
 	self.Ready = n.Ready()
-	if n.options.Changes != nil {
-		self.Changes = n.options.Changes()
-	}
-	if n.options.Steady != nil {
-		self.Steady = n.options.Steady(time.Now())
-	}
+	self.Changes = n.options.Store.Changes()
+	self.Steady = n.options.Store.Steady(follow.Servers, time.Now())
 	if n.Quarantine.Watching() {
 		self.Crashes = n.Quarantine.News(time.Now(), beacon.MaxCrashes)
 	}
@@ -220,9 +218,7 @@
 
 // heard takes in another entry's news.
 func (n *Node) heard(now time.Time, other beacon.Node) {
-	if n.options.Heard != nil {
-		n.options.Heard(other.Changes)
-	}
+	n.options.Store.Hint(other.Changes)
 	for _, news := range other.Crashes {
 		n.Quarantine.Learn(now, news)
 	}
@@ -294,16 +290,27 @@
 	if err != nil {
 		return eris.Wrap(err, "listen for callers")
 	}
-	n.peers, err = net.ListenPacket("udp", o.Self.Peers.String())
+	n.beacons, err = net.ListenPacket("udp", o.Self.Peers.String())
+	if err != nil {
+		return eris.Wrap(err, "listen for entries")
+	}
+	defer func() { _ = n.beacons.Close() }()
+	peers, err := net.Listen("tcp", o.Self.Peers.String())
 	if err != nil {
 		return eris.Wrap(err, "listen for entries")
 	}
-	defer func() { _ = n.peers.Close() }()
+	defer n.peers.Close()
 	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	n.wg.Go(func() { n.tick(background) })
+	n.wg.Go(func() { n.relay(background) })
 	n.wg.Go(func() {
-		if err := n.Beacon.Run(background, n.peers); err != nil {
+		if err := n.peers.Serve(background, peers); err != nil {
+			o.Log.Error("other entries are not answered any more", "err", err)
+		}
+	})
+	n.wg.Go(func() {
+		if err := n.Beacon.Run(background, n.beacons); err != nil {
 			o.Log.Error("beacons ended", "err", err)
 		}
 	})
@@ -330,7 +337,7 @@
 	o := &n.options
 	o.Log.Info("leaving", "running", n.handler.Running())
 	n.leaving.Store(true)
-	n.Beacon.Announce(n.peers)
+	n.Beacon.Announce(n.beacons)
 	grace := n.bounds.Load().Grace
 	serve := time.Duration(float64(grace) * serveShare)
 	time.Sleep(serve)
@@ -388,12 +395,7 @@
 	return &c.Config
 }
 
-func (n *Node) storeAge() time.Duration {
-	if n.options.StoreAge == nil {
-		return 0
-	}
-	return n.options.StoreAge(time.Now())
-}
+func (n *Node) storeAge() time.Duration { return n.options.Store.Age(follow.Servers, time.Now()) }
 
 // resends returns this entry's part of what all may send again.
 func (n *Node) resends() forward.Resends {
--- /dev/null
+++ b/internal/node/snapshot_test.go
@@ -0,0 +1,98 @@
+package node_test
+
+import (
+	"context"
+	"log/slog"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/shallotpier/shallotpier/internal/follow"
+	"github.com/shallotpier/shallotpier/internal/node"
+	"github.com/shallotpier/shallotpier/internal/roster"
+	"github.com/shallotpier/shallotpier/internal/store"
+	"github.com/shallotpier/shallotpier/pkg/id"
+)
+
+type (
+	// awayFeed is a store that never answers.
+	awayFeed struct{}
+
+	noSink struct{}
+)
+
+func (awayFeed) All(context.Context) ([]store.Object, store.Version, error) {
+	return nil, 0, store.ErrUnavailable
+}
+
+func (awayFeed) Changes(context.Context, store.Version, time.Duration) ([]store.Change, store.Version, error) {
+	return nil, 0, store.ErrUnavailable
+}
+
+func (noSink) Replace(time.Time, []store.Object) {}
+
+func (noSink) Change(time.Time, store.Object) {}
+
+func (noSink) Remove(time.Time, string) {}
+
+func (noSink) Resumed(time.Time, time.Duration) {}
+
+// awayGroup follows all kinds at a store that never answers.
+func awayGroup() follow.Group {
+	g := make(follow.Group)
+	for _, kind := range []follow.Kind{follow.Servers, follow.Configuration, follow.EvacuatedZones} {
+		g[kind] = &follow.Follower{
+			Feed: awayFeed{}, Kind: kind, Sink: noSink{}, Scout: func() bool { return false }, Log: slog.New(slog.DiscardHandler),
+		}
+	}
+	return g
+}
+
+// An entry that starts while the store is away serves by what another one knows.
+func TestAnEntryStartsWhileTheStoreIsAway(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error, 2)
+	start := func(name id.Instance) *node.Node {
+		g := awayGroup()
+		n := newNode(t, func(o *node.Options) { o.Self.Instance, o.Store = name, g })
+		g.Run(ctx)
+		return n
+	}
+	first, second := start("entry-1"), start("entry-2")
+	now := time.Now()
+	group := first.Store()
+	group[follow.Configuration].Adopt(4, func() { first.Configure(configOf(7, "/x/")) })
+	group[follow.EvacuatedZones].Adopt(5, func() { first.Roster.Evacuate(now, map[id.Zone]bool{"b-1": true}) })
+	servers := []roster.Server{
+		{Name: "i-1", Service: svc, Address: "127.0.0.1:1", Zone: "a-1", Region: "a", Slots: 6, Born: 12},
+		{Name: "i-2", Service: svc, Address: "127.0.0.1:2", Zone: "b-1", Region: "b", Slots: 6},
+		{Name: "i-3", Service: svc, Address: "127.0.0.1:3", Zone: "a-1", Region: "a", Slots: 6, Leaving: true},
+	}
+	group[follow.Servers].Adopt(6, func() {
+		first.Roster.Replace(now, servers)
+		first.Listed()
+	})
+	first.Beacon.Meet(second.Self().Peers)
+	for _, n := range []*node.Node{first, second} {
+		go func() { ended <- n.Run(ctx) }()
+	}
+	for end := time.Now().Add(3 * time.Second); !second.Ready() && time.Now().Before(end); {
+		time.Sleep(20 * time.Millisecond)
+	}
+	is.True(second.Ready())
+	is.Equal(second.Roster.Servers(now), servers)
+	is.Equal(second.Roster.Evacuated(), []id.Zone{"b-1"})
+	is.Equal(len(second.Roster.View().Members(svc)), 1) // neither evacuated nor leaving
+	is.Equal(second.Self().Changes[follow.Servers], store.Version(6))
+	// A change that only the first hears of reaches the second too.
+	group[follow.Servers].Adopt(9, func() { first.Roster.Remove(time.Now(), "i-1") })
+	for end := time.Now().Add(3 * time.Second); len(second.Roster.Servers(now)) > 2 && time.Now().Before(end); {
+		time.Sleep(20 * time.Millisecond)
+	}
+	is.Equal(len(second.Roster.Servers(now)), 2)
+	cancel()
+	is.NoErr(<-ended)
+	is.NoErr(<-ended)
+}
--- a/internal/roster/member.go
+++ b/internal/roster/member.go
@@ -90,6 +90,13 @@
 	return now.Before(m.state.cold)
 }
 
+// coldLeft returns how much longer the server is cold.
+func (m *Member) coldLeft(now time.Time) time.Duration {
+	m.state.mu.Lock()
+	defer m.state.mu.Unlock()
+	return max(m.state.cold.Sub(now), 0)
+}
+
 // Busy estimates how many requests of all entries the server has, from its last
 // report and this entry's own count.
 func (m *Member) Busy(now time.Time) float64 {
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -41,33 +41,33 @@
 	// Server is a backend server as it registered itself.
 	Server struct {
 		// Name is its name, new with most starts.
-		Name id.Server
+		Name id.Server `json:"name"`
 		// Service is the service that it belongs to.
-		Service id.Service
+		Service id.Service `json:"service"`
 		// Address is its IP address and port.
-		Address string
+		Address string `json:"address"`
 		// Zone is the availability zone it stands in.
-		Zone id.Zone
+		Zone id.Zone `json:"zone"`
 		// Region is the region of the zone.
-		Region id.Region
+		Region id.Region `json:"region"`
 		// Slots is how many requests it runs at the same time.
-		Slots int
+		Slots int `json:"slots"`
 		// Born tells its starts apart: the Unix time of the start in
 		// milliseconds, 0 if it is not known.
-		Born int64
+		Born int64 `json:"born"`
 		// Leaving marks a server that gets no new requests.
-		Leaving bool
+		Leaving bool `json:"leaving"`
 		// Cold is how much longer it is slow, as of its registration.
-		Cold time.Duration
+		Cold time.Duration `json:"cold"`
 	}
 
 	// Service holds what a configuration says of a service's servers.
 	Service struct {
 		// ColdTime is how long a server stays cold after its start.
-		ColdTime time.Duration
+		ColdTime time.Duration `json:"coldTime"`
 		// ColdRate is how many requests a second a cold server takes from all
 		// entries together.
-		ColdRate float64
+		ColdRate float64 `json:"coldRate"`
 	}
 
 	// ColdBound is how far the requests of all entries to a cold server may go
@@ -121,6 +121,28 @@
 // must not change the slice.
 func (v *View) Members(svc id.Service) []*Member { return v.services[svc] }
 
+// Servers returns the servers that are known, those that are leaving included, by
+// name.
+func (r *Roster) Servers(now time.Time) []Server {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out := make([]Server, 0, len(r.members))
+	for _, m := range r.members {
+		s := m.Server
+		s.Cold = m.coldLeft(now)
+		out = append(out, s)
+	}
+	slices.SortFunc(out, func(a, b Server) int { return strings.Compare(string(a.Name), string(b.Name)) })
+	return out
+}
+
+// Evacuated returns the zones whose servers get nothing, by name.
+func (r *Roster) Evacuated() []id.Zone {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return zoneNames(r.evacuated)
+}
+
 // Put adds a server or takes in that it changed.
 func (r *Roster) Put(now time.Time, s Server) {
 	r.mu.Lock()
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -15,11 +15,14 @@
 package route
 
 import (
+	"encoding/json"
 	"net"
 	"slices"
 	"strings"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/shallotpier/shallotpier/pkg/id"
 	"github.com/shallotpier/shallotpier/pkg/service"
 )
@@ -29,38 +32,38 @@
 	// changed once it is in a Table.
 	Route struct {
 		// Name is the route's name, for logs and metrics.
-		Name string
+		Name string `json:"name"`
 		// Host is the host that requests name, without a port.
-		Host string
+		Host string `json:"host"`
 		// Prefix begins the path of its requests, and begins and ends with a
 		// slash.
-		Prefix string
+		Prefix string `json:"prefix"`
 		// Kind is what may be sent again: Read, Write or Upload.
-		Kind service.Kind
+		Kind service.Kind `json:"kind"`
 		// Parts are the services that share the requests.
-		Parts []Part
+		Parts []Part `json:"parts"`
 		// Regions are the only regions where requests may run; empty is any.
-		Regions []id.Region
+		Regions []id.Region `json:"regions,omitempty"`
 		// Attempts is the greatest number of servers that one request is sent
 		// to.
-		Attempts int
+		Attempts int `json:"attempts"`
 		// Timeout is the longest time to the final answer; 0 is no bound.
-		Timeout time.Duration
+		Timeout time.Duration `json:"timeout"`
 		// Objective is the latency within which an answer is worth most.
-		Objective time.Duration
+		Objective time.Duration `json:"objective"`
 		// Priority is the rank of the requests, 0 for the most urgent.
-		Priority int
+		Priority int `json:"priority"`
 		// Affinity tells that a server answers faster for an object that it
 		// handled recently.
-		Affinity bool
+		Affinity bool `json:"affinity"`
 	}
 
 	// Part is one service of a route.
 	Part struct {
 		// Service is the service's name.
-		Service id.Service
+		Service id.Service `json:"service"`
 		// Weight is the service's share, relative to the other parts.
-		Weight int
+		Weight int `json:"weight"`
 	}
 
 	// Table finds routes.
@@ -82,6 +85,47 @@
 	return t
 }
 
+// MarshalJSON encodes the table as a list of its routes.
+func (t *Table) MarshalJSON() ([]byte, error) {
+	all := []*Route{}
+	for _, list := range t.hosts {
+		all = append(all, list...)
+	}
+	slices.SortFunc(all, func(a, b *Route) int { return strings.Compare(a.Name, b.Name) })
+	return json.Marshal(all)
+}
+
+// UnmarshalJSON decodes and checks a list of routes.
+func (t *Table) UnmarshalJSON(data []byte) error {
+	var all []*Route
+	if err := json.Unmarshal(data, &all); err != nil {
+		return err
+	}
+	for _, r := range all {
+		if err := r.check(); err != nil {
+			return err
+		}
+	}
+	*t = *NewTable(all)
+	return nil
+}
+
+func (r *Route) check() error {
+	switch {
+	case r == nil:
+		return eris.New("route is null")
+	case !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/"):
+		return eris.Errorf("route %q: prefix %q doesn't begin and end with a slash", r.Name, r.Prefix)
+	case r.Kind != service.Read && r.Kind != service.Write && r.Kind != service.Upload:
+		return eris.Errorf("route %q: kind %q is not known", r.Name, r.Kind)
+	case len(r.Parts) == 0:
+		return eris.Errorf("route %q: no service", r.Name)
+	case r.Timeout < 0 || r.Objective < 0:
+		return eris.Errorf("route %q: timeout %v and objective %v, must not be negative", r.Name, r.Timeout, r.Objective)
+	}
+	return nil
+}
+
 // Match returns the route of a request, nil if there is none. The host may
 // carry a port.
 func (t *Table) Match(host, path string) *Route {
