beacon, platform: beacons by zones; entries that are gone are forgotten

Cause: beacons went from each entry to all. Change: the first two entries of a zone lead it; entries send beacons to the leaders of their zone, leaders to their zone and to the leaders of others. A server's rank among entries is found when it is cold, not at each change of the roster. Ruled out: beacons to a random few with the whole list (a datagram of 24 KB at 300 entries); leases on registrations (a write an entry every few seconds). Tests: 32 entries in memory: leaders lost, stops, restarts, 10% loss, news within 1 s.

--- /dev/null
+++ b/internal/beacon/many_test.go
@@ -0,0 +1,266 @@
+package beacon_test
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/shallotpier/shallotpier/internal/beacon"
+	"github.com/shallotpier/shallotpier/internal/follow"
+	"github.com/shallotpier/shallotpier/internal/store"
+	"github.com/shallotpier/shallotpier/pkg/id"
+)
+
+// Sizes and bounds of a deployment of many entries.
+const (
+	manyZones  = 4
+	zoneSize   = 8
+	settleTime = 5 * time.Second
+	// goneTime is within what an entry that ended must not be named any more:
+	// the platform's stable window of 3 s, and 3 s more, of which callers may use
+	// an answer of the directory for none.
+	goneTime = 6 * time.Second
+)
+
+type (
+	// deployment is many entries that each know the addresses of all.
+	deployment struct {
+		t       *testing.T
+		rng     *rand.Rand
+		mu      sync.Mutex
+		loss    float64
+		entries []*member
+		byAddr  map[string]*member
+	}
+
+	// member is one entry.
+	member struct {
+		deployment *deployment
+		self       beacon.Node
+		beacon     *beacon.Beacon
+		inbox      chan []byte
+		cancel     context.CancelFunc
+		sent       atomic.Int64
+		ready      atomic.Bool
+		starts     atomic.Uint64
+		change     atomic.Uint64 // of the store, as this entry knows
+		heard      atomic.Uint64 // as it has heard of
+	}
+
+	memberConn struct {
+		net.PacketConn
+		member *member
+		ended  <-chan struct{}
+	}
+)
+
+func (c *memberConn) WriteTo(p []byte, to net.Addr) (int, error) {
+	d := c.member.deployment
+	d.mu.Lock()
+	lost := d.rng.Float64() < d.loss
+	other := d.byAddr[to.String()]
+	d.mu.Unlock()
+	c.member.sent.Add(1)
+	if !lost && other != nil {
+		data := append([]byte(nil), p...)
+		time.AfterFunc(10*time.Millisecond, func() {
+			select {
+			case other.inbox <- data:
+			default:
+			}
+		})
+	}
+	return len(p), nil
+}
+
+func (c *memberConn) ReadFrom(p []byte) (int, net.Addr, error) {
+	select {
+	case data := <-c.member.inbox:
+		return copy(p, data), nil, nil
+	case <-c.ended:
+		return 0, nil, net.ErrClosed
+	}
+}
+
+func (*memberConn) SetReadDeadline(time.Time) error { return nil }
+
+func newDeployment(t *testing.T) *deployment {
+	d := &deployment{t: t, rng: rand.New(rand.NewPCG(1, 0)), byAddr: make(map[string]*member)}
+	for i := range manyZones * zoneSize {
+		zone := i % manyZones
+		self := beacon.Node{
+			Instance: id.Instance(fmt.Sprintf("entry-%d-%02d", zone, i/manyZones)),
+			Zone:     id.Zone(fmt.Sprintf("z-%d", zone)), Region: "a",
+			Callers: netip.MustParseAddrPort(fmt.Sprintf("10.0.%d.%d:80", zone, 100-i)), Peers: netip.MustParseAddrPort(fmt.Sprintf("10.0.%d.%d:90", zone, 100-i)),
+		}
+		m := &member{deployment: d, self: self, inbox: make(chan []byte, 1000)}
+		m.ready.Store(true)
+		d.entries = append(d.entries, m)
+		d.byAddr[self.Peers.String()] = m
+	}
+	return d
+}
+
+// start starts an entry, which knows the addresses of all.
+func (d *deployment) start(ctx context.Context, m *member) {
+	starts := m.starts.Add(1)
+	m.beacon = &beacon.Beacon{Interval: 500 * time.Millisecond, Timeout: 2200 * time.Millisecond, Log: slog.New(slog.DiscardHandler)}
+	m.beacon.Self = func() beacon.Node {
+		self := m.self
+		self.Ready, self.Incarnation = m.ready.Load(), id.Incarnation(starts)
+		self.Changes = map[follow.Kind]store.Version{follow.Servers: store.Version(m.change.Load())}
+		return self
+	}
+	m.beacon.Heard = func(_ time.Time, news beacon.News) {
+		m.heard.Store(max(m.heard.Load(), uint64(news.Changes[follow.Servers])))
+	}
+	for _, other := range d.entries {
+		if other != m {
+			m.beacon.Meet(other.self.Zone, other.self.Peers)
+		}
+	}
+	ctx, m.cancel = context.WithCancel(ctx)
+	go func() { _ = m.beacon.Run(ctx, &memberConn{member: m, ended: ctx.Done()}) }()
+}
+
+// believed returns how many entries hold that another one is alive and ready.
+func (d *deployment) believed(of *member) int {
+	n := 0
+	for _, m := range d.entries {
+		if m == of {
+			continue
+		}
+		for _, other := range m.beacon.Alive(time.Now()) {
+			if other.Instance == of.self.Instance && other.Ready {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// within waits until a condition holds, and fails after a limit.
+func (d *deployment) within(limit time.Duration, what string, holds func() bool) {
+	d.t.Helper()
+	for end := time.Now().Add(limit); !holds(); time.Sleep(100 * time.Millisecond) {
+		if time.Now().After(end) {
+			d.t.Fatalf("not within %v: %s", limit, what)
+		}
+	}
+}
+
+func (d *deployment) settled() bool {
+	for _, m := range d.entries {
+		if len(m.beacon.Alive(time.Now())) != len(d.entries)-1 {
+			return false
+		}
+	}
+	return true
+}
+
+func TestManyEntries(t *testing.T) {
+	tests := map[string]func(is *is.I, d *deployment){
+		"few datagrams": func(is *is.I, d *deployment) {
+			var before []int64
+			for _, m := range d.entries {
+				before = append(before, m.sent.Load())
+			}
+			time.Sleep(10 * time.Second)
+			for i, m := range d.entries {
+				rate := float64(m.sent.Load()-before[i]) / 10
+				if i/manyZones < 2 {
+					is.True(rate <= 2*(zoneSize-1+2*(manyZones-1))) // a leader
+				} else {
+					is.True(rate <= 2*2)
+				}
+			}
+		},
+		"an entry ends": func(_ *is.I, d *deployment) {
+			gone := d.entries[len(d.entries)-1]
+			gone.cancel()
+			d.within(goneTime, "nobody names it", func() bool { return d.believed(gone) == 0 })
+		},
+		"both leaders of a zone end": func(is *is.I, d *deployment) {
+			for _, gone := range []*member{d.entries[0], d.entries[manyZones]} {
+				gone.cancel()
+			}
+			for range 40 {
+				time.Sleep(250 * time.Millisecond)
+				for _, m := range d.entries[2*manyZones:] {
+					is.True(d.believed(m) >= len(d.entries)-3) // all others stay known
+				}
+			}
+			is.Equal(d.believed(d.entries[0]), 0)
+		},
+		"an entry is about to stop": func(_ *is.I, d *deployment) {
+			m := d.entries[len(d.entries)-1]
+			m.ready.Store(false)
+			d.within(1500*time.Millisecond, "nobody names it", func() bool { return d.believed(m) == 0 })
+		},
+		"an entry starts again": func(_ *is.I, d *deployment) {
+			m := d.entries[len(d.entries)-2]
+			m.cancel()
+			time.Sleep(10 * time.Second)
+			d.start(d.t.Context(), m)
+			d.within(3*time.Second, "all name it", func() bool { return d.believed(m) == len(d.entries)-1 })
+			d.within(3*time.Second, "it knows all", d.settled)
+		},
+		"a change reaches all": func(_ *is.I, d *deployment) {
+			d.entries[len(d.entries)-1].change.Store(7)
+			d.within(time.Second, "all have heard", func() bool {
+				for _, m := range d.entries[:len(d.entries)-1] {
+					if m.heard.Load() != 7 {
+						return false
+					}
+				}
+				return true
+			})
+		},
+		"datagrams are lost": func(is *is.I, d *deployment) {
+			d.mu.Lock()
+			d.loss = 0.1
+			d.mu.Unlock()
+			for range 240 {
+				time.Sleep(250 * time.Millisecond)
+				is.True(d.settled())
+			}
+		},
+		"all start again": func(_ *is.I, d *deployment) {
+			for _, m := range d.entries {
+				m.cancel()
+			}
+			time.Sleep(time.Second)
+			for _, m := range d.entries {
+				d.start(d.t.Context(), m)
+			}
+			d.within(settleTime, "all know all", d.settled)
+		},
+	}
+	for name, check := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				d := newDeployment(t)
+				for _, m := range d.entries {
+					d.start(t.Context(), m)
+				}
+				d.within(settleTime, "all know all", d.settled)
+				time.Sleep(settleTime)
+				check(is.New(t), d)
+				for _, m := range d.entries {
+					m.cancel()
+				}
+				time.Sleep(time.Second)
+			})
+		})
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -216,11 +216,11 @@
 	return self
 }
 
-// heard takes in another entry's news.
-func (n *Node) heard(now time.Time, other beacon.Node) {
-	n.options.Store.Hint(other.Changes)
-	for _, news := range other.Crashes {
-		n.Quarantine.Learn(now, news)
+// heard takes in the news of other entries.
+func (n *Node) heard(now time.Time, news beacon.News) {
+	n.options.Store.Hint(news.Changes)
+	for _, crash := range news.Crashes {
+		n.Quarantine.Learn(now, crash)
 	}
 }
 
--- a/internal/node/snapshot.go
+++ b/internal/node/snapshot.go
@@ -128,7 +128,7 @@
 	known := n.options.Store
 	for _, addr := range s.Entries {
 		if addr.IsValid() && addr != n.options.Self.Peers {
-			n.Beacon.Meet(addr)
+			n.Beacon.Meet("", addr)
 		}
 	}
 	if p := s.Configuration; p != nil && p.Value != nil && known[follow.Configuration] != nil {
--- a/internal/roster/member.go
+++ b/internal/roster/member.go
@@ -23,14 +23,12 @@
 		// Seed stands for the server in rankings.
 		Seed uint64
 
-		lapses time.Time
-		cold   Service
-		// coldLimit is how many requests this entry may send in a second while
-		// the server is cold.
-		coldLimit int
-		state     *state
-		reach     *reach
-		pace      *pace
+		lapses  time.Time
+		cold    Service
+		sharing *sharing
+		state   *state
+		reach   *reach
+		pace    *pace
 	}
 
 	// Load is a server's own count of its requests, of all entries.
@@ -80,6 +78,13 @@
 	return &Member{Server: s, Seed: owner.Seed(s.Name), state: &state{}, reach: path, pace: usual}
 }
 
+// coldLimit returns how many requests this entry may send in a second while the
+// server is cold.
+func (m *Member) coldLimit() int {
+	bound := m.cold.ColdRate*m.sharing.bound.Overshoot + m.sharing.bound.Allowance
+	return coldrate.Share(bound, len(m.sharing.others)+1, m.sharing.rank(m.Seed))
+}
+
 // InFlight returns how many requests of this entry the server has.
 func (m *Member) InFlight() int {
 	m.state.mu.Lock()
@@ -144,7 +149,7 @@
 	if !s.ready(now, m) {
 		return false
 	}
-	if now.Before(s.cold) && !s.rate.Take(now, m.coldLimit) {
+	if now.Before(s.cold) && !s.rate.Take(now, m.coldLimit()) {
 		return false
 	}
 	if v, _ := s.verdict(now); v == health.Trial {
@@ -224,7 +229,7 @@
 	if v, _ := s.verdict(now); v == health.No || !m.reach.open(now) {
 		return false
 	}
-	return !now.Before(s.cold) || s.rate.Free(now, m.coldLimit)
+	return !now.Before(s.cold) || s.rate.Free(now, m.coldLimit())
 }
 
 // verdict is the health's, where nothing known counts as well.
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -31,7 +31,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/shallotpier/shallotpier/internal/coldrate"
 	"github.com/shallotpier/shallotpier/internal/outlier"
 	"github.com/shallotpier/shallotpier/internal/owner"
 	"github.com/shallotpier/shallotpier/pkg/id"
@@ -103,10 +102,15 @@
 		resumed   time.Time
 		self      netip.AddrPort
 		others    []netip.AddrPort
-		// selfSeed and otherSeeds stand for the entries in rankings.
-		selfSeed   uint64
-		otherSeeds []uint64
-		coldBound  ColdBound
+		sharing   sharing
+	}
+
+	// sharing says how entries share a cold server's rate. The seeds stand for
+	// the entries in rankings.
+	sharing struct {
+		self   uint64
+		others []uint64
+		bound  ColdBound
 	}
 )
 
@@ -247,7 +251,7 @@
 func (r *Roster) SetColdBound(b ColdBound) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.coldBound = b
+	r.sharing.bound = b
 	r.publish()
 }
 
@@ -260,18 +264,18 @@
 		return
 	}
 	r.self, r.others = self, slices.Clone(others)
-	r.selfSeed, r.otherSeeds = entrySeed(self), nil
+	r.sharing.self, r.sharing.others = entrySeed(self), nil
 	for _, other := range others {
-		r.otherSeeds = append(r.otherSeeds, entrySeed(other))
+		r.sharing.others = append(r.sharing.others, entrySeed(other))
 	}
 	r.publish()
 }
 
 // rank returns how many other entries come before this one for a server.
-func (r *Roster) rank(m *Member) int {
-	own, rank := owner.Score(r.selfSeed, m.Seed), 0
-	for _, seed := range r.otherSeeds {
-		if owner.Score(seed, m.Seed) > own {
+func (s *sharing) rank(server uint64) int {
+	own, rank := owner.Score(s.self, server), 0
+	for _, seed := range s.others {
+		if owner.Score(seed, server) > own {
 			rank++
 		}
 	}
@@ -347,15 +351,13 @@
 // publish makes a new view. Members are ordered by name, so that equal rosters
 // give equal views.
 func (r *Roster) publish() {
-	v := &View{services: make(map[id.Service][]*Member)}
+	v, shared := &View{services: make(map[id.Service][]*Member)}, r.sharing
 	for _, m := range r.members {
 		if m.Leaving || r.evacuated[m.Zone] {
 			continue
 		}
 		c := *m
-		c.cold = r.services[m.Service]
-		bound := c.cold.ColdRate*r.coldBound.Overshoot + r.coldBound.Allowance
-		c.coldLimit = coldrate.Share(bound, len(r.others)+1, r.rank(m))
+		c.cold, c.sharing = r.services[m.Service], &shared
 		v.services[m.Service] = append(v.services[m.Service], &c)
 	}
 	for _, list := range v.services {
