--- a/internal/beacon/beacon.go
+++ b/internal/beacon/beacon.go
@@ -53,7 +53,7 @@
 	// hearsay is how much longer than at first hand an entry counts as alive that
 	// is known by word of others: two leaders pass the word on, each at its next
 	// beacon, of which one may be lost.
-	hearsay = 2500 * time.Millisecond
+	hearsay = 2000 * time.Millisecond
 	// hurry is the least time between two beacons that pass on news at once.
 	hurry = 100 * time.Millisecond
 )
