roster, node: new connections find whether servers are in reach, not requests

Change: an entry opens a connection, without a request, to servers that took none, after their pause, and to one server after the other of a zone that is out of reach; when a zone is reached again all its servers are checked at once. A lost zone gets no requests at all until then. Ruled out: health requests (6 ms of a slot each); probing all servers all along.

--- a/internal/health/opinion.go
+++ b/internal/health/opinion.go
@@ -120,6 +120,15 @@
 	}
 }
 
+// Reached takes in that the server took a connection after it had taken none: it
+// may be tried at once.
+func (o *Opinion) Reached(now time.Time) {
+	if o.until.After(now) {
+		o.until = now
+	}
+	o.wait = 0
+}
+
 // Out tells whether failures put the server out and no answer came since.
 func (o *Opinion) Out() bool { return o.out }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -374,12 +374,20 @@
 		case now := <-t.C:
 			n.Roster.Step(now)
 			n.Roster.SetEntries(n.options.Self.Peers, n.Beacon.Known())
+			n.check(ctx, now)
 			n.upstream.CloseIdle(now)
 			n.idle.close(now, n.idleLimit())
 		}
 	}
 }
 
+// check connects to the servers of which it is not known whether they are in reach.
+func (n *Node) check(ctx context.Context, now time.Time) {
+	for _, m := range n.Roster.Checks(now) {
+		go func() { n.Roster.Checked(time.Now(), m, n.upstream.Alive(ctx, m.Address)) }()
+	}
+}
+
 func (n *Node) idleLimit() time.Duration {
 	if c := n.config.Load(); c != nil && c.Idle > 0 {
 		return c.Idle
--- a/internal/roster/member.go
+++ b/internal/roster/member.go
@@ -67,6 +67,10 @@
 		outlier  bool
 		cold     time.Time
 		rate     coldrate.Limiter
+		// missed is when the server last took no connection; zero if it was
+		// reached since. A trial waits for a check then.
+		missed   time.Time
+		checking bool
 		// others is how many requests of other entries the server had by its
 		// last report.
 		others   float64
@@ -156,7 +160,6 @@
 		s.opinion.BeginTrial(now)
 	}
 	s.inFlight++
-	m.reach.try(now)
 	return true
 }
 
@@ -185,8 +188,10 @@
 	}
 	switch {
 	case o.Reached, o.Event == health.Answered:
-		m.reach.answered()
+		s.missed = time.Time{}
+		m.reach.answered(now)
 	case o.Event == health.ConnectFailed:
+		s.missed = now
 		m.reach.unreached(now, m.Name)
 	}
 	s.opinion.Observe(now, o.Event)
@@ -226,7 +231,8 @@
 }
 
 func (s *state) ready(now time.Time, m *Member) bool {
-	if v, _ := s.verdict(now); v == health.No || !m.reach.open(now) {
+	v, _ := s.verdict(now)
+	if v == health.No || v == health.Trial && !s.missed.IsZero() || !m.reach.open() {
 		return false
 	}
 	return !now.Before(s.cold) || s.rate.Free(now, m.coldLimit())
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -310,7 +310,7 @@
 		r.reaches = make(map[id.Zone]*reach)
 	}
 	if r.reaches[zone] == nil {
-		r.reaches[zone] = &reach{}
+		r.reaches[zone] = &reach{zone: zone, log: r.Log}
 	}
 	return r.reaches[zone]
 }
--- a/internal/roster/zone.go
+++ b/internal/roster/zone.go
@@ -1,6 +1,7 @@
 package roster
 
 import (
+	"log/slog"
 	"sync"
 	"time"
 
@@ -13,23 +14,34 @@
 	suspectServers = 3
 	// suspectSpan is the time in which they must fail.
 	suspectSpan = 2 * time.Second
-	// trialTime is the pause between two requests that try a suspected zone.
-	trialTime = 300 * time.Millisecond
+	// zoneCheckTime is the pause between two checks of a zone that is out of reach:
+	// the longest time that its callers wait for its return.
+	zoneCheckTime = 300 * time.Millisecond
 )
 
 // reach is what this entry knows of its path to an availability zone. When a zone
 // loses power or is cut off, it would otherwise find out server by server.
 type reach struct {
-	mu     sync.Mutex
-	failed map[id.Server]time.Time // since the last answer
-	tried  time.Time
+	zone id.Zone
+	log  *slog.Logger
+
+	mu       sync.Mutex
+	failed   map[id.Server]time.Time // since the last answer
+	lost     bool                    // the zone is out of reach
+	regained time.Time               // when it was last reached again
+	checked  time.Time
+	turn     int // counts the checks
 }
 
-// answered notes an answer of any server of the zone.
-func (r *reach) answered() {
+// answered notes that a server of the zone answered or took a connection.
+func (r *reach) answered(now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	clear(r.failed)
+	if r.lost {
+		r.lost, r.regained = false, now
+		r.log.Info("zone reached again", "zone", r.zone)
+	}
 }
 
 // unreached notes that a server of the zone is out of reach.
@@ -40,31 +52,41 @@
 		r.failed = make(map[id.Server]time.Time)
 	}
 	r.failed[name] = now
+	recent := 0
+	for _, at := range r.failed {
+		if now.Sub(at) < suspectSpan {
+			recent++
+		}
+	}
+	if !r.lost && recent >= suspectServers {
+		r.lost = true
+		r.log.Warn("zone out of reach", "zone", r.zone, "servers", recent)
+	}
 }
 
-// open tells whether a request may go to the zone: always if the zone is not
-// suspected, and as a trial from time to time otherwise.
-func (r *reach) open(now time.Time) bool {
+// open tells whether requests may go to the zone.
+func (r *reach) open() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return !r.suspected(now) || now.Sub(r.tried) >= trialTime
+	return !r.lost
 }
 
-// try notes a request to the zone, which is a trial if the zone is suspected.
-func (r *reach) try(now time.Time) {
+// regainedSince tells whether the zone was reached again after a time.
+func (r *reach) regainedSince(at time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if len(r.failed) > 0 {
-		r.tried = now
-	}
+	return r.regained.After(at)
 }
 
-func (r *reach) suspected(now time.Time) bool {
-	recent := 0
-	for _, at := range r.failed {
-		if now.Sub(at) < suspectSpan {
-			recent++
-		}
+// check returns which of so many servers of the zone is to be checked now; -1 if
+// none is.
+func (r *reach) check(now time.Time, servers int) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.lost || servers == 0 || now.Sub(r.checked) < zoneCheckTime {
+		return -1
 	}
-	return recent >= suspectServers
+	r.checked = now
+	r.turn++
+	return r.turn % servers
 }
