model, dispatch, cli: load patterns and policies to compare, with plots

Change: the load patterns and the policies of the model's tests are a catalogue of the model, and shallotpier bench policies compares two of them on the same arrivals, over seeds, as text, JSON or a plot. Limits of the dispatcher are fields with defaults, so that variants are policies too.

--- a/internal/cli/bench.go
+++ b/internal/cli/bench.go
@@ -28,7 +28,7 @@
 		Name:        "bench",
 		Usage:       "measure look-ups or requests on loopback, open loop",
 		Description: "Examples:\n   shallotpier bench lookup --target 127.0.0.1:21001 --service registry\n   shallotpier bench request --url http://127.0.0.1:21001/s/registry/findings/4 --against http://127.0.0.1:21101/findings/4",
-		Commands:    []*urfave.Command{a.benchLookupCommand(), a.benchRequestCommand(), a.benchSlopesCommand()},
+		Commands:    []*urfave.Command{a.benchLookupCommand(), a.benchRequestCommand(), a.benchSlopesCommand(), a.benchPoliciesCommand()},
 	}
 }
 
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -24,6 +24,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -35,40 +36,34 @@
 	"github.com/shallotpier/shallotpier/pkg/service"
 )
 
+// Limits of a Dispatcher that names none.
 const (
-	// fullQueue is how many requests an owner may have, in multiples of its
-	// slots, before the next in the ranking is asked. At that point a request
-	// waits about as long as the work that a server saves for an object that it
-	// knows.
+	// fullQueue is a queue in which a request waits about as long as the work that
+	// a server saves for an object that it knows.
 	fullQueue = 2.0
-	// familiarLoad is how many requests a server may have, in multiples of its
-	// slots, to take those of an owner without a free slot, if it should know the
-	// object.
+	// overflow is a little more; servers refuse what they can't queue, unrun.
+	overflow = 2.5
+	// familiarLoad leaves a free slot at a server whose load is a little out of
+	// date.
 	familiarLoad = 0.8
-	// familiarShare is how many they may be as a part of the owner's, while no server
-	// that knows the object has a free slot. At equal loads nothing moves.
+	// familiarShare moves nothing between servers of about the same load.
 	familiarShare = 0.7
-	// spareLoad is how many requests a server may have, in multiples of its
-	// slots, to take those of another owner: the reports that it is judged by
-	// are late, and all entries go by them.
+	// spareLoad is small since the reports that servers are judged by are late,
+	// and all entries go by them.
 	spareLoad = 0.5
-	// overflow is how many requests an owner may have while no other server has
-	// room. Servers refuse what they can't queue, unrun.
-	overflow = 2.5
-	// queueObjectives is how late an answer may be expected, in multiples of the
-	// route's objective, so that a request still queues. Answers that come much
-	// later are worth little, and the queue would make those behind it late as well.
+	// queueObjectives are about what an answer is worth waiting for: those that
+	// come much later are worth little, and the queue would make those behind it
+	// late as well.
 	queueObjectives = 1.5
-	// surelyInTime is the part of that time, or of what is left until the request's
-	// deadline, within which a server is expected to answer so that the request is
-	// queued there for sure. Expectations are means: of requests that are expected
-	// to take all of their time, about half run out of it, and their work is lost.
+	// surelyInTime leaves room for the spread of times around the expected: of
+	// requests that are expected to take all of their time, about half run out of
+	// it, and their work is lost.
 	surelyInTime = 0.6
-	objectives   = 1.5
-	// anyLoad takes an owner however busy it is.
-	anyLoad = math.MaxFloat64
 )
 
+// anyLoad takes an owner however busy it is.
+const anyLoad = math.MaxFloat64
+
 // Reasons of a choice.
 const (
 	// Owner means that the server is the best ranked one.
@@ -126,10 +121,37 @@
 		Roster *roster.Roster
 		// Region is the entry's own.
 		Region id.Region
+		// Limits say when a request leaves its owner; those that are 0 are the
+		// package's own.
+		Limits Limits
 
 		visits familiar
 	}
 
+	// Limits say when a request leaves its owner. Loads are requests of all
+	// entries in multiples of a server's slots.
+	Limits struct {
+		// FullQueue is the owner's load from which a server with room is asked.
+		FullQueue float64
+		// Overflow is the owner's load from which a request is turned away.
+		Overflow float64
+		// FamiliarLoad is the load up to which a server that knows the object
+		// takes requests of an owner without a free slot.
+		FamiliarLoad float64
+		// FamiliarShare is the same as a part of the owner's load.
+		FamiliarShare float64
+		// SpareLoad is the load up to which a server has room for objects that it
+		// doesn't know.
+		SpareLoad float64
+		// QueueObjectives is how late an answer may be expected, in multiples of
+		// the route's objective, so that a request still queues.
+		QueueObjectives float64
+		// SurelyInTime is the part of that time, or of what is left until the
+		// request's deadline, within which a server is expected to answer so that
+		// the request queues there for sure.
+		SurelyInTime float64
+	}
+
 	// candidate is a server with its rank for a request; the greatest is best.
 	candidate struct {
 		member *roster.Member
@@ -139,6 +161,16 @@
 	}
 )
 
+// orDefault fills in the package's own limits.
+func (l Limits) orDefault() Limits {
+	return Limits{
+		FullQueue: cmp.Or(l.FullQueue, fullQueue), Overflow: cmp.Or(l.Overflow, overflow),
+		FamiliarLoad: cmp.Or(l.FamiliarLoad, familiarLoad), FamiliarShare: cmp.Or(l.FamiliarShare, familiarShare),
+		SpareLoad: cmp.Or(l.SpareLoad, spareLoad), QueueObjectives: cmp.Or(l.QueueObjectives, queueObjectives),
+		SurelyInTime: cmp.Or(l.SurelyInTime, surelyInTime),
+	}
+}
+
 // Choose returns the server for a request, with the request begun there.
 func (d *Dispatcher) Choose(now time.Time, req *Request) Choice {
 	members := d.Roster.View().Members(req.Service)
@@ -159,6 +191,7 @@
 
 // pick returns the server that should get the request.
 func (d *Dispatcher) pick(now time.Time, members []*roster.Member, req *Request, skipped []*roster.Member) Choice {
+	limits := d.Limits.orDefault()
 	first := d.best(now, members, req, anyLoad, skipped)
 	if first == nil {
 		return Choice{Reason: NoServer}
@@ -168,19 +201,19 @@
 	if load < 1 {
 		return c
 	}
-	if m := d.familiar(now, members, req, load, skipped); m != nil {
+	if m := d.familiar(now, members, req, max(limits.FamiliarLoad, limits.FamiliarShare*load), skipped); m != nil {
 		c.Server, c.Reason = m, Familiar
 		return c
 	}
-	timely := inTime(now, first, req)
-	if load < fullQueue && timely {
+	timely := inTime(now, first, req, &limits)
+	if load < limits.FullQueue && timely {
 		return c
 	}
-	if m := d.best(now, members, req, spareLoad, skipped); m != nil {
+	if m := d.best(now, members, req, limits.SpareLoad, skipped); m != nil {
 		c.Server, c.Reason = m, Spill
 		return c
 	}
-	if load < overflow && timely {
+	if load < limits.Overflow && timely {
 		c.Reason = Queue
 		return c
 	}
@@ -189,27 +222,26 @@
 }
 
 // inTime tells whether a request that queues at a server is to be answered in time.
-// Between surelyInTime and all of its time, a part of the requests is turned away
+// Between SurelyInTime and all of its time, a part of the requests is turned away
 // that grows with the time that they are expected to take: entries that judge by
 // the same load then don't all turn away at the same moment.
-func inTime(now time.Time, m *roster.Member, req *Request) bool {
+func inTime(now time.Time, m *roster.Member, req *Request, limits *Limits) bool {
 	left := req.Left
-	if o := time.Duration(float64(req.Route.Objective) * queueObjectives); o > 0 && (left <= 0 || o < left) {
+	if o := time.Duration(float64(req.Route.Objective) * limits.QueueObjectives); o > 0 && (left <= 0 || o < left) {
 		left = o
 	}
 	if left <= 0 {
 		return true
 	}
 	share := float64(m.Expected(now)) / float64(left)
-	return share < surelyInTime+(1-surelyInTime)*req.Draw
+	return share < limits.SurelyInTime+(1-limits.SurelyInTime)*req.Draw
 }
 
 // familiar returns the least busy server that should know the request's object and
-// has a free slot, or much fewer requests than the owner, whose load on a slot is
-// given; nil if there is none.
-func (d *Dispatcher) familiar(now time.Time, members []*roster.Member, req *Request, ownerLoad float64, skipped []*roster.Member) *roster.Member {
+// has less than a load; nil if there is none.
+func (d *Dispatcher) familiar(now time.Time, members []*roster.Member, req *Request, limit float64, skipped []*roster.Member) *roster.Member {
 	var found *roster.Member
-	least := max(familiarLoad, familiarShare*ownerLoad)
+	least := limit
 	for _, m := range members {
 		if !d.visits.knows(now, req.Key, m.Name) {
 			continue
--- a/internal/model/model.go
+++ b/internal/model/model.go
@@ -27,7 +27,6 @@
 	"time"
 
 	"github.com/shallotpier/shallotpier/internal/dispatch"
-	"github.com/shallotpier/shallotpier/internal/roster"
 	"github.com/shallotpier/shallotpier/internal/route"
 	"github.com/shallotpier/shallotpier/pkg/id"
 	"github.com/shallotpier/shallotpier/pkg/service"
@@ -102,7 +101,7 @@
 		// Attempts is how many servers one request may be sent to.
 		Attempts int
 		// Policy makes an entry's policy; nil is a dispatch.Dispatcher.
-		Policy func(r *roster.Roster, region id.Region) Chooser
+		Policy Policy
 
 		events  queue
 		changes []change
@@ -132,6 +131,7 @@
 	// Report holds what callers saw.
 	Report struct {
 		start   time.Time
+		length  time.Duration
 		answers []answer
 	}
 
@@ -152,7 +152,7 @@
 	m.rng, m.draws = rand.New(rand.NewPCG(m.Seed, 0)), rand.New(rand.NewPCG(m.Seed, 1))
 	m.start = time.Unix(1_000_000, 0)
 	m.now = m.start
-	m.report = Report{start: m.start}
+	m.report = Report{start: m.start, length: m.Length}
 	m.servers = newServers(m)
 	for i := range m.Entries {
 		m.entries = append(m.entries, newEntry(m, i))
@@ -191,6 +191,20 @@
 	return sum / math.Max(float64(n), 1)
 }
 
+// Unserved returns the part of the requests of a span of time that were refused or
+// failed.
+func (r *Report) Unserved(from, to time.Duration) float64 {
+	unserved, n := 0.0, 0
+	for _, a := range r.answers {
+		if a.asked >= from && a.asked < to {
+			if n++; a.credit == 0 {
+				unserved++
+			}
+		}
+	}
+	return unserved / math.Max(float64(n), 1)
+}
+
 // Latency returns a quantile, 0 to 1, of the latencies of the requests that came
 // in a span of time and were answered.
 func (r *Report) Latency(q float64, from, to time.Duration) time.Duration {
