--- /dev/null
+++ b/internal/cli/platform.go
@@ -0,0 +1,164 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"os"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/rotisserie/eris"
+	urfave "github.com/urfave/cli/v3"
+
+	"github.com/shallotpier/shallotpier/internal/beliefs"
+	"github.com/shallotpier/shallotpier/internal/logread"
+	"github.com/shallotpier/shallotpier/internal/operator"
+)
+
+// askTime bounds a question to an entry on the platform.
+const askTime = 5 * time.Second
+
+type (
+	// platformStatus is what several entries believe.
+	platformStatus struct {
+		Entries     []*beliefs.Beliefs `json:"entries"`
+		Unreachable []string           `json:"unreachable,omitempty"`
+		Differences []string           `json:"differences"`
+	}
+
+	platformExplanation beliefs.Explanation
+)
+
+// platformFlag names entries on the platform.
+func platformFlag() urfave.Flag {
+	return &urfave.StringFlag{Name: "platform", Usage: "metrics `ADDRESSES` of entries on the platform, with commas"}
+}
+
+// platformOr returns the action of a command that asks entries on the platform, or
+// reads a log, if the flags say so, and one with the own interface otherwise.
+func (a *App) platformOr(platform urfave.ActionFunc, own func(context.Context, *urfave.Command, *operator.Client) error) urfave.ActionFunc {
+	asking := a.asking(own)
+	return func(ctx context.Context, cmd *urfave.Command) error {
+		if cmd.String("platform") == "" && cmd.String("log") == "" {
+			return asking(ctx, cmd)
+		}
+		return a.action(platform)(ctx, cmd)
+	}
+}
+
+// addresses returns the entries that the flags name.
+func addresses(cmd *urfave.Command) ([]string, error) {
+	var out []string
+	for text := range strings.SplitSeq(cmd.String("platform"), ",") {
+		address, err := netip.ParseAddrPort(strings.TrimSpace(text))
+		if err != nil {
+			return nil, usagef("platform %q: want addresses such as 10.1.0.10:9640", text)
+		}
+		out = append(out, address.String())
+	}
+	return out, nil
+}
+
+func (a *App) platformStatus(ctx context.Context, cmd *urfave.Command) error {
+	all, err := addresses(cmd)
+	if err != nil {
+		return err
+	}
+	s := &platformStatus{}
+	client := &http.Client{Timeout: askTime}
+	for _, address := range all {
+		b, err := beliefs.Fetch(ctx, client, address)
+		if err != nil {
+			s.Unreachable = append(s.Unreachable, fmt.Sprintf("%s: %v", address, err))
+			continue
+		}
+		s.Entries = append(s.Entries, b)
+	}
+	if len(s.Entries) > 0 {
+		s.Differences = beliefs.Differences(s.Entries)
+	}
+	if err := a.show(s); err != nil {
+		return err
+	}
+	if len(s.Unreachable) > 0 {
+		return &exitError{code: ExitUnreachable, text: fmt.Sprintf("%d of %d entries did not answer", len(s.Unreachable), len(all))}
+	}
+	return nil
+}
+
+func (a *App) platformExplain(ctx context.Context, cmd *urfave.Command) error {
+	if path := cmd.String("log"); path != "" {
+		return a.explainLog(path, cmd.String("request"))
+	}
+	all, err := addresses(cmd)
+	if err != nil {
+		return err
+	}
+	if len(all) != 1 || cmd.String("host") == "" {
+		return usagef("name one entry and the request's host")
+	}
+	e, err := beliefs.Explain(ctx, &http.Client{Timeout: askTime}, all[0], cmd.String("host"), cmd.String("path"), cmd.String("object"))
+	if err != nil {
+		return &exitError{code: ExitUnreachable, text: err.Error()}
+	}
+	return a.show((*platformExplanation)(e))
+}
+
+func (a *App) explainLog(path, request string) error {
+	if request == "" {
+		return usagef("name the request's id")
+	}
+	f, err := os.Open(path)
+	if err != nil {
+		return usagef("log: %s", err)
+	}
+	defer func() { _ = f.Close() }()
+	s, err := logread.Find(f, request)
+	if err != nil {
+		return eris.Wrapf(err, "log %q", path)
+	}
+	return a.show((*story)(s))
+}
+
+type story logread.Story
+
+func (s *story) text(w io.Writer) error { return (*logread.Story)(s).WriteText(w) }
+
+func (s *platformStatus) text(w io.Writer) error {
+	t := tabwriter.NewWriter(w, 0, 0, tabPadding, ' ', 0)
+	fmt.Fprintln(t, "ENTRY\tZONE\tREADY\tVERSION\tRUNNING\tENTRIES\tSERVERS\tUSABLE\tSTORE")
+	for _, b := range s.Entries {
+		usable, oldest := 0, time.Duration(0)
+		for _, server := range b.Servers {
+			if server.State == beliefs.Usable {
+				usable++
+			}
+		}
+		for _, k := range b.Store {
+			oldest = max(oldest, k.Age)
+		}
+		fmt.Fprintf(t, "%s\t%s\t%t\t%d\t%d\t%d of %d\t%d\t%d\t%v ago\n", b.Instance, b.Zone, b.Ready, b.Version, b.Running,
+			len(b.Entries), b.Known, len(b.Servers), usable, oldest.Round(time.Millisecond))
+	}
+	for _, line := range s.Unreachable {
+		fmt.Fprintf(t, "did not answer: %s\n", line)
+	}
+	for _, line := range s.Differences {
+		fmt.Fprintf(t, "differs: %s\n", line)
+	}
+	return t.Flush()
+}
+
+func (e *platformExplanation) text(w io.Writer) error {
+	t := tabwriter.NewWriter(w, 0, 0, tabPadding, ' ', 0)
+	fmt.Fprintf(t, "route %s, service %s: %s %s\n", e.Route, e.Service, e.Reason, e.Server)
+	fmt.Fprintln(t, "\nBACKEND SERVER\tZONE\tSTATE\tSLOTS\tBUSY\tBUSY HERE")
+	for _, s := range e.Ranking {
+		fmt.Fprintf(t, "%s\t%s\t%s\t%d\t%.1f\t%d\n", s.Name, s.Zone, s.State, s.Slots, s.Busy, s.Own)
+	}
+	return t.Flush()
+}
--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -23,9 +23,9 @@
 	return &urfave.Command{
 		Name:        "status",
 		Usage:       "show what an entry knows: instances, regions, links, services, versions, ages",
-		Description: "Examples:\n   shallotpier status --entry 10.0.1.1:7300 --token-file token\n   shallotpier --output json status | jq .services",
-		Flags:       entryFlags(),
-		Action: a.asking(func(ctx context.Context, _ *urfave.Command, c *operator.Client) error {
+		Description: "Examples:\n   shallotpier status --entry 10.0.1.1:7300 --token-file token\n   shallotpier --output json status | jq .services\n   shallotpier status --platform 10.1.0.10:9640,10.2.0.40:9640",
+		Flags:       entryFlags(platformFlag()),
+		Action: a.platformOr(a.platformStatus, func(ctx context.Context, _ *urfave.Command, c *operator.Client) error {
 			s, err := c.Status(ctx)
 			if err != nil {
 				return err
@@ -40,13 +40,18 @@
 		Name:        "explain",
 		Usage:       "say why a caller's request goes where it goes, now",
 		ArgsUsage:   "SERVICE",
-		Description: "Examples:\n   shallotpier explain --caller 192.0.2.7 registry\n   shallotpier explain --caller 192.0.2.7 --method POST --path /certificates registry",
+		Description: "Examples:\n   shallotpier explain --caller 192.0.2.7 registry\n   shallotpier explain --caller 192.0.2.7 --method POST --path /certificates registry\n   shallotpier explain --platform 10.1.0.10:9640 --host registry.example --path /findings/8 --object 17\n   shallotpier explain --log entry.log --request 9c41d07be2a35f68",
 		Flags: entryFlags(
-			&urfave.StringFlag{Name: "caller", Required: true, Usage: "the caller's IP `ADDRESS`"},
+			platformFlag(),
+			&urfave.StringFlag{Name: "host", Usage: "the request's `HOST`, on the platform"},
+			&urfave.StringFlag{Name: "object", Usage: "the `OBJECT` that the request concerns, on the platform"},
+			&urfave.StringFlag{Name: "log", Usage: "look for a request in an entry's log `FILE` instead", TakesFile: true},
+			&urfave.StringFlag{Name: "request", Usage: "the request's `ID` there"},
+			&urfave.StringFlag{Name: "caller", Usage: "the caller's IP `ADDRESS`"},
 			&urfave.StringFlag{Name: "method", Value: "GET", Usage: "the request's `METHOD`"},
 			&urfave.StringFlag{Name: "path", Value: "/", Usage: "the request's `PATH` after the service's own prefix"},
 		),
-		Action: a.asking(func(ctx context.Context, cmd *urfave.Command, c *operator.Client) error {
+		Action: a.platformOr(a.platformExplain, func(ctx context.Context, cmd *urfave.Command, c *operator.Client) error {
 			q, err := query(cmd)
 			if err != nil {
 				return err
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -189,6 +189,25 @@
 	}
 }
 
+// Explain returns the choice that Choose would make, without beginning a request,
+// and all servers of the service in the order of the request's object.
+func (d *Dispatcher) Explain(now time.Time, req *Request) (Choice, []*roster.Member) {
+	members := d.Roster.View().Members(req.Service)
+	ranking := slices.Clone(members)
+	slices.SortFunc(ranking, func(a, b *roster.Member) int {
+		x, y := d.candidate(a, req), d.candidate(b, req)
+		switch {
+		case x.before(&y):
+			return -1
+		case y.before(&x):
+			return 1
+		default:
+			return 0
+		}
+	})
+	return d.pick(now, members, req, nil), ranking
+}
+
 // pick returns the server that should get the request.
 func (d *Dispatcher) pick(now time.Time, members []*roster.Member, req *Request, skipped []*roster.Member) Choice {
 	limits := d.Limits.orDefault()
@@ -264,7 +283,7 @@
 func (d *Dispatcher) best(now time.Time, members []*roster.Member, req *Request, limit float64, skipped []*roster.Member) *roster.Member {
 	var top candidate
 	for _, m := range members {
-		c := candidate{m, !m.Outlier(), d.near(m, req), owner.Score(req.Key, m.Seed)}
+		c := d.candidate(m, req)
 		if top.member != nil && !c.before(&top) {
 			continue
 		}
@@ -276,6 +295,10 @@
 	return top.member
 }
 
+func (d *Dispatcher) candidate(m *roster.Member, req *Request) candidate {
+	return candidate{m, !m.Outlier(), d.near(m, req), owner.Score(req.Key, m.Seed)}
+}
+
 // near tells whether a server stands where the request's bytes should stay.
 func (d *Dispatcher) near(m *roster.Member, req *Request) bool {
 	return req.Route.Kind != service.Upload || m.Region == d.Region
--- /dev/null
+++ b/internal/logread/logread_test.go
@@ -0,0 +1,61 @@
+package logread_test
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/shallotpier/shallotpier/internal/logread"
+	"github.com/shallotpier/shallotpier/pkg/result"
+)
+
+const log = `  -7.9 front-a time=2026-02-24T07:26:00.000Z level=INFO msg=started instance=front-a
+time=2026-02-24T07:26:01.000Z level=INFO msg="backend server known" server=i-1 new=true
+time=2026-02-24T07:26:10.000Z level=WARN msg="store lost" kind=servers err="call the store: \"dial\" timed out"
+time=2026-02-24T07:26:12.000Z level=INFO msg="backend server gone" server=i-1 cause="registration removed"
+time=2026-02-24T07:26:12.500Z level=INFO msg="backend server gone" server=i-9 cause="registration removed"
+no event
+  5.1 front-b time=2026-02-24T07:26:12.600Z level=INFO msg="backend server gone" server=i-1 cause="registration removed"
+time=2026-02-24T07:26:13.000Z level=INFO msg="send failed" request=ab server=i-1 code=2014 sent=false err="connection refused"
+time=2026-02-24T07:26:13.100Z level=INFO msg=request request=ab code=2010 status=503 owner=i-1 choice=full server=i-1 sends=0 unconnected=1 storeAge=11.5s took=60µs
+time=2026-02-24T07:26:13.200Z level=INFO msg=request request=cd code=1000 status=200 owner=i-1 choice=owner server=i-1 sends=1
+time=2026-02-24T07:26:14.000Z level=INFO msg="store regained" kind=servers
+`
+
+func TestFind(t *testing.T) {
+	is := is.New(t)
+	s, err := logread.Find(strings.NewReader(log), "ab")
+	is.NoErr(err)
+	is.Equal(s.Code, result.NoCapacity)
+	is.Equal(len(s.Lines), 2)
+	var beliefs []string
+	for _, l := range s.Beliefs {
+		beliefs = append(beliefs, l.Message)
+	}
+	is.Equal(beliefs, []string{"store lost", "backend server gone"}) // neither earlier, later nor of other servers
+	meaning := strings.Join(s.Meaning, "\n")
+	for _, part := range []string{"code 2010", "no server had room", "it reached no server", "1 servers took no connection", "11.5s"} {
+		is.True(strings.Contains(meaning, part)) // what the line means
+	}
+	var out strings.Builder
+	is.NoErr(s.WriteText(&out))
+	is.True(strings.Contains(out.String(), "connection refused"))
+}
+
+func TestFindNothing(t *testing.T) {
+	_, err := logread.Find(strings.NewReader(log), "zz")
+	is.New(t).True(err != nil)
+}
+
+func FuzzParse(f *testing.F) {
+	for line := range strings.SplitSeq(log, "\n") {
+		f.Add(line)
+	}
+	f.Fuzz(func(t *testing.T, text string) {
+		l, ok := logread.Parse(text)
+		if ok && (l.At.IsZero() || !strings.HasSuffix(text, l.Text)) {
+			t.Errorf("%q: at %v, text %q", text, l.At, l.Text)
+		}
+	})
+}
--- /dev/null
+++ b/internal/node/beliefs.go
@@ -0,0 +1,102 @@
+package node
+
+import (
+	"encoding/json"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/shallotpier/shallotpier/internal/beliefs"
+	"github.com/shallotpier/shallotpier/internal/dispatch"
+	"github.com/shallotpier/shallotpier/internal/owner"
+	"github.com/shallotpier/shallotpier/internal/roster"
+	"github.com/shallotpier/shallotpier/pkg/id"
+)
+
+// Beliefs returns what the entry believes now.
+func (n *Node) Beliefs(now time.Time) *beliefs.Beliefs {
+	self := n.Self()
+	b := &beliefs.Beliefs{
+		Instance: self.Instance, Incarnation: self.Incarnation, Zone: self.Zone, Ready: self.Ready,
+		Running: n.handler.Running(), Known: len(n.Beacon.Known()), EvacuatedZones: n.Roster.Evacuated(),
+		Quarantined: len(n.Quarantine.Entries(now)),
+	}
+	if c := n.config.Load(); c != nil {
+		b.Version = c.Version
+	}
+	for kind, version := range self.Changes {
+		b.Store = append(b.Store, beliefs.Kind{Name: string(kind), Change: uint64(version), Age: n.options.Store.Age(kind, now)})
+	}
+	slices.SortFunc(b.Store, func(x, y beliefs.Kind) int { return strings.Compare(x.Name, y.Name) })
+	for _, other := range n.Beacon.Alive(now) {
+		b.Entries = append(b.Entries, other.Instance)
+	}
+	for _, m := range n.Roster.All() {
+		b.Servers = append(b.Servers, n.believed(now, m, b.EvacuatedZones))
+	}
+	return b
+}
+
+func (n *Node) believed(now time.Time, m *roster.Member, evacuated []id.Zone) beliefs.Server {
+	s := beliefs.Server{Name: m.Name, Service: m.Service, Zone: m.Zone, Slots: m.Slots, Busy: m.Busy(now), Own: m.InFlight()}
+	switch {
+	case m.Leaving:
+		s.State = beliefs.Leaving
+	case slices.Contains(evacuated, m.Zone):
+		s.State = beliefs.Evacuated
+	case !m.Reachable():
+		s.State = beliefs.Unreachable
+	case m.Cold(now):
+		s.State = beliefs.Cold
+	case !m.Ready(now):
+		s.State = beliefs.Out
+	case m.Outlier():
+		s.State = beliefs.Outlier
+	default:
+		s.State = beliefs.Usable
+	}
+	return s
+}
+
+// Explain tells where a request would go now. Of a route with several services, the
+// one of the smallest draw is taken.
+func (n *Node) Explain(now time.Time, host, path, object string) *beliefs.Explanation {
+	e := &beliefs.Explanation{}
+	c := n.config.Load()
+	if c == nil {
+		e.Reason = "no configuration"
+		return e
+	}
+	r := c.Routes.Match(host, path)
+	if r == nil {
+		e.Reason = "no route"
+		return e
+	}
+	e.Route, e.Service = r.Name, r.Pick(0)
+	choice, ranking := n.dispatcher.Explain(now, &dispatch.Request{Service: e.Service, Route: r, Key: owner.Key(e.Service, object), Left: r.Timeout})
+	e.Reason = string(choice.Reason)
+	if choice.Server != nil {
+		e.Server = choice.Server.Name
+	}
+	evacuated := n.Roster.Evacuated()
+	for _, m := range ranking {
+		e.Ranking = append(e.Ranking, n.believed(now, m, evacuated))
+	}
+	return e
+}
+
+// ServeOperators answers operators' questions on what the entry believes.
+func (n *Node) ServeOperators(mux *http.ServeMux) {
+	answer := func(w http.ResponseWriter, v any) {
+		w.Header().Set("Content-Type", "application/json")
+		if err := json.NewEncoder(w).Encode(v); err != nil {
+			n.options.Log.Warn("operator not answered", "err", err)
+		}
+	}
+	mux.HandleFunc("GET "+beliefs.Path, func(w http.ResponseWriter, _ *http.Request) { answer(w, n.Beliefs(time.Now())) })
+	mux.HandleFunc("GET "+beliefs.ExplainPath, func(w http.ResponseWriter, r *http.Request) {
+		q := r.URL.Query()
+		answer(w, n.Explain(time.Now(), q.Get("host"), q.Get("path"), q.Get("object")))
+	})
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -141,11 +141,13 @@
 		listed   atomic.Bool
 		leaving  atomic.Bool
 		upstream *upstream.Client
-		handler  *forward.Handler
-		idle     idleConnections
-		beacons  net.PacketConn
-		peers    rpc.Node
-		wg       sync.WaitGroup
+		// dispatcher is the one that handler uses.
+		dispatcher *dispatch.Dispatcher
+		handler    *forward.Handler
+		idle       idleConnections
+		beacons    net.PacketConn
+		peers      rpc.Node
+		wg         sync.WaitGroup
 	}
 )
 
@@ -155,8 +157,9 @@
 	n.upstream = &upstream.Client{Connect: connectTime, Idle: idleTime, IdleOnce: idleOnceTime, RequestID: o.Headers.RequestID}
 	n.Quarantine = &quarantine.List{Instance: o.Self.Instance, Tolerated: toleratedCrashes}
 	n.Beacon = &beacon.Beacon{Self: n.Self, Interval: o.BeaconInterval, Timeout: o.BeaconTimeout, Heard: n.heard, Log: o.Log}
+	n.dispatcher = &dispatch.Dispatcher{Roster: n.Roster, Region: o.Self.Region}
 	n.handler = &forward.Handler{
-		Config: n.forwardConfig, Dispatcher: &dispatch.Dispatcher{Roster: n.Roster, Region: o.Self.Region}, Upstream: n.upstream,
+		Config: n.forwardConfig, Dispatcher: n.dispatcher, Upstream: n.upstream,
 		Quarantine: n.Quarantine, Resends: n.resends, Leaving: n.leaving.Load, Headers: o.Headers, Load: o.Load,
 		StoreAge: n.storeAge, Log: o.Log, Metrics: o.Metrics,
 	}
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -16,6 +16,7 @@
 	"github.com/matryer/is"
 
 	"github.com/shallotpier/shallotpier/internal/beacon"
+	"github.com/shallotpier/shallotpier/internal/beliefs"
 	"github.com/shallotpier/shallotpier/internal/forward"
 	"github.com/shallotpier/shallotpier/internal/node"
 	"github.com/shallotpier/shallotpier/internal/roster"
@@ -187,3 +188,37 @@
 	cancel()
 	is.NoErr(<-ended)
 }
+
+// Operators see what the entry believes, and where a request would go.
+func TestBeliefs(t *testing.T) {
+	is := is.New(t)
+	n := newNode(t)
+	n.Configure(configOf(3, "/x/"))
+	now := time.Now()
+	n.Roster.Put(now, roster.Server{Name: "i-1", Service: svc, Address: "127.0.0.1:1", Zone: "a-1", Slots: 6})
+	n.Roster.Put(now, roster.Server{Name: "i-2", Service: svc, Address: "127.0.0.1:2", Zone: "b-1", Slots: 6})
+	n.Roster.Put(now, roster.Server{Name: "i-3", Service: svc, Address: "127.0.0.1:3", Zone: "a-1", Slots: 6, Leaving: true})
+	n.Roster.Evacuate(now, map[id.Zone]bool{"b-1": true})
+	n.Listed()
+	mux := http.NewServeMux()
+	n.ServeOperators(mux)
+	server := httptest.NewServer(mux)
+	defer server.Close()
+	address := server.Listener.Addr().String()
+	b, err := beliefs.Fetch(t.Context(), server.Client(), address)
+	is.NoErr(err)
+	is.Equal(b.Version, id.Version(3))
+	states := map[id.Server]beliefs.State{}
+	for _, s := range b.Servers {
+		states[s.Name] = s.State
+	}
+	is.Equal(states, map[id.Server]beliefs.State{"i-1": beliefs.Usable, "i-2": beliefs.Evacuated, "i-3": beliefs.Leaving})
+	e, err := beliefs.Explain(t.Context(), server.Client(), address, "a.example", "/x/1", "17")
+	is.NoErr(err)
+	is.Equal(e.Server, id.Server("i-1"))
+	is.Equal(e.Reason, "owner")
+	is.Equal(len(e.Ranking), 1)
+	e, err = beliefs.Explain(t.Context(), server.Client(), address, "a.example", "/y/1", "17")
+	is.NoErr(err)
+	is.Equal(e.Reason, "no route")
+}
--- a/internal/roster/check.go
+++ b/internal/roster/check.go
@@ -69,3 +69,10 @@
 	s.missed = now
 	s.opinion.Observe(now, health.ConnectFailed)
 }
+
+// Reachable tells whether the server takes connections, as far as this entry knows.
+func (m *Member) Reachable() bool {
+	m.state.mu.Lock()
+	defer m.state.mu.Unlock()
+	return m.reach.open() && (m.state.missed.IsZero() || !m.state.opinion.Out())
+}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -22,6 +22,7 @@
 package roster
 
 import (
+	"cmp"
 	"log/slog"
 	"maps"
 	"net/netip"
@@ -141,6 +142,21 @@
 	return out
 }
 
+// All returns all servers that are known, by service and name.
+func (r *Roster) All() []*Member {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	shared := r.sharing
+	out := make([]*Member, 0, len(r.members))
+	for _, m := range r.members {
+		out = append(out, r.configured(m, &shared))
+	}
+	slices.SortFunc(out, func(a, b *Member) int {
+		return cmp.Or(strings.Compare(string(a.Service), string(b.Service)), strings.Compare(string(a.Name), string(b.Name)))
+	})
+	return out
+}
+
 // Evacuated returns the zones whose servers get nothing, by name.
 func (r *Roster) Evacuated() []id.Zone {
 	r.mu.Lock()
@@ -356,9 +372,7 @@
 		if m.Leaving || r.evacuated[m.Zone] {
 			continue
 		}
-		c := *m
-		c.cold, c.sharing = r.services[m.Service], &shared
-		v.services[m.Service] = append(v.services[m.Service], &c)
+		v.services[m.Service] = append(v.services[m.Service], r.configured(m, &shared))
 	}
 	for _, list := range v.services {
 		slices.SortFunc(list, func(a, b *Member) int { return strings.Compare(string(a.Name), string(b.Name)) })
@@ -366,4 +380,11 @@
 	r.view.Store(v)
 }
 
+// configured returns a server with what the configuration says of its service.
+func (r *Roster) configured(m *Member, shared *sharing) *Member {
+	c := *m
+	c.cold, c.sharing = r.services[m.Service], shared
+	return &c
+}
+
 func zoneNames(zones map[id.Zone]bool) []id.Zone { return slices.Sorted(maps.Keys(zones)) }
