roster, dispatch: a change of one server makes a view without copying all

Change: a change of one server is inserted into the sorted view; servers that know an object are looked up by name, not searched for among all.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -173,10 +173,10 @@
 
 // Choose returns the server for a request, with the request begun there.
 func (d *Dispatcher) Choose(now time.Time, req *Request) Choice {
-	members := d.Roster.View().Members(req.Service)
+	view := d.Roster.View()
 	var skipped []*roster.Member
 	for {
-		c := d.pick(now, members, req, skipped)
+		c := d.pick(now, view, req, skipped)
 		if c.Server == nil {
 			return c
 		}
@@ -192,8 +192,8 @@
 // Explain returns the choice that Choose would make, without beginning a request,
 // and all servers of the service in the order of the request's object.
 func (d *Dispatcher) Explain(now time.Time, req *Request) (Choice, []*roster.Member) {
-	members := d.Roster.View().Members(req.Service)
-	ranking := slices.Clone(members)
+	view := d.Roster.View()
+	ranking := slices.Clone(view.Members(req.Service))
 	slices.SortFunc(ranking, func(a, b *roster.Member) int {
 		x, y := d.candidate(a, req), d.candidate(b, req)
 		switch {
@@ -205,11 +205,12 @@
 			return 0
 		}
 	})
-	return d.pick(now, members, req, nil), ranking
+	return d.pick(now, view, req, nil), ranking
 }
 
 // pick returns the server that should get the request.
-func (d *Dispatcher) pick(now time.Time, members []*roster.Member, req *Request, skipped []*roster.Member) Choice {
+func (d *Dispatcher) pick(now time.Time, view *roster.View, req *Request, skipped []*roster.Member) Choice {
+	members := view.Members(req.Service)
 	limits := d.Limits.orDefault()
 	first := d.best(now, members, req, anyLoad, skipped)
 	if first == nil {
@@ -220,7 +221,7 @@
 	if load < 1 {
 		return c
 	}
-	if m := d.familiar(now, members, req, max(limits.FamiliarLoad, limits.FamiliarShare*load), skipped); m != nil {
+	if m := d.familiar(now, view, req, max(limits.FamiliarLoad, limits.FamiliarShare*load), skipped); m != nil {
 		c.Server, c.Reason = m, Familiar
 		return c
 	}
@@ -258,11 +259,12 @@
 
 // familiar returns the least busy server that should know the request's object and
 // has less than a load; nil if there is none.
-func (d *Dispatcher) familiar(now time.Time, members []*roster.Member, req *Request, limit float64, skipped []*roster.Member) *roster.Member {
+func (d *Dispatcher) familiar(now time.Time, view *roster.View, req *Request, limit float64, skipped []*roster.Member) *roster.Member {
 	var found *roster.Member
 	least := limit
-	for _, m := range members {
-		if !d.visits.knows(now, req.Key, m.Name) {
+	for _, name := range d.visits.knowing(now, req.Key) {
+		m := view.Member(req.Service, name)
+		if m == nil {
 			continue
 		}
 		load := m.Busy(now) / float64(m.Slots)
--- a/internal/dispatch/familiar.go
+++ b/internal/dispatch/familiar.go
@@ -52,20 +52,21 @@
 	visits[oldest] = visit{server, now}
 }
 
-// knows tells whether a server should know an object.
-func (f *familiar) knows(now time.Time, key uint64, server id.Server) bool {
+// knowing returns the servers that should know an object.
+func (f *familiar) knowing(now time.Time, key uint64) []id.Server {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	visits := f.objects[key]
 	if visits == nil {
-		return false
+		return nil
 	}
+	out := make([]id.Server, 0, familiarServers)
 	for i := range visits {
-		if visits[i].server == server {
-			return now.Sub(visits[i].at) < familiarTime
+		if visits[i].server != "" && now.Sub(visits[i].at) < familiarTime {
+			out = append(out, visits[i].server)
 		}
 	}
-	return false
+	return out
 }
 
 // add makes room for an object, and forgets those that nobody asked for lately.
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -104,6 +104,7 @@
 		self      netip.AddrPort
 		others    []netip.AddrPort
 		sharing   sharing
+		shared    *sharing // as published
 	}
 
 	// sharing says how entries share a cold server's rate. The seeds stand for
@@ -168,16 +169,20 @@
 func (r *Roster) Put(now time.Time, s Server) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.put(now, s)
-	r.publish()
+	before := r.members[s.Name]
+	if r.put(now, s) {
+		r.publishOne(before, s.Name)
+	}
 }
 
 // Remove takes in that a server's registration is gone.
 func (r *Roster) Remove(now time.Time, name id.Server) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.remove(now, name)
-	r.publish()
+	before := r.members[name]
+	if r.remove(now, name) {
+		r.publishOne(before, name)
+	}
 }
 
 // Replace takes in a whole list of the registrations.
@@ -300,13 +305,14 @@
 
 func entrySeed(entry netip.AddrPort) uint64 { return owner.Seed(id.Server(entry.String())) }
 
-func (r *Roster) put(now time.Time, s Server) {
+// put returns whether anything has changed.
+func (r *Roster) put(now time.Time, s Server) bool {
 	if r.members == nil {
 		r.members = make(map[id.Server]*Member)
 	}
 	old := r.members[s.Name]
 	if old != nil && old.Server == s && old.lapses.IsZero() {
-		return
+		return false
 	}
 	m := newMember(s, r.reach(s.Zone), r.pace(s.Service))
 	if old != nil && old.Born == s.Born && old.Service == s.Service && old.Address == s.Address {
@@ -318,6 +324,7 @@
 	r.members[s.Name] = m
 	r.Log.Info("backend server known", "server", s.Name, "service", s.Service, "zone", s.Zone,
 		"leaving", s.Leaving, "cold", s.Cold, "new", old == nil)
+	return true
 }
 
 // reach returns what is known of the path to a zone.
@@ -342,10 +349,11 @@
 	return r.paces[svc]
 }
 
-func (r *Roster) remove(now time.Time, name id.Server) {
+// remove returns whether a server is gone.
+func (r *Roster) remove(now time.Time, name id.Server) bool {
 	m := r.members[name]
 	if m == nil {
-		return
+		return false
 	}
 	if !r.resumed.IsZero() && now.Before(r.resumed.Add(r.Grace)) && !m.Leaving {
 		if m.lapses.IsZero() {
@@ -354,9 +362,10 @@
 			r.members[name] = &kept
 			r.Log.Info("backend server kept after a store outage", "server", name, "until", kept.lapses)
 		}
-		return
+		return false
 	}
 	r.drop(name, "registration removed")
+	return true
 }
 
 func (r *Roster) drop(name id.Server, cause string) {
@@ -367,12 +376,13 @@
 // publish makes a new view. Members are ordered by name, so that equal rosters
 // give equal views.
 func (r *Roster) publish() {
-	v, shared := &View{services: make(map[id.Service][]*Member)}, r.sharing
+	shared := r.sharing
+	r.shared = &shared
+	v := &View{services: make(map[id.Service][]*Member)}
 	for _, m := range r.members {
-		if m.Leaving || r.evacuated[m.Zone] {
-			continue
+		if r.visible(m) {
+			v.services[m.Service] = append(v.services[m.Service], r.configured(m, r.shared))
 		}
-		v.services[m.Service] = append(v.services[m.Service], r.configured(m, &shared))
 	}
 	for _, list := range v.services {
 		slices.SortFunc(list, func(a, b *Member) int { return strings.Compare(string(a.Name), string(b.Name)) })
@@ -380,6 +390,59 @@
 	r.view.Store(v)
 }
 
+// publishOne makes a new view in which one server differs, given as it was before;
+// thousands may come one by one as a deployment starts.
+func (r *Roster) publishOne(before *Member, name id.Server) {
+	if r.shared == nil {
+		r.publish()
+		return
+	}
+	v := &View{services: maps.Clone(r.View().services)}
+	if before != nil {
+		v.drop(before.Service, name)
+	}
+	if m := r.members[name]; m != nil && r.visible(m) {
+		v.insert(r.configured(m, r.shared))
+	}
+	r.view.Store(v)
+}
+
+// visible tells whether a server may get requests.
+func (r *Roster) visible(m *Member) bool { return !m.Leaving && !r.evacuated[m.Zone] }
+
+func (v *View) find(svc id.Service, name id.Server) (int, bool) {
+	return slices.BinarySearchFunc(v.services[svc], name, func(m *Member, name id.Server) int {
+		return strings.Compare(string(m.Name), string(name))
+	})
+}
+
+func (v *View) drop(svc id.Service, name id.Server) {
+	i, found := v.find(svc, name)
+	switch {
+	case !found:
+	case len(v.services[svc]) == 1:
+		delete(v.services, svc)
+	default:
+		v.services[svc] = slices.Delete(slices.Clone(v.services[svc]), i, i+1)
+	}
+}
+
+func (v *View) insert(m *Member) {
+	if v.services == nil {
+		v.services = make(map[id.Service][]*Member)
+	}
+	i, _ := v.find(m.Service, m.Name)
+	v.services[m.Service] = slices.Insert(slices.Clone(v.services[m.Service]), i, m)
+}
+
+// Member returns a server that may get requests, nil if there is none of the name.
+func (v *View) Member(svc id.Service, name id.Server) *Member {
+	if i, found := v.find(svc, name); found {
+		return v.services[svc][i]
+	}
+	return nil
+}
+
 // configured returns a server with what the configuration says of its service.
 func (r *Roster) configured(m *Member, shared *sharing) *Member {
 	c := *m
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -1,14 +1,18 @@
 package roster_test
 
 import (
+	"fmt"
 	"io"
 	"log/slog"
+	"maps"
 	"math"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"pgregory.net/rapid"
 
 	"github.com/shallotpier/shallotpier/internal/health"
 	"github.com/shallotpier/shallotpier/internal/roster"
@@ -368,3 +372,45 @@
 	}
 	is.True(len(r.Checks(at)) >= 2)
 }
+
+// Servers that come and go one by one give the same view as a whole list.
+func TestViewsOfOneChange(t *testing.T) {
+	names := func(r *roster.Roster) map[id.Service][]id.Server {
+		out := map[id.Service][]id.Server{}
+		for _, service := range []id.Service{svc, "other"} {
+			for _, m := range r.View().Members(service) {
+				out[service] = append(out[service], m.Name)
+				if r.View().Member(service, m.Name) != m {
+					t.Errorf("server %s is not found by its name", m.Name)
+				}
+			}
+		}
+		return out
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		r, whole := newRoster(), newRoster()
+		known := map[id.Server]roster.Server{}
+		steps := rapid.IntRange(1, 40).Draw(t, "steps")
+		for range steps {
+			s := server(id.Server(fmt.Sprintf("i-%d", rapid.IntRange(0, 7).Draw(t, "server"))))
+			switch rapid.IntRange(0, 5).Draw(t, "change") {
+			case 0:
+				delete(known, s.Name)
+				r.Remove(start, s.Name)
+				continue
+			case 1:
+				s.Leaving = true
+			case 2:
+				s.Service = "other"
+			case 3:
+				zones := map[id.Zone]bool{s.Zone: rapid.Bool().Draw(t, "evacuated")}
+				r.Evacuate(start, zones)
+				whole.Evacuate(start, zones)
+			}
+			known[s.Name] = s
+			r.Put(start, s)
+		}
+		whole.Replace(start, slices.Collect(maps.Values(known)))
+		is.New(t).Equal(names(r), names(whole))
+	})
+}
