dispatch: a region owns as many uploads as its servers go round

Change: a region's entries own objects of uploads within it in proportion to its servers, compared with the mean of the regions; the others are owned among all, by the same ranking.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -3,8 +3,9 @@
 // The owner of a request's object comes first: a server answers much faster for
 // objects that it handled recently, so a short queue at the owner is better than
 // a free slot elsewhere. Owners are chosen among all regions, which spreads
-// objects by the servers that there are; uploads are owned by a server of the
-// entry's own region, since their bytes would fill the links between regions.
+// objects by the servers that there are. Uploads are owned by a server of the entry's
+// own region as far as its servers go round, since their bytes would fill the links
+// between regions.
 //
 // The next server in the object's ranking is the owner if the first failed, lags
 // behind its service, or is cold beyond its rate. It also gets the request if the
@@ -61,8 +62,13 @@
 	surelyInTime = 0.6
 )
 
-// anyLoad takes an owner however busy it is.
-const anyLoad = math.MaxFloat64
+const (
+	// anyLoad takes an owner however busy it is.
+	anyLoad = math.MaxFloat64
+	// localSeed draws the objects that are owned within a region. Any number does
+	// that stands for no server.
+	localSeed = 0x6c6f63616c
+)
 
 // Reasons of a choice.
 const (
@@ -113,6 +119,9 @@
 		// Draw is evenly spread from 0 to 1. It decides who is turned away while
 		// not all requests can be answered in time.
 		Draw float64
+
+		// local tells that the object is owned within the entry's region.
+		local bool
 	}
 
 	// Dispatcher chooses servers. It is safe for concurrent use.
@@ -174,6 +183,7 @@
 // Choose returns the server for a request, with the request begun there.
 func (d *Dispatcher) Choose(now time.Time, req *Request) Choice {
 	view := d.Roster.View()
+	req = d.placed(view, req)
 	var skipped []*roster.Member
 	for {
 		c := d.pick(now, view, req, skipped)
@@ -193,6 +203,7 @@
 // and all servers of the service in the order of the request's object.
 func (d *Dispatcher) Explain(now time.Time, req *Request) (Choice, []*roster.Member) {
 	view := d.Roster.View()
+	req = d.placed(view, req)
 	ranking := slices.Clone(view.Members(req.Service))
 	slices.SortFunc(ranking, func(a, b *roster.Member) int {
 		x, y := d.candidate(a, req), d.candidate(b, req)
@@ -303,7 +314,28 @@
 
 // near tells whether a server stands where the request's bytes should stay.
 func (d *Dispatcher) near(m *roster.Member, req *Request) bool {
-	return req.Route.Kind != service.Upload || m.Region == d.Region
+	return !req.local || m.Region == d.Region
+}
+
+// placed returns the request with the decision whether its object is owned within
+// the entry's region. Of uploads, as many objects are as the region has servers,
+// compared with the mean of the regions; the same at all entries of the region. The
+// rest is owned among all, so that callers of a region with few servers don't wait
+// for those.
+func (d *Dispatcher) placed(view *roster.View, req *Request) *Request {
+	if req.Route.Kind != service.Upload {
+		return req
+	}
+	own, all := 0, 0
+	regions := view.Regions(req.Service)
+	for region, servers := range regions {
+		if all += servers; region == d.Region {
+			own = servers
+		}
+	}
+	out := *req
+	out.local = float64(own*len(regions)) > float64(all)*owner.Fraction(req.Key, localSeed)
+	return &out
 }
 
 func (c *candidate) before(o *candidate) bool {
--- a/internal/dispatch/dispatcher_test.go
+++ b/internal/dispatch/dispatcher_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"math"
 	"testing"
 	"time"
 
@@ -77,6 +78,43 @@
 	}
 }
 
+// A region owns as many of its callers' uploads as it has servers, compared with the
+// others.
+func TestUploadsOfARegionWithFewServers(t *testing.T) {
+	const keys = 2000
+	tests := map[string]struct {
+		own, others int
+		local       float64 // part of the objects that the region's servers own
+	}{
+		"no servers":         {0, 10, 0},
+		"few servers":        {2, 18, 0.2 + 0.8*0.1}, // and their part of the rest
+		"as many as others":  {10, 10, 1},
+		"more than others":   {15, 5, 1},
+		"all of the servers": {10, 0, 1},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			r := &roster.Roster{Log: slog.New(slog.NewTextHandler(io.Discard, nil))}
+			for region, n := range map[id.Region]int{"a": tt.own, "b": tt.others} {
+				for i := range n {
+					r.Put(start, roster.Server{Name: id.Server(fmt.Sprintf("%s-%d", region, i)), Service: svc, Address: "10.0.0.1:80", Region: region, Slots: slots})
+				}
+			}
+			d := &dispatch.Dispatcher{Roster: r, Region: "a"}
+			local := 0
+			for key := range uint64(keys) {
+				m := choose(d, request(service.Upload, key*7919))
+				m.End(start, roster.Outcome{Event: health.Answered})
+				if m.Region == "a" {
+					local++
+				}
+			}
+			is.True(math.Abs(float64(local)/keys-tt.local) < 0.03)
+		})
+	}
+}
+
 func TestSpill(t *testing.T) {
 	tests := map[string]struct {
 		owner, others int // requests that they have
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -43,3 +43,7 @@
 	x *= 0xc4ceb9fe1a85ec53
 	return x ^ x>>33
 }
+
+// Fraction draws a number for an object, evenly spread from 0 to 1 over objects and
+// the same for equal seeds.
+func Fraction(key, seed uint64) float64 { return float64(Score(key, seed)>>11) / (1 << 53) }
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -82,6 +82,8 @@
 	// View is an immutable state of the roster.
 	View struct {
 		services map[id.Service][]*Member
+		// regions counts the servers of each service by region.
+		regions map[id.Service]map[id.Region]int
 	}
 
 	// Roster holds the servers. Its exported fields are set before its first
@@ -165,6 +167,10 @@
 	return zoneNames(r.evacuated)
 }
 
+// Regions returns the number of servers of a service in each region that has any.
+// The caller must not change the map.
+func (v *View) Regions(svc id.Service) map[id.Region]int { return v.regions[svc] }
+
 // Put adds a server or takes in that it changed.
 func (r *Roster) Put(now time.Time, s Server) {
 	r.mu.Lock()
@@ -378,14 +384,15 @@
 func (r *Roster) publish() {
 	shared := r.sharing
 	r.shared = &shared
-	v := &View{services: make(map[id.Service][]*Member)}
+	v := &View{services: make(map[id.Service][]*Member), regions: make(map[id.Service]map[id.Region]int)}
 	for _, m := range r.members {
 		if r.visible(m) {
 			v.services[m.Service] = append(v.services[m.Service], r.configured(m, r.shared))
 		}
 	}
-	for _, list := range v.services {
+	for svc, list := range v.services {
 		slices.SortFunc(list, func(a, b *Member) int { return strings.Compare(string(a.Name), string(b.Name)) })
+		v.count(svc)
 	}
 	r.view.Store(v)
 }
@@ -397,12 +404,15 @@
 		r.publish()
 		return
 	}
-	v := &View{services: maps.Clone(r.View().services)}
+	old := r.View()
+	v := &View{services: maps.Clone(old.services), regions: maps.Clone(old.regions)}
 	if before != nil {
 		v.drop(before.Service, name)
+		v.count(before.Service)
 	}
 	if m := r.members[name]; m != nil && r.visible(m) {
 		v.insert(r.configured(m, r.shared))
+		v.count(m.Service)
 	}
 	r.view.Store(v)
 }
@@ -410,6 +420,15 @@
 // visible tells whether a server may get requests.
 func (r *Roster) visible(m *Member) bool { return !m.Leaving && !r.evacuated[m.Zone] }
 
+// count counts a service's servers by region.
+func (v *View) count(svc id.Service) {
+	regions := make(map[id.Region]int)
+	for _, m := range v.services[svc] {
+		regions[m.Region]++
+	}
+	v.regions[svc] = regions
+}
+
 func (v *View) find(svc id.Service, name id.Server) (int, bool) {
 	return slices.BinarySearchFunc(v.services[svc], name, func(m *Member, name id.Server) int {
 		return strings.Compare(string(m.Name), string(name))
@@ -428,9 +447,6 @@
 }
 
 func (v *View) insert(m *Member) {
-	if v.services == nil {
-		v.services = make(map[id.Service][]*Member)
-	}
 	i, _ := v.find(m.Service, m.Name)
 	v.services[m.Service] = slices.Insert(slices.Clone(v.services[m.Service]), i, m)
 }
