--- a/internal/beacon/beacon.go
+++ b/internal/beacon/beacon.go
@@ -141,8 +141,8 @@
 func (b *Beacon) Meet(zone id.Zone, addr netip.AddrPort) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if p := b.peer(addr); p.zone == "" {
-		p.zone = zone
+	if p := b.peer(addr); p.zone == "" && zone != "" {
+		p.zone, b.view = zone, nil
 	}
 }
 
@@ -366,6 +366,9 @@
 	}
 	if newer {
 		kept := p.node
+		if p.zone != n.Zone {
+			b.view = nil
+		}
 		p.node, p.zone = *n, n.Zone
 		if n.Changes == nil && kept.Incarnation == n.Incarnation {
 			// Word of others doesn't tell what only the entry itself does.
@@ -384,11 +387,12 @@
 // in a circle keeps nobody alive.
 func (b *Beacon) confirm(now time.Time, self *Node, m *message) {
 	for _, z := range m.Zones {
-		if z.Age < 0 || z.Age > b.Timeout+hearsay || z.Digest != b.zone(now, self, z.Zone).digest {
+		ours := b.zone(now, self, z.Zone)
+		if z.Age < 0 || z.Age > b.Timeout+hearsay || z.Digest != ours.digest {
 			continue
 		}
-		for _, p := range b.known {
-			if p.zone == z.Zone && b.isAlive(p, now) && now.Add(-z.Age).After(p.heard) {
+		for _, p := range ours.others {
+			if now.Add(-z.Age).After(p.heard) {
 				p.heard = now.Add(-z.Age)
 			}
 		}
@@ -428,7 +432,7 @@
 	p := b.known[addr]
 	if p == nil {
 		p = &peer{}
-		b.known[addr] = p
+		b.known[addr], b.view = p, nil
 	}
 	return p
 }
--- a/internal/beacon/zone.go
+++ b/internal/beacon/zone.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"maps"
 	"net"
 	"net/netip"
 	"slices"
@@ -21,22 +22,32 @@
 		at    time.Time
 		ready bool // this entry's own state
 		zones map[id.Zone]*zoneView
+		// names are the zones of the known entries, and of this one, in order. The
+		// empty name stands for those whose zone is not known.
+		names []id.Zone
 	}
 
 	zoneView struct {
 		// members are the entries that are alive, by name, this one included.
 		members []*Node
+		// others are the same without this entry.
+		others []*peer
 		// digest stands for who they are, and whether they are ready.
 		digest uint64
 	}
 )
 
-// zone returns who is alive in a zone.
-func (b *Beacon) zone(now time.Time, self *Node, zone id.Zone) *zoneView {
+// current returns who is alive.
+func (b *Beacon) current(now time.Time, self *Node) *view {
 	if v := b.view; v == nil || now.Sub(v.at) >= viewTime || v.ready != self.Ready {
 		b.view = b.look(now, self)
 	}
-	if z := b.view.zones[zone]; z != nil {
+	return b.view
+}
+
+// zone returns who is alive in a zone.
+func (b *Beacon) zone(now time.Time, self *Node, zone id.Zone) *zoneView {
+	if z := b.current(now, self).zones[zone]; z != nil {
 		return z
 	}
 	return &zoneView{}
@@ -45,12 +56,16 @@
 // look makes a view.
 func (b *Beacon) look(now time.Time, self *Node) *view {
 	v := &view{at: now, ready: self.Ready, zones: make(map[id.Zone]*zoneView)}
+	names := map[id.Zone]bool{self.Zone: true}
 	v.add(self)
 	for _, p := range b.known {
+		names[p.zone] = true
 		if b.isAlive(p, now) {
-			v.add(&p.node)
+			z := v.add(&p.node)
+			z.others = append(z.others, p)
 		}
 	}
+	v.names = slices.Sorted(maps.Keys(names))
 	for _, z := range v.zones {
 		slices.SortFunc(z.members, func(x, y *Node) int { return byName(*x, *y) })
 		z.digest = digest(z.members)
@@ -58,13 +73,14 @@
 	return v
 }
 
-func (v *view) add(n *Node) {
+func (v *view) add(n *Node) *zoneView {
 	z := v.zones[n.Zone]
 	if z == nil {
 		z = &zoneView{}
 		v.zones[n.Zone] = z
 	}
 	z.members = append(z.members, n)
+	return z
 }
 
 func digest(members []*Node) uint64 {
@@ -100,31 +116,17 @@
 
 func first(members []*Node) []*Node { return members[:min(len(members), leaders)] }
 
-// zones returns the zones of the known entries, and of this one, in order. The
-// empty name stands for those whose zone is not known.
-func (b *Beacon) zones(self *Node) []id.Zone {
-	out := []id.Zone{self.Zone}
-	for _, p := range b.known {
-		if !slices.Contains(out, p.zone) {
-			out = append(out, p.zone)
-		}
-	}
-	slices.Sort(out)
-	return out
-}
-
 // states sums up the zones.
 func (b *Beacon) states(now time.Time, self *Node) []zoneState {
 	var out []zoneState
-	for _, zone := range b.zones(self) {
+	for _, zone := range b.current(now, self).names {
 		if zone == "" {
 			continue
 		}
-		s := zoneState{Zone: zone, Digest: b.zone(now, self, zone).digest}
-		for _, p := range b.known {
-			if p.zone == zone && b.isAlive(p, now) {
-				s.Age = max(s.Age, now.Sub(p.heard))
-			}
+		z := b.zone(now, self, zone)
+		s := zoneState{Zone: zone, Digest: z.digest}
+		for _, p := range z.others {
+			s.Age = max(s.Age, now.Sub(p.heard))
 		}
 		out = append(out, s)
 	}
@@ -141,7 +143,7 @@
 	b.turn++
 	leads := b.leads(now, &self)
 	var out []netip.AddrPort
-	for _, zone := range b.zones(&self) {
+	for _, zone := range b.current(now, &self).names {
 		switch {
 		case zone == self.Zone && leads:
 			for _, n := range b.zone(now, &self, zone).members {
@@ -175,7 +177,7 @@
 	for _, n := range own[leaders:] {
 		out = append(out, n.Peers)
 	}
-	for _, zone := range b.zones(&self) {
+	for _, zone := range b.current(now, &self).names {
 		if zone != self.Zone && zone != "" {
 			out = append(out, b.leadersOf(now, &self, zone)...)
 		}
@@ -207,7 +209,7 @@
 	for _, z := range m.Zones {
 		told[z.Zone] = z.Digest
 	}
-	for _, zone := range b.zones(&self) {
+	for _, zone := range b.current(now, &self).names {
 		ours := zone == self.Zone || m.From.Zone == self.Zone
 		if zone != "" && ours && told[zone] != b.zone(now, &self, zone).digest {
 			lists = append(lists, b.sightings(now, &self, zone)...)
@@ -225,12 +227,10 @@
 // datagrams.
 func (b *Beacon) sightings(now time.Time, self *Node, zone id.Zone) [][]sighting {
 	var all []sighting
-	for _, p := range b.known {
-		if p.zone == zone && b.isAlive(p, now) {
-			n := p.node
-			n.Changes, n.Steady, n.Crashes = nil, 0, nil
-			all = append(all, sighting{Node: n, Age: now.Sub(p.heard)})
-		}
+	for _, p := range b.zone(now, self, zone).others {
+		n := p.node
+		n.Changes, n.Steady, n.Crashes = nil, 0, nil
+		all = append(all, sighting{Node: n, Age: now.Sub(p.heard)})
 	}
 	if zone == self.Zone {
 		n := *self
--- a/internal/outlier/record.go
+++ b/internal/outlier/record.go
@@ -29,6 +29,9 @@
 	// failureMargin is how much more often a server must fail than the mean, as
 	// a part of its requests; single failures in a hundred are usual.
 	failureMargin = 0.15
+	// negligible is what is forgotten wholly, so that servers without requests cost
+	// nothing to judge.
+	negligible = 1e-6
 	// slowFactor is how many times as long as the mean its requests must take;
 	// chance alone makes averages differ by a factor of two.
 	slowFactor = 2.5
@@ -81,11 +84,18 @@
 
 // settle fades what was seen.
 func (r *Record) settle(now time.Time) {
+	if r.seen == (Seen{}) {
+		r.at = now // nothing fades
+		return
+	}
 	if now.After(r.at) {
 		if !r.at.IsZero() {
 			f := math.Exp2(-float64(now.Sub(r.at)) / float64(fade))
 			r.seen.Failures *= f
 			r.seen.Surplus *= f
+			if r.seen.Failures < negligible && r.seen.Surplus < negligible {
+				r.seen = Seen{}
+			}
 		}
 		r.at = now
 	}
