beacon: an entry that stops right after its start announces so

Cause: found in a read-through: the codec was made when Run began; a stop that came before announced with none and would have ended the process with a panic (TestAnnounceBeforeRun fails before). Change: beacons are encoded without state of the Beacon.

--- a/internal/beacon/beacon.go
+++ b/internal/beacon/beacon.go
@@ -36,8 +36,6 @@
 	"sync"
 	"time"
 
-	"github.com/rotisserie/eris"
-
 	"github.com/shallotpier/shallotpier/internal/follow"
 	"github.com/shallotpier/shallotpier/internal/quarantine"
 	"github.com/shallotpier/shallotpier/internal/store"
@@ -118,7 +116,6 @@
 		Log *slog.Logger
 
 		mu     sync.Mutex
-		codec  codec
 		count  uint64
 		known  map[netip.AddrPort]*peer
 		hints  map[follow.Kind]store.Version
@@ -199,15 +196,15 @@
 		}
 		out = append(out, n)
 	}
-	slices.SortFunc(out, byName)
+	slices.SortFunc(out, func(x, y Node) int { return cmp.Compare(x.Instance, y.Instance) })
 	return out
 }
 
 // Run sends and receives until ctx ends.
 func (b *Beacon) Run(ctx context.Context, conn net.PacketConn) error {
-	if err := b.prepare(); err != nil {
-		return err
-	}
+	b.mu.Lock()
+	b.urgent = make(chan struct{}, 1)
+	b.mu.Unlock()
 	defer context.AfterFunc(ctx, func() { _ = conn.SetReadDeadline(time.Unix(1, 0)) })()
 	go b.send(ctx, conn)
 	buf := make([]byte, maxDatagram)
@@ -240,20 +237,6 @@
 	b.write(conn, b.compose(now), b.targets(now))
 }
 
-func (b *Beacon) prepare() error {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	c, err := newCodec()
-	if err != nil {
-		return eris.Wrap(err, "prepare the beacons' codec")
-	}
-	b.codec = c
-	if b.urgent == nil {
-		b.urgent = make(chan struct{}, 1)
-	}
-	return nil
-}
-
 func (b *Beacon) send(ctx context.Context, conn net.PacketConn) {
 	tick := time.NewTicker(b.Interval)
 	defer tick.Stop()
@@ -297,7 +280,7 @@
 }
 
 func (b *Beacon) write(conn net.PacketConn, m *message, to []netip.AddrPort) {
-	data, err := b.codec.Marshal(m)
+	data, err := encode(m)
 	if err != nil {
 		b.Log.Error("beacon not encoded", "err", err)
 		return
@@ -327,14 +310,13 @@
 		b.hearOf(now, &self, &m.Entries[i])
 	}
 	b.confirm(now, &self, m)
-	relays := (changed || raised) && b.leads(now, &self)
-	b.mu.Unlock()
-	if relays {
+	if (changed || raised) && b.leads(now, &self) {
 		select {
 		case b.urgent <- struct{}{}:
-		default:
+		default: // it was asked for already, or nothing is sent yet
 		}
 	}
+	b.mu.Unlock()
 	if b.Heard != nil {
 		b.Heard(now, News{Changes: m.Hints, Crashes: m.From.Crashes})
 	}
@@ -446,8 +428,6 @@
 	return !p.heard.IsZero() && now.Sub(p.heard) <= limit
 }
 
-func byName(x, y Node) int { return cmp.Compare(x.Instance, y.Instance) }
-
 func since(now, then time.Time) time.Duration {
 	if then.IsZero() {
 		return 0
--- a/internal/beacon/beacon_test.go
+++ b/internal/beacon/beacon_test.go
@@ -78,6 +78,16 @@
 	is.Equal(heard, []int{0})
 }
 
+// A process that is asked to stop right after its start says so.
+func TestAnnounceBeforeRun(t *testing.T) {
+	is := is.New(t)
+	b := newBeacon()
+	b.Meet("a-1", node(2, 1).Peers)
+	n := network{node(2, 1).Peers.String(): make(chan []byte, 1)}
+	b.Announce(&packetConn{network: n})
+	is.Equal(len(n[node(2, 1).Peers.String()]), 1)
+}
+
 // network carries datagrams between packet connections in memory.
 type network map[string]chan []byte
 
--- a/internal/beacon/message.go
+++ b/internal/beacon/message.go
@@ -60,12 +60,14 @@
 	}
 )
 
-// codec keeps fractions of seconds, which order the news of crashes.
-type codec struct{ cbor.EncMode }
-
-func newCodec() (codec, error) {
+// encode keeps fractions of seconds, which order the news of crashes.
+func encode(m *message) ([]byte, error) {
 	mode, err := cbor.EncOptions{Time: cbor.TimeRFC3339Nano}.EncMode()
-	return codec{mode}, err
+	if err != nil {
+		return nil, eris.Wrap(err, "prepare the codec of beacons")
+	}
+	data, err := mode.Marshal(m)
+	return data, eris.Wrap(err, "encode beacon")
 }
 
 func decode(data []byte) (*message, error) {
--- a/internal/beacon/zone.go
+++ b/internal/beacon/zone.go
@@ -1,6 +1,7 @@
 package beacon
 
 import (
+	"cmp"
 	"encoding/binary"
 	"maps"
 	"net"
@@ -67,7 +68,7 @@
 	}
 	v.names = slices.Sorted(maps.Keys(names))
 	for _, z := range v.zones {
-		slices.SortFunc(z.members, func(x, y *Node) int { return byName(*x, *y) })
+		slices.SortFunc(z.members, func(x, y *Node) int { return cmp.Compare(x.Instance, y.Instance) })
 		z.digest = digest(z.members)
 	}
 	return v
