--- a/internal/node/snapshot.go
+++ b/internal/node/snapshot.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"net"
@@ -98,28 +99,37 @@
 // Of several, one that is not about to stop comes first, then one of the own
 // region.
 func (n *Node) best(others []beacon.Node, missing map[follow.Kind]store.Version) (beacon.Node, bool) {
-	var (
-		best beacon.Node
-		most int
-	)
-	for _, other := range others {
-		score := 0
+	newer := func(other *beacon.Node) int {
+		kinds := 0
 		for kind, known := range missing {
 			if other.Changes[kind] > known {
-				score += 4
+				kinds++
 			}
 		}
-		if score > 0 && other.Ready {
-			score += 2
-		}
-		if score > 0 && other.Region == n.options.Self.Region {
-			score++
-		}
-		if score > most {
-			best, most = other, score
-		}
+		return kinds
+	}
+	others = slices.DeleteFunc(others, func(other beacon.Node) bool { return newer(&other) == 0 })
+	if len(others) == 0 {
+		return beacon.Node{}, false
+	}
+	return slices.MaxFunc(others, func(a, b beacon.Node) int {
+		return cmp.Or(
+			cmp.Compare(newer(&a), newer(&b)), compareBool(a.Ready, b.Ready),
+			compareBool(a.Region == n.options.Self.Region, b.Region == n.options.Self.Region),
+		)
+	}), true
+}
+
+// compareBool orders false before true.
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	default:
+		return 1
 	}
-	return best, most > 0
 }
 
 // adopt takes in what another entry knows, where it is newer than what this one
