roster, node: cold servers get nothing from an entry that knows no others yet

A process divided the rate by the entries that it knew, which were none until it had read their list; nor does it know what the process before it sent within the last second. Ruled out: forgotten entries (none in that log), clocks. Tests: TestColdServersOfAnEntryThatKnowsNoOthers, TestColdServersAfterAStart; both fail without it.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -31,6 +31,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/shallotpier/shallotpier/internal/beacon"
+	"github.com/shallotpier/shallotpier/internal/coldrate"
 	"github.com/shallotpier/shallotpier/internal/directory"
 	"github.com/shallotpier/shallotpier/internal/dispatch"
 	"github.com/shallotpier/shallotpier/internal/follow"
@@ -135,12 +136,15 @@
 		// Beacon knows the other entries.
 		Beacon *beacon.Beacon
 
-		options  Options
-		bounds   atomic.Pointer[Bounds]
-		config   atomic.Pointer[Config]
-		listed   atomic.Bool
-		leaving  atomic.Bool
-		upstream *upstream.Client
+		options Options
+		bounds  atomic.Pointer[Bounds]
+		config  atomic.Pointer[Config]
+		listed  atomic.Bool
+		// entriesListed tells that Beacon has met all entries that there are.
+		entriesListed atomic.Bool
+		began         time.Time
+		leaving       atomic.Bool
+		upstream      *upstream.Client
 		// dispatcher is the one that handler uses.
 		dispatcher *dispatch.Dispatcher
 		handler    *forward.Handler
@@ -153,7 +157,7 @@
 
 // New returns a Node that knows nothing yet.
 func New(o Options) *Node {
-	n := &Node{options: o, Roster: &roster.Roster{Grace: o.Lapse, Log: o.Log}}
+	n := &Node{options: o, began: time.Now(), Roster: &roster.Roster{Grace: o.Lapse, Log: o.Log}}
 	n.upstream = &upstream.Client{Connect: connectTime, Idle: idleTime, IdleOnce: idleOnceTime, RequestID: o.Headers.RequestID}
 	n.Quarantine = &quarantine.List{Instance: o.Self.Instance, Tolerated: toleratedCrashes}
 	n.Beacon = &beacon.Beacon{Self: n.Self, Interval: o.BeaconInterval, Timeout: o.BeaconTimeout, Heard: n.heard, Log: o.Log}
@@ -199,6 +203,9 @@
 // Store returns the followers of the store's objects.
 func (n *Node) Store() follow.Group { return n.options.Store }
 
+// EntriesListed notes that Beacon has met all entries of a list.
+func (n *Node) EntriesListed() { n.entriesListed.Store(true) }
+
 // Listed notes that the roster holds a whole list of the servers.
 func (n *Node) Listed() { n.listed.Store(true) }
 
@@ -376,7 +383,9 @@
 			return
 		case now := <-t.C:
 			n.Roster.Step(now)
-			n.Roster.SetEntries(n.options.Self.Peers, n.Beacon.Known())
+			if n.sharesCold(now) {
+				n.Roster.SetEntries(n.options.Self.Peers, n.Beacon.Known())
+			}
 			n.check(ctx, now)
 			n.upstream.CloseIdle(now)
 			n.idle.close(now, n.idleLimit())
@@ -384,6 +393,13 @@
 	}
 }
 
+// sharesCold tells whether the entry may use its part of cold servers' rates: it
+// must know who else does, and a process before it may have sent its part until it
+// ended.
+func (n *Node) sharesCold(now time.Time) bool {
+	return n.entriesListed.Load() && now.Sub(n.began) >= coldrate.Span
+}
+
 // check connects to the servers of which it is not known whether they are in reach.
 func (n *Node) check(ctx context.Context, now time.Time) {
 	for _, m := range n.Roster.Checks(now) {
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -222,3 +222,25 @@
 	is.NoErr(err)
 	is.Equal(e.Reason, "no route")
 }
+
+// After its start an entry leaves cold servers alone for the second in which a
+// process before it may have sent its part of their rate, and until it knows the
+// other entries.
+func TestColdServersAfterAStart(t *testing.T) {
+	is := is.New(t)
+	n := newNode(t)
+	n.SetBounds(node.Bounds{Grace: grace, Cold: roster.ColdBound{Overshoot: 1, Allowance: 10}})
+	now := time.Now()
+	n.Roster.Put(now, roster.Server{Name: "i-1", Service: svc, Address: "127.0.0.1:1", Zone: "a-1", Slots: 6, Cold: time.Minute})
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- n.Run(ctx) }()
+	ready := func() bool { return n.Roster.View().Members(svc)[0].Ready(time.Now()) }
+	n.EntriesListed()
+	time.Sleep(500 * time.Millisecond)
+	is.True(!ready())
+	time.Sleep(time.Second)
+	is.True(ready())
+	cancel()
+	is.NoErr(<-ended)
+}
--- a/internal/node/snapshot.go
+++ b/internal/node/snapshot.go
@@ -141,6 +141,7 @@
 			n.Beacon.Meet("", addr)
 		}
 	}
+	n.EntriesListed()
 	if p := s.Configuration; p != nil && p.Value != nil && known[follow.Configuration] != nil {
 		known[follow.Configuration].Adopt(p.Version, func() { n.Configure(p.Value) })
 	}
--- a/internal/roster/member.go
+++ b/internal/roster/member.go
@@ -83,8 +83,11 @@
 }
 
 // coldLimit returns how many requests this entry may send in a second while the
-// server is cold.
+// server is cold: none while it doesn't know the others.
 func (m *Member) coldLimit() int {
+	if !m.sharing.known {
+		return 0
+	}
 	bound := m.cold.ColdRate*m.sharing.bound.Overshoot + m.sharing.bound.Allowance
 	return coldrate.Share(bound, len(m.sharing.others)+1, m.sharing.rank(m.Seed))
 }
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -112,6 +112,7 @@
 	// sharing says how entries share a cold server's rate. The seeds stand for
 	// the entries in rankings.
 	sharing struct {
+		known  bool // the others are known
 		self   uint64
 		others []uint64
 		bound  ColdBound
@@ -283,7 +284,7 @@
 }
 
 // SetEntries sets the entries that share a cold server's rate, by an address of
-// each.
+// each. Before the first call, cold servers get nothing.
 func (r *Roster) SetEntries(self netip.AddrPort, others []netip.AddrPort) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -291,7 +292,7 @@
 		return
 	}
 	r.self, r.others = self, slices.Clone(others)
-	r.sharing.self, r.sharing.others = entrySeed(self), nil
+	r.sharing.known, r.sharing.self, r.sharing.others = true, entrySeed(self), nil
 	for _, other := range others {
 		r.sharing.others = append(r.sharing.others, entrySeed(other))
 	}
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -322,6 +322,21 @@
 	}
 }
 
+// A process that doesn't know yet how many share a cold server's rate sends nothing
+// there.
+func TestColdServersOfAnEntryThatKnowsNoOthers(t *testing.T) {
+	is := is.New(t)
+	r := &roster.Roster{Log: slog.New(slog.DiscardHandler)}
+	r.Configure(map[id.Service]roster.Service{svc: {ColdTime: 3 * time.Second, ColdRate: 30}})
+	r.SetColdBound(roster.ColdBound{Overshoot: 1})
+	s := server("i-1")
+	s.Cold = time.Second
+	r.Put(start, s)
+	is.Equal(begun(r, start), 0)
+	r.SetEntries(entry(1), nil)
+	is.True(begun(r, start) > 0)
+}
+
 // Requests don't find out whether a server takes connections again; checks do.
 func TestChecks(t *testing.T) {
 	is := is.New(t)
