store: a version is an era and a revision

A revision alone then doesn't order two versions.

Everything still runs with era 0: the platform's answers carry revisions alone, and the stores of shallotpierd number their writes as before.

Tests compare with Before where they compared numbers; no assertion changes.

--- a/internal/config/keeper.go
+++ b/internal/config/keeper.go
@@ -238,13 +238,13 @@
 }
 
 // readStore reads the current publication once and returns the version of its
-// object, 0 if the read failed.
+// object, zero if the read failed.
 func (k *Keeper) readStore(ctx context.Context) store.Version {
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
 	o, err := k.Store.Get(ctx, publish.CurrentKey)
 	if err != nil {
-		return 0
+		return store.Version{}
 	}
 	k.offer(o.Value, "")
 	return o.Version
@@ -269,10 +269,10 @@
 				continue
 			}
 		case errors.Is(err, store.ErrNotFound):
-			seen = 0
+			seen = store.Version{}
 		case time.Since(began) > maxPause:
 			pause = minPause
-			if v := k.readStore(ctx); v != 0 {
+			if v := k.readStore(ctx); !v.IsZero() {
 				seen = v
 				continue
 			}
--- a/internal/entryview/view.go
+++ b/internal/entryview/view.go
@@ -25,6 +25,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/shallotpier/shallotpier/internal/store"
 	"github.com/shallotpier/shallotpier/pkg/id"
 )
 
@@ -72,7 +73,7 @@
 		// Name is the kind's name.
 		Name string `json:"name"`
 		// Change is the version of the newest applied change.
-		Change uint64 `json:"change"`
+		Change store.Version `json:"change"`
 		// Age is the time since the store's last answer, in nanoseconds in JSON.
 		Age time.Duration `json:"age"`
 	}
@@ -191,7 +192,7 @@
 		for _, k := range v.Store {
 			if i := slices.IndexFunc(first.Store, func(f StoreState) bool { return f.Name == k.Name }); i >= 0 {
 				if f := first.Store[i]; f.Change != k.Change {
-					report("%s up to change %d and %d", k.Name, f.Change, k.Change)
+					report("%s up to change %s and %s", k.Name, f.Change, k.Change)
 				} else if (f.Age - k.Age).Abs() > ageMargin {
 					report("%s confirmed %v and %v ago", k.Name, f.Age.Round(time.Millisecond), k.Age.Round(time.Millisecond))
 				}
--- a/internal/entryview/view_test.go
+++ b/internal/entryview/view_test.go
@@ -7,6 +7,7 @@
 	"github.com/matryer/is"
 
 	"github.com/shallotpier/shallotpier/internal/entryview"
+	"github.com/shallotpier/shallotpier/internal/store"
 	"github.com/shallotpier/shallotpier/pkg/id"
 )
 
@@ -14,7 +15,7 @@
 	base := func() *entryview.View {
 		return &entryview.View{
 			Instance: "entry-2", Version: 7, Known: 6,
-			Store:   []entryview.StoreState{{Name: "servers", Change: 40, Age: time.Second}},
+			Store:   []entryview.StoreState{{Name: "servers", Change: store.Version{Revision: 40}, Age: time.Second}},
 			Servers: []entryview.Server{{Name: "i-1", State: entryview.Usable}},
 		}
 	}
@@ -26,7 +27,7 @@
 		"configuration":                {func(v *entryview.View) { v.Version = 6 }, []string{"entry-1 and entry-2: configuration 7 and 6"}},
 		"evacuated zones":              {func(v *entryview.View) { v.EvacuatedZones = []id.Zone{"a-1"} }, []string{"entry-1 and entry-2: evacuated zones [] and [a-1]"}},
 		"known entries":                {func(v *entryview.View) { v.Known = 5 }, []string{"entry-1 and entry-2: 6 and 5 other entries known"}},
-		"store change":                 {func(v *entryview.View) { v.Store[0].Change = 39 }, []string{"entry-1 and entry-2: servers up to change 40 and 39"}},
+		"store change":                 {func(v *entryview.View) { v.Store[0].Change.Revision = 39 }, []string{"entry-1 and entry-2: servers up to change 40 and 39"}},
 		"age within the margin":        {func(v *entryview.View) { v.Store[0].Age = 10 * time.Second }, nil},
 		"age beyond the margin":        {func(v *entryview.View) { v.Store[0].Age = time.Minute }, []string{"entry-1 and entry-2: servers confirmed 1s and 1m0s ago"}},
 		"server state":                 {func(v *entryview.View) { v.Servers[0].State = entryview.Out }, []string{"entry-1 and entry-2: server i-1 is usable and out"}},
--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -145,7 +145,7 @@
 func (f *Follower) Invalidate(rev store.Version) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if rev <= f.covered || rev <= f.invalidation {
+	if !f.covered.Before(rev) || !f.invalidation.Before(rev) {
 		return
 	}
 	f.invalidation = rev
@@ -163,7 +163,7 @@
 func (f *Follower) NeedsPeerState() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.unavailable && (f.latest == 0 || f.invalidation > f.latest)
+	return f.unavailable && (f.latest.IsZero() || f.latest.Before(f.invalidation))
 }
 
 // Bootstrap calls apply, which must apply the state of another entry as of a version.
@@ -174,9 +174,9 @@
 	defer f.applying.Unlock()
 	f.mu.Lock()
 	known := f.latest
-	f.latest = max(known, version)
+	f.latest = store.Latest(known, version)
 	f.mu.Unlock()
-	if version <= known {
+	if !known.Before(version) {
 		return false
 	}
 	f.Log.Info("taken over from another entry", "kind", f.Kind, "version", version, "before", known)
@@ -189,7 +189,7 @@
 func (f *Follower) Capture(read func(version store.Version)) {
 	f.applying.Lock()
 	defer f.applying.Unlock()
-	if version := f.Latest(); version > 0 {
+	if version := f.Latest(); !version.IsZero() {
 		read(version)
 	}
 }
@@ -217,7 +217,7 @@
 func (f *Follower) checkStalled(rev store.Version) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.covered < rev && f.cancelWatch != nil {
+	if f.covered.Before(rev) && f.cancelWatch != nil {
 		f.Log.Warn("watch is behind", "kind", f.Kind, "covered", f.covered, "change", rev)
 		f.cancelWatch(errStalled)
 	}
@@ -259,7 +259,7 @@
 	defer cancel(nil)
 	f.mu.Lock()
 	f.cancelWatch = cancel
-	if f.invalidation > rev {
+	if rev.Before(f.invalidation) {
 		version := f.invalidation
 		time.AfterFunc(f.StallTimeout, func() { f.checkStalled(version) })
 	}
@@ -269,7 +269,7 @@
 	f.cancelWatch = nil
 	f.mu.Unlock()
 	if errors.Is(context.Cause(ctx), errStalled) {
-		return nil, 0, errStalled
+		return nil, store.Version{}, errStalled
 	}
 	return changes, next, err
 }
@@ -282,7 +282,7 @@
 	f.mu.Lock()
 	before := f.latest
 	for i := range changes {
-		f.latest = max(f.latest, changes[i].Version)
+		f.latest = store.Latest(f.latest, changes[i].Version)
 	}
 	if len(changes) > 0 && f.latest == before {
 		// No change has a new version; covered is an upper bound for the newest.
@@ -307,9 +307,13 @@
 	f.mu.Lock()
 	f.covered = covered
 	for _, o := range all {
-		f.latest = max(f.latest, o.Version)
+		f.latest = store.Latest(f.latest, o.Version)
+	}
+	if !covered.Before(f.invalidation) {
+		f.latest = store.Latest(f.latest, f.invalidation)
+	} else {
+		f.latest = store.Latest(f.latest, covered)
 	}
-	f.latest = max(f.latest, min(f.invalidation, covered))
 	if f.gap {
 		// Removals during the gap don't appear in the list, but count as changes.
 		f.latest, f.gap = covered, false
--- a/internal/follow/follower_test.go
+++ b/internal/follow/follower_test.go
@@ -19,7 +19,7 @@
 	feed struct {
 		mu          sync.Mutex
 		unavailable bool
-		version     store.Version
+		version     store.Revision
 		keys        []string
 	}
 
@@ -30,34 +30,37 @@
 	}
 )
 
+// revision returns a version of era 0.
+func revision(r store.Revision) store.Version { return store.Version{Revision: r} }
+
 func (f *feed) All(context.Context) ([]store.Object, store.Version, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.unavailable {
-		return nil, 0, store.ErrUnavailable
+		return nil, store.Version{}, store.ErrUnavailable
 	}
 	var all []store.Object
 	for _, key := range f.keys {
-		all = append(all, store.Object{Key: key, Version: f.version})
+		all = append(all, store.Object{Key: key, Version: revision(f.version)})
 	}
-	return all, f.version, nil
+	return all, revision(f.version), nil
 }
 
 func (f *feed) Changes(ctx context.Context, after store.Version, wait time.Duration) ([]store.Change, store.Version, error) {
 	select {
 	case <-time.After(wait):
 	case <-ctx.Done():
-		return nil, 0, ctx.Err()
+		return nil, store.Version{}, ctx.Err()
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.unavailable {
-		return nil, 0, store.ErrUnavailable
+		return nil, store.Version{}, store.ErrUnavailable
 	}
 	return nil, after, nil
 }
 
-func (f *feed) set(unavailable bool, version store.Version, keys ...string) {
+func (f *feed) set(unavailable bool, version store.Revision, keys ...string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.unavailable, f.version, f.keys = unavailable, version, keys
@@ -96,13 +99,13 @@
 	tests := map[string]struct {
 		// before is the version of the store's initial state; 0 is a store that
 		// is unavailable from the start.
-		before store.Version
+		before store.Revision
 		// invalidation is the newest change that another entry has applied.
-		invalidation store.Version
+		invalidation store.Revision
 		// needsPeerState is the expected result of NeedsPeerState.
 		needsPeerState bool
 		// received is the version of the state that the other entry sends.
-		received store.Version
+		received store.Revision
 		// applied is whether that state is expected to be applied.
 		applied bool
 	}{
@@ -128,17 +131,17 @@
 				time.Sleep(10 * time.Second)
 				fd.set(true, 0)
 				time.Sleep(10 * time.Second)
-				f.Invalidate(tt.invalidation)
+				f.Invalidate(revision(tt.invalidation))
 				time.Sleep(10 * time.Second)
 				is.Equal(f.NeedsPeerState(), tt.needsPeerState)
-				is.Equal(f.Bootstrap(tt.received, func() { s.set("bootstrapped") }), tt.applied)
+				is.Equal(f.Bootstrap(revision(tt.received), func() { s.set("bootstrapped") }), tt.applied)
 				is.Equal(len(s.has()) > 0 && s.has()[0] == "bootstrapped", tt.applied)
 				// The store takes precedence over another entry.
 				fd.set(false, 9, "listed again")
 				time.Sleep(10 * time.Second)
 				is.Equal(s.has(), []string{"listed again"})
 				is.True(!f.NeedsPeerState())
-				is.True(!f.Bootstrap(8, func() { s.set("bootstrapped late") }))
+				is.True(!f.Bootstrap(revision(8), func() { s.set("bootstrapped late") }))
 				is.Equal(s.has(), []string{"listed again"})
 				cancel()
 				synctest.Wait()
@@ -152,8 +155,8 @@
 	f := &follow.Follower{Log: slog.New(slog.DiscardHandler)}
 	var got store.Version
 	f.Capture(func(v store.Version) { got = v })
-	is.Equal(got, store.Version(0)) // no state has been applied
-	is.True(f.Bootstrap(7, func() {}))
+	is.Equal(got, store.Version{}) // no state has been applied
+	is.True(f.Bootstrap(revision(7), func() {}))
 	f.Capture(func(v store.Version) { got = v })
-	is.Equal(got, store.Version(7))
+	is.Equal(got, revision(7))
 }
--- a/internal/follow/group.go
+++ b/internal/follow/group.go
@@ -22,7 +22,7 @@
 func (g Group) Changes() map[Kind]store.Version {
 	out := make(map[Kind]store.Version, len(g))
 	for kind, f := range g {
-		if version := f.Latest(); version > 0 {
+		if version := f.Latest(); !version.IsZero() {
 			out[kind] = version
 		}
 	}
--- a/internal/heartbeat/detector.go
+++ b/internal/heartbeat/detector.go
@@ -391,7 +391,7 @@
 func (d *Detector) mergeInvalidations(changes map[follow.Kind]store.Version) bool {
 	raised := false
 	for kind, version := range changes {
-		if version > d.invalidations[kind] {
+		if d.invalidations[kind].Before(version) {
 			if d.invalidations == nil {
 				d.invalidations = make(map[follow.Kind]store.Version)
 			}
--- a/internal/heartbeat/many_test.go
+++ b/internal/heartbeat/many_test.go
@@ -119,11 +119,11 @@
 	m.detector.Self = func() heartbeat.Node {
 		self := m.self
 		self.Ready, self.Incarnation = m.ready.Load(), id.Incarnation(starts)
-		self.Changes = map[follow.Kind]store.Version{follow.Servers: store.Version(m.change.Load())}
+		self.Changes = map[follow.Kind]store.Version{follow.Servers: {Revision: store.Revision(m.change.Load())}}
 		return self
 	}
 	m.detector.OnUpdate = func(_ time.Time, u heartbeat.Update) {
-		m.received.Store(max(m.received.Load(), uint64(u.Changes[follow.Servers])))
+		m.received.Store(max(m.received.Load(), uint64(u.Changes[follow.Servers].Revision)))
 	}
 	for _, other := range d.entries {
 		if other != m {
--- a/internal/lease/explore_test.go
+++ b/internal/lease/explore_test.go
@@ -81,9 +81,9 @@
 		m.holders[0].Tick(at(0))
 		m.holders[1].Tick(at(0))
 	}
-	m.holders[0].ApplyWrite(at(0), at(0), first, 1)
-	m.holders[1].ApplyRead(at(0), first.Record, 1)
-	m.record, m.version = first.Record, 1
+	m.holders[0].ApplyWrite(at(0), at(0), first, store.Version{Revision: 1})
+	m.holders[1].ApplyRead(at(0), first.Record, store.Version{Revision: 1})
+	m.record, m.version = first.Record, store.Version{Revision: 1}
 	return m
 }
 
@@ -178,7 +178,7 @@
 		o.conflict = true
 		return
 	}
-	m.version++
+	m.version.Revision++
 	m.record = o.write.Record
 	o.effective, o.version = true, m.version
 }
--- a/internal/lease/holder.go
+++ b/internal/lease/holder.go
@@ -31,7 +31,7 @@
 	}
 
 	// Write is a conditional write of the record. It takes effect only if the
-	// record's version is Version, 0 for an absent record.
+	// record's version is Version, zero for an absent record.
 	Write struct {
 		// Record is the record to write.
 		Record Record
@@ -79,13 +79,13 @@
 // Record returns the record last seen.
 func (h *Holder) Record() Record { return h.record }
 
-// ApplyRead applies a read of the record that ended at now; version 0 means that
-// the record is absent. A version older than one seen before is ignored.
+// ApplyRead applies a read of the record that ended at now; the zero version means
+// that the record is absent. A version older than one seen before is ignored.
 func (h *Holder) ApplyRead(now time.Time, r Record, v store.Version) {
-	if v != 0 && v < h.version {
+	if !v.IsZero() && v.Before(h.version) {
 		return
 	}
-	if v == 0 {
+	if v.IsZero() {
 		r = Record{Term: h.record.Term}
 	}
 	if h.Timed && (v != h.version || h.versionSince.IsZero()) {
@@ -134,7 +134,7 @@
 		return Write{}, false
 	}
 	w.Record = Record{Term: h.record.Term + 1, Holder: h.Self}
-	w.delayed = h.version != 0 && !h.record.Released && !h.expired(now)
+	w.delayed = !h.version.IsZero() && !h.record.Released && !h.expired(now)
 	return w, true
 }
 
@@ -207,7 +207,7 @@
 func (h *Holder) FreeAt() time.Time { return h.freeAt }
 
 func (h *Holder) held() bool {
-	return h.version != 0 && h.record.Holder == h.Self && !h.record.Released
+	return !h.version.IsZero() && h.record.Holder == h.Self && !h.record.Released
 }
 
 func (h *Holder) invalidate() {
@@ -218,7 +218,7 @@
 	r := h.record
 	sameInstance := r.Holder.Instance == h.Self.Instance
 	switch {
-	case h.version == 0, r.Released, h.expired(now):
+	case h.version.IsZero(), r.Released, h.expired(now):
 		return true
 	case sameInstance:
 		return r.Holder.Incarnation < h.Self.Incarnation
--- a/internal/lease/keeper.go
+++ b/internal/lease/keeper.go
@@ -92,7 +92,7 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	h, ok := k.holders[name]
-	if !ok || h.version == 0 {
+	if !ok || h.version.IsZero() {
 		return Record{}, 0, false
 	}
 	return h.record, time.Since(k.readAt), true
@@ -198,7 +198,7 @@
 	for _, name := range names {
 		o := found[name]
 		var r Record
-		if o.Version != 0 && json.Unmarshal(o.Value, &r) != nil {
+		if !o.Version.IsZero() && json.Unmarshal(o.Value, &r) != nil {
 			k.logger().Error("lease", "event", "invalid", "name", name)
 			continue
 		}
@@ -239,7 +239,7 @@
 }
 
 func (w Write) condition() store.Condition {
-	if w.Version == 0 {
+	if w.Version.IsZero() {
 		return store.IfAbsent()
 	}
 	return store.IfVersion(w.Version)
--- a/internal/node/snapshot.go
+++ b/internal/node/snapshot.go
@@ -102,7 +102,7 @@
 	newer := func(other *heartbeat.Node) int {
 		kinds := 0
 		for kind, known := range missing {
-			if other.Changes[kind] > known {
+			if known.Before(other.Changes[kind]) {
 				kinds++
 			}
 		}
@@ -187,7 +187,7 @@
 		return
 	}
 	f.Capture(func(v store.Version) {
-		if v > known {
+		if known.Before(v) {
 			read(v)
 		}
 	})
--- a/internal/node/snapshot_test.go
+++ b/internal/node/snapshot_test.go
@@ -23,11 +23,11 @@
 )
 
 func (unavailableFeed) All(context.Context) ([]store.Object, store.Version, error) {
-	return nil, 0, store.ErrUnavailable
+	return nil, store.Version{}, store.ErrUnavailable
 }
 
 func (unavailableFeed) Changes(context.Context, store.Version, time.Duration) ([]store.Change, store.Version, error) {
-	return nil, 0, store.ErrUnavailable
+	return nil, store.Version{}, store.ErrUnavailable
 }
 
 func (noSink) Replace(time.Time, []store.Object) {}
@@ -64,14 +64,14 @@
 	first, second := start("entry-1"), start("entry-2")
 	now := time.Now()
 	group := first.Store()
-	group[follow.Configuration].Bootstrap(4, func() { first.Configure(configOf(7, "/x/")) })
-	group[follow.EvacuatedZones].Bootstrap(5, func() { first.Roster.SetEvacuated(now, map[id.Zone]bool{"b-1": true}) })
+	group[follow.Configuration].Bootstrap(store.Version{Revision: 4}, func() { first.Configure(configOf(7, "/x/")) })
+	group[follow.EvacuatedZones].Bootstrap(store.Version{Revision: 5}, func() { first.Roster.SetEvacuated(now, map[id.Zone]bool{"b-1": true}) })
 	servers := []roster.Server{
 		{Name: "i-1", Service: svc, Address: "127.0.0.1:1", Zone: "a-1", Region: "a", Slots: 6, StartedAt: 12},
 		{Name: "i-2", Service: svc, Address: "127.0.0.1:2", Zone: "b-1", Region: "b", Slots: 6},
 		{Name: "i-3", Service: svc, Address: "127.0.0.1:3", Zone: "a-1", Region: "a", Slots: 6, Leaving: true},
 	}
-	group[follow.Servers].Bootstrap(6, func() {
+	group[follow.Servers].Bootstrap(store.Version{Revision: 6}, func() {
 		first.Roster.Replace(now, servers)
 		first.MarkServersListed()
 	})
@@ -86,9 +86,9 @@
 	is.Equal(second.Roster.Servers(now), servers)
 	is.Equal(second.Roster.Evacuated(), []id.Zone{"b-1"})
 	is.Equal(len(second.Roster.View().Members(svc)), 1) // neither evacuated nor leaving
-	is.Equal(second.Self().Changes[follow.Servers], store.Version(6))
+	is.Equal(second.Self().Changes[follow.Servers], store.Version{Revision: 6})
 	// A change that only the first entry receives is relayed to the second.
-	group[follow.Servers].Bootstrap(9, func() { first.Roster.Remove(time.Now(), "i-1") })
+	group[follow.Servers].Bootstrap(store.Version{Revision: 9}, func() { first.Roster.Remove(time.Now(), "i-1") })
 	for end := time.Now().Add(3 * time.Second); len(second.Roster.Servers(now)) > 2 && time.Now().Before(end); {
 		time.Sleep(20 * time.Millisecond)
 	}
--- a/internal/node/state.go
+++ b/internal/node/state.go
@@ -26,7 +26,7 @@
 		v.Version = c.Version
 	}
 	for kind, version := range self.Changes {
-		v.Store = append(v.Store, entryview.StoreState{Name: string(kind), Change: uint64(version), Age: n.options.Store.Age(kind, now)})
+		v.Store = append(v.Store, entryview.StoreState{Name: string(kind), Change: version, Age: n.options.Store.Age(kind, now)})
 	}
 	slices.SortFunc(v.Store, func(x, y entryview.StoreState) int { return strings.Compare(x.Name, y.Name) })
 	for _, other := range n.Heartbeats.Alive(now) {
--- a/internal/publish/publisher_test.go
+++ b/internal/publish/publisher_test.go
@@ -238,7 +238,7 @@
 
 func (k *killable) Put(ctx context.Context, key string, value []byte, cond store.Condition) (store.Version, error) {
 	if k.killed != nil && k.killed.Err() != nil {
-		return 0, store.ErrAmbiguous
+		return store.Version{}, store.ErrAmbiguous
 	}
 	return k.Client.Put(ctx, key, value, cond)
 }
--- a/internal/standin/platform/http.go
+++ b/internal/standin/platform/http.go
@@ -66,7 +66,7 @@
 	)
 	seen, hasSeen := parseTag(r.Header.Get("If-None-Match"))
 	if query := r.URL.Query(); query.Has("watch") {
-		seen, err = parseVersion(query.Get("watch"))
+		seen, err = store.ParseVersion(query.Get("watch"))
 		if err != nil {
 			http.Error(w, err.Error(), http.StatusBadRequest)
 			return
@@ -162,18 +162,13 @@
 	return store.IfVersion(v), nil
 }
 
-func tag(v store.Version) string { return strconv.Quote(strconv.FormatUint(uint64(v), 10)) }
+func tag(v store.Version) string { return strconv.Quote(v.String()) }
 
 func parseTag(text string) (store.Version, bool) {
-	v, err := parseVersion(strings.Trim(text, `"`))
+	v, err := store.ParseVersion(strings.Trim(text, `"`))
 	return v, err == nil
 }
 
-func parseVersion(text string) (store.Version, error) {
-	n, err := strconv.ParseUint(text, 10, 64)
-	return store.Version(n), err
-}
-
 func waitTime(seconds string) time.Duration {
 	n, err := strconv.ParseFloat(seconds, 64)
 	if err != nil || !(n >= 0) {
--- a/internal/standin/platform/store.go
+++ b/internal/standin/platform/store.go
@@ -68,7 +68,7 @@
 	// use. It is safe for concurrent use.
 	Store struct {
 		mu       sync.Mutex
-		revision store.Version
+		revision store.Revision
 		objects  map[string][]state
 		changed  chan struct{}
 		fault    Fault
@@ -152,12 +152,12 @@
 // Put writes the value if the condition holds.
 func (s *Store) Put(ctx context.Context, key string, value []byte, cond store.Condition) (store.Version, error) {
 	if len(value) > store.MaxValue {
-		return 0, eris.Errorf("value has %d bytes, limit is %d", len(value), store.MaxValue)
+		return store.Version{}, eris.Errorf("value has %d bytes, limit is %d", len(value), store.MaxValue)
 	}
 	value = slices.Clone(value)
 	return s.write(ctx, Put, key, func() (store.Version, error) {
 		if !cond.Holds(s.version(key)) {
-			return 0, store.ErrConflict
+			return store.Version{}, store.ErrConflict
 		}
 		return s.append(key, value, false), nil
 	})
@@ -168,9 +168,9 @@
 	_, err := s.write(ctx, Delete, key, func() (store.Version, error) {
 		switch v := s.version(key); {
 		case !cond.Holds(v):
-			return 0, store.ErrConflict
-		case v == 0:
-			return 0, store.ErrNotFound
+			return store.Version{}, store.ErrConflict
+		case v.IsZero():
+			return store.Version{}, store.ErrNotFound
 		}
 		return s.append(key, nil, true), nil
 	})
@@ -318,7 +318,7 @@
 func (s *Store) write(ctx context.Context, kind Kind, key string, apply func() (store.Version, error)) (store.Version, error) {
 	f, err := s.begin(ctx, kind, key)
 	if err != nil {
-		return 0, err
+		return store.Version{}, err
 	}
 	applyLocked := func() (store.Version, error) {
 		s.mu.Lock()
@@ -334,12 +334,12 @@
 				<-late.C
 				_, _ = applyLocked()
 			}()
-			return 0, eris.Wrap(store.ErrAmbiguous, "no answer in time")
+			return store.Version{}, eris.Wrap(store.ErrAmbiguous, "no answer in time")
 		}
 	}
 	v, err := applyLocked()
 	if f.Lost {
-		return 0, eris.Wrap(store.ErrAmbiguous, "answer lost")
+		return store.Version{}, eris.Wrap(store.ErrAmbiguous, "answer lost")
 	}
 	return v, err
 }
@@ -366,7 +366,7 @@
 func (s *Store) version(key string) store.Version {
 	states := s.objects[key]
 	if len(states) == 0 || states[len(states)-1].deleted {
-		return 0
+		return store.Version{}
 	}
 	return states[len(states)-1].object.Version
 }
@@ -376,14 +376,14 @@
 		s.objects = map[string][]state{}
 	}
 	s.revision++
-	o := store.Object{Key: key, Version: s.revision, Value: value}
+	o := store.Object{Key: key, Version: store.Version{Revision: s.revision}, Value: value}
 	states := append(s.objects[key], state{object: o, since: time.Now(), deleted: deleted})
 	if len(states) > maxStates {
 		states = slices.Delete(states, 0, len(states)-maxStates)
 	}
 	s.objects[key] = states
 	s.broadcast()
-	return s.revision
+	return o.Version
 }
 
 // changes returns a channel that is closed at the next change of an object or of
--- a/internal/store/doc.go
+++ b/internal/store/doc.go
@@ -6,6 +6,10 @@
 // the key being absent. A watch waits until the version of an object differs
 // from the one last read.
 //
+// The store may be restored from an older copy: the writes since are lost, and
+// their revisions are given out again. A [Version] therefore holds the era too, the
+// number of restores so far, and versions are compared as pairs.
+//
 // Every call has one of five results, which the calling code must distinguish:
 // success; [ErrNotFound]; [ErrConflict], the condition did not hold and nothing
 // was written; [ErrUnavailable], nothing was written; [ErrAmbiguous], a write
--- a/internal/store/httpstore/client.go
+++ b/internal/store/httpstore/client.go
@@ -65,11 +65,11 @@
 func (c *Client) Put(ctx context.Context, key string, value []byte, cond store.Condition) (store.Version, error) {
 	a, err := c.write(ctx, http.MethodPut, key, value, cond)
 	if err != nil {
-		return 0, err
+		return store.Version{}, err
 	}
 	v, err := parseTag(a.tag)
 	if err != nil {
-		return 0, eris.Wrap(store.ErrAmbiguous, err.Error())
+		return store.Version{}, eris.Wrap(store.ErrAmbiguous, err.Error())
 	}
 	return v, nil
 }
@@ -108,7 +108,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait+c.timeout())
 	defer cancel()
-	path := fmt.Sprintf("%s?watch=%d&wait=%s", objectPath(key), seen, strconv.FormatFloat(wait.Seconds(), 'f', -1, 64))
+	path := fmt.Sprintf("%s?watch=%s&wait=%s", objectPath(key), seen, strconv.FormatFloat(wait.Seconds(), 'f', -1, 64))
 	a, _, err := c.call(ctx, http.MethodGet, path, nil, nil, store.MaxValue)
 	if err != nil {
 		return store.Object{}, unavailable(err)
@@ -121,10 +121,10 @@
 	defer cancel()
 	header := http.Header{}
 	switch v, set := cond.Required(); {
-	case set && v == 0:
+	case set && v.IsZero():
 		header.Set("If-None-Match", "*")
 	case set:
-		header.Set("If-Match", strconv.Quote(strconv.FormatUint(uint64(v), 10)))
+		header.Set("If-Match", strconv.Quote(v.String()))
 	}
 	a, connected, err := c.call(ctx, method, objectPath(key), header, value, store.MaxValue)
 	switch {
@@ -206,11 +206,11 @@
 func unavailable(err error) error { return eris.Wrap(store.ErrUnavailable, err.Error()) }
 
 func parseTag(text string) (store.Version, error) {
-	n, err := strconv.ParseUint(strings.Trim(text, `"`), 10, 64)
-	if err != nil || n == 0 {
-		return 0, eris.Errorf("ETag %q is not a version", text)
+	v, err := store.ParseVersion(strings.Trim(text, `"`))
+	if err != nil || v.IsZero() {
+		return store.Version{}, eris.Errorf("ETag %q is not a version", text)
 	}
-	return store.Version(n), nil
+	return v, nil
 }
 
 func objectPath(key string) string { return "/objects/" + (&url.URL{Path: key}).EscapedPath() }
--- a/internal/store/httpstore/client_test.go
+++ b/internal/store/httpstore/client_test.go
@@ -39,7 +39,7 @@
 	is.True(errors.Is(err, store.ErrConflict))
 	w, err := c.Put(ctx, key, []byte("c"), store.IfVersion(v))
 	is.NoErr(err)
-	is.True(w > v)
+	is.True(v.Before(w))
 	_, err = c.Put(ctx, key, []byte("d"), store.IfVersion(v))
 	is.True(errors.Is(err, store.ErrConflict))
 	o, err := c.Get(ctx, key)
@@ -52,7 +52,7 @@
 	is.NoErr(c.Delete(ctx, key, store.IfVersion(w)))
 	x, err := c.Put(ctx, key, nil, store.IfAbsent())
 	is.NoErr(err)
-	is.True(x > w) // a version is never reused for a key
+	is.True(w.Before(x)) // a version is never reused for a key
 }
 
 func TestFailedWriteIsAmbiguous(t *testing.T) {
@@ -81,7 +81,7 @@
 				is.True(errors.Is(err, store.ErrNotFound))
 				return
 			}
-			_, err = s.Watch(t.Context(), key, 0) // returns when the write takes effect
+			_, err = s.Watch(t.Context(), key, store.Version{}) // returns when the write takes effect
 			is.NoErr(err)
 		})
 	}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -10,10 +10,6 @@
 const MaxValue = 1 << 20
 
 type (
-	// Version is the version number of an object; each write increases it. The
-	// zero Version means that the object is absent.
-	Version uint64
-
 	// Object is a value with its version.
 	Object struct {
 		// Key identifies the object; its segments are separated by slashes.
@@ -68,10 +64,10 @@
 // IfAbsent holds while there is no object under the key.
 func IfAbsent() Condition { return Condition{set: true} }
 
-// Holds reports whether the condition holds for the current version, which is 0
-// for an absent object.
+// Holds reports whether the condition holds for the current version, which is the
+// zero Version for an absent object.
 func (c Condition) Holds(current Version) bool { return !c.set || c.version == current }
 
-// Required returns the version that the condition requires, 0 for absence, and
-// false if it always holds.
+// Required returns the version that the condition requires, the zero Version for
+// absence, and false if it always holds.
 func (c Condition) Required() (Version, bool) { return c.version, c.set }
