follow: a later era of the store makes its objects listed again

The follower ordered what it knew by revision alone.

The follower now keeps the latest era in any answer. An answer of an earlier era, which a slow connection may still deliver, changes nothing and doesn't count as an answer; the call is repeated with the usual delay. An answer of a later era ends the watch and makes the objects listed again, at all followers of the entry (Group.ObserveEra), and what was applied, covered or announced by peers in an earlier era no longer hides anything. A peer's state of an earlier era is refused, one of a later era is taken over. The sink learns of a restore before the list that follows it, so that the roster keeps what the copy lacks; StoreAvailableFor of peers counts only in the same era. A watch from a version that the restored store doesn't have is store.ErrRestored, not ErrCompacted. An answer without an era is of era 0 and works as before.

--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -10,6 +10,11 @@
 // from the state of a peer; the version of the newest change ensures that it never
 // applies an older state than its own.
 //
+// The store may be restored from an older copy, which its answers show by a later
+// era. The objects are then listed again, as the changes since the copy are lost and
+// their revisions given out again. Answers of an earlier era, which a slow connection
+// may still deliver, are dropped.
+//
 // # Usage
 //
 //	f := &follow.Follower{Feed: feed, Kind: follow.Servers, Sink: sink, ShortPoll: isShortPoll, Log: log}
@@ -25,6 +30,8 @@
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"github.com/shallotpier/shallotpier/internal/store"
 )
 
@@ -65,6 +72,10 @@
 		// StoreRecovered is called before Replace when the store is available again
 		// after an outage, with the time since its last answer.
 		StoreRecovered(now time.Time, outage time.Duration)
+		// StoreRestored is called before Replace, after StoreRecovered, when the
+		// store has been restored from an older copy since the applied state, whose
+		// newest version is before. Objects may then be older than those applied.
+		StoreRestored(now time.Time, before, after store.Version)
 	}
 
 	// Follower keeps a Sink up to date with the objects of a kind.
@@ -96,10 +107,15 @@
 		// Sink receives the objects and their changes.
 		Sink Sink
 		// Log receives a line when the store becomes unavailable or available
-		// again, and when the objects have to be listed again.
+		// again, when it has been restored from an older copy, and when the objects
+		// have to be listed again.
 		Log *slog.Logger
+		// Metrics receives the counters and gauges of the store's eras; nil means
+		// none.
+		Metrics *metrics.Set
 
-		gap   bool // changes may have been missed since the last list
+		onEra func(store.Era) // called with each later era, may be nil
+		gap   bool            // changes may have been missed since the last list
 		retry time.Duration
 		wake  chan struct{}
 
@@ -110,7 +126,8 @@
 		mu             sync.Mutex
 		unavailable    bool
 		answeredAt     time.Time     // time of the store's last answer
-		availableSince time.Time     // start of the current period without an outage
+		availableSince time.Time     // start of the current period without an outage or restore
+		era            store.Era     // the latest era in any answer of the store
 		covered        store.Version // all changes up to this version have been received from the store
 		latest         store.Version // the newest change that has been applied
 		invalidation   store.Version // the newest change that another entry has applied
@@ -122,8 +139,12 @@
 
 // Run follows the kind until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
+	f.registerMetrics()
 	for ctx.Err() == nil {
 		all, rev, err := f.Feed.All(ctx)
+		if err == nil && !f.admitEra(rev) {
+			err = errOlderEra
+		}
 		if err != nil {
 			f.handleFailure(ctx, err)
 			continue
@@ -163,7 +184,14 @@
 func (f *Follower) NeedsPeerState() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.unavailable && (f.latest.IsZero() || f.latest.Before(f.invalidation))
+	return f.unavailable && (f.latest.IsZero() || f.newest().Before(f.invalidation))
+}
+
+// newest returns a lower bound of what a later state must have: the version of the
+// newest applied change, or the start of the store's era if that is later. The caller
+// must hold mu.
+func (f *Follower) newest() store.Version {
+	return store.Latest(f.latest, store.Version{Era: f.era})
 }
 
 // Bootstrap calls apply, which must apply the state of another entry as of a version.
@@ -173,12 +201,18 @@
 	f.applying.Lock()
 	defer f.applying.Unlock()
 	f.mu.Lock()
-	known := f.latest
-	f.latest = store.Latest(known, version)
+	known, newer := f.latest, f.newest().Before(version)
+	if newer {
+		f.latest = version
+	}
 	f.mu.Unlock()
-	if !known.Before(version) {
+	if !newer {
 		return false
 	}
+	f.admitEra(version)
+	if !known.IsZero() && known.Era < version.Era {
+		f.handleRestore(time.Now(), known, version, "entry")
+	}
 	f.Log.Info("taken over from another entry", "kind", f.Kind, "version", version, "before", known)
 	apply()
 	return true
@@ -238,6 +272,12 @@
 			return
 		case errors.Is(err, errStalled):
 			return
+		case errors.Is(err, errRestored), errors.Is(err, store.ErrRestored):
+			f.gap = true
+			return
+		case errors.Is(err, errOlderEra):
+			f.delayRetry(ctx)
+			continue
 		case err != nil:
 			// List again immediately: it may be just the connection that was
 			// closed.
@@ -253,11 +293,15 @@
 	}
 }
 
-// poll makes one watch call, which checkStalled may cancel.
+// poll makes one watch call, which checkStalled or ObserveEra may cancel.
 func (f *Follower) poll(ctx context.Context, rev store.Version, wait time.Duration) ([]store.Change, store.Version, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	f.mu.Lock()
+	if rev.Era < f.era {
+		f.mu.Unlock()
+		return nil, store.Version{}, errRestored
+	}
 	f.cancelWatch = cancel
 	if rev.Before(f.invalidation) {
 		version := f.invalidation
@@ -268,8 +312,11 @@
 	f.mu.Lock()
 	f.cancelWatch = nil
 	f.mu.Unlock()
-	if errors.Is(context.Cause(ctx), errStalled) {
-		return nil, store.Version{}, errStalled
+	if cause := context.Cause(ctx); errors.Is(cause, errStalled) || errors.Is(cause, errRestored) {
+		return nil, store.Version{}, cause
+	}
+	if err == nil {
+		err = f.checkEra(rev, next)
 	}
 	return changes, next, err
 }
@@ -305,6 +352,8 @@
 	f.applying.Lock()
 	defer f.applying.Unlock()
 	f.mu.Lock()
+	before := store.Latest(f.latest, f.covered)
+	restored := !before.IsZero() && before.Era < covered.Era
 	f.covered = covered
 	for _, o := range all {
 		f.latest = store.Latest(f.latest, o.Version)
@@ -314,12 +363,18 @@
 	} else {
 		f.latest = store.Latest(f.latest, covered)
 	}
-	if f.gap {
+	if f.gap || restored {
 		// Removals during the gap don't appear in the list, but count as changes.
 		f.latest, f.gap = covered, false
 	}
+	if restored {
+		f.availableSince = time.Now()
+	}
 	f.mu.Unlock()
 	f.recordAnswer()
+	if restored {
+		f.handleRestore(time.Now(), before, covered, "store")
+	}
 	f.Sink.Replace(time.Now(), all)
 }
 
@@ -348,6 +403,11 @@
 	}
 	f.unavailable, f.gap = true, true
 	f.mu.Unlock()
+	f.delayRetry(ctx)
+}
+
+// delayRetry delays the next call after a failed one.
+func (f *Follower) delayRetry(ctx context.Context) {
 	limit := longPollMaxRetry
 	if f.ShortPoll() {
 		limit = shortPollMaxRetry
--- a/internal/follow/follower_test.go
+++ b/internal/follow/follower_test.go
@@ -15,8 +15,8 @@
 )
 
 type (
-	// feed is a store that can be made unavailable.
-	feed struct {
+	// switchedFeed is a store that can be made unavailable.
+	switchedFeed struct {
 		mu          sync.Mutex
 		unavailable bool
 		version     store.Revision
@@ -33,7 +33,7 @@
 // revision returns a version of era 0.
 func revision(r store.Revision) store.Version { return store.Version{Revision: r} }
 
-func (f *feed) All(context.Context) ([]store.Object, store.Version, error) {
+func (f *switchedFeed) All(context.Context) ([]store.Object, store.Version, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.unavailable {
@@ -46,7 +46,7 @@
 	return all, revision(f.version), nil
 }
 
-func (f *feed) Changes(ctx context.Context, after store.Version, wait time.Duration) ([]store.Change, store.Version, error) {
+func (f *switchedFeed) Changes(ctx context.Context, after store.Version, wait time.Duration) ([]store.Change, store.Version, error) {
 	select {
 	case <-time.After(wait):
 	case <-ctx.Done():
@@ -60,7 +60,7 @@
 	return nil, after, nil
 }
 
-func (f *feed) set(unavailable bool, version store.Revision, keys ...string) {
+func (f *switchedFeed) set(unavailable bool, version store.Revision, keys ...string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.unavailable, f.version, f.keys = unavailable, version, keys
@@ -81,6 +81,8 @@
 
 func (*sink) StoreRecovered(time.Time, time.Duration) {}
 
+func (*sink) StoreRestored(time.Time, store.Version, store.Version) {}
+
 func (s *sink) set(keys ...string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -121,7 +123,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
 				ctx, cancel := context.WithCancel(t.Context())
-				fd, s := &feed{}, &sink{}
+				fd, s := &switchedFeed{}, &sink{}
 				fd.set(tt.before == 0, tt.before, "listed")
 				f := &follow.Follower{
 					Feed: fd, Kind: follow.Servers, Sink: s, Timeout: time.Second, ShortWait: time.Second, LongWait: time.Minute,
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -245,11 +245,13 @@
 }
 
 // LongestPeerStoreUptime returns the longest time for which the store has been
-// available without interruption to any other entry.
+// available without interruption to any other entry in the present era.
 func (n *Node) LongestPeerStoreUptime(now time.Time) time.Duration {
-	longest := time.Duration(0)
+	longest, era := time.Duration(0), n.options.Store.Era(follow.Servers)
 	for _, other := range n.Heartbeats.Alive(now) {
-		longest = max(longest, other.StoreAvailableFor)
+		if other.Changes[follow.Servers].Era == era {
+			longest = max(longest, other.StoreAvailableFor)
+		}
 	}
 	return longest
 }
--- a/internal/node/snapshot_test.go
+++ b/internal/node/snapshot_test.go
@@ -38,6 +38,8 @@
 
 func (noSink) StoreRecovered(time.Time, time.Duration) {}
 
+func (noSink) StoreRestored(time.Time, store.Version, store.Version) {}
+
 // unavailableGroup follows all kinds at a store that is unavailable.
 func unavailableGroup() follow.Group {
 	g := make(follow.Group)
--- a/internal/store/feed.go
+++ b/internal/store/feed.go
@@ -17,7 +17,8 @@
 	}
 
 	// Feed provides the objects of one kind and their changes. All objects of
-	// the store share one version counter, so versions order the changes.
+	// the store share one version counter, so versions order the changes of an
+	// era. The era of a returned version is that of the store's answer.
 	// Implementations are safe for concurrent use.
 	Feed interface {
 		// All returns the objects, and the version of the latest change that
@@ -26,11 +27,18 @@
 		// Changes returns the changes after a version, and the version up to
 		// which they are complete. It returns as soon as there is a change, or
 		// when wait has passed. It returns ErrCompacted if the store has
-		// discarded changes after the version.
+		// discarded changes after the version, and ErrRestored if the answer is of
+		// a later era, which doesn't have the version.
 		Changes(ctx context.Context, after Version, wait time.Duration) ([]Change, Version, error)
 	}
 )
 
-// ErrCompacted means that the store has discarded some of the requested
-// changes.
-var ErrCompacted = eris.New("history of the store has been compacted")
+// Errors of the methods of a Feed; compare with errors.Is.
+var (
+	// ErrCompacted means that the store has discarded some of the requested
+	// changes.
+	ErrCompacted = eris.New("history of the store has been compacted")
+	// ErrRestored means that the store has been restored from an older copy, which
+	// doesn't have the version from which changes were requested.
+	ErrRestored = eris.New("store has been restored from an older copy")
+)
