forward, node, quarantine: log lines and metrics of crash reports

A request's line has its fingerprint and the crash reports that count for it while the entry has any; a report taken in from another entry, a lift and the step into quarantine have lines; shallotpier_crash_reports is the size of the list, and shallotpier_crash_reports_total counts new reports by origin. What is decided is as before.

--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -38,7 +38,7 @@
 	// forwarded, so that a request whose answer is truncated can be retried.
 	maxBufferedAnswer = 256 << 10
 	// maxLogAttrs is the greatest number of attributes of a request's log line.
-	maxLogAttrs = 18
+	maxLogAttrs = 20
 	// maxConnectFailures is how many servers may fail to accept a connection
 	// before a request is refused.
 	maxConnectFailures = 3
@@ -72,6 +72,8 @@
 		tried        []id.Server
 		retryGranted bool          // the retry budget was charged for the next send
 		retryDelay   time.Duration // Retry-After of a quarantined request, 0 to derive it from the deadline
+		suspected    bool          // the fingerprint was looked up in a list that isn't empty
+		crashes      int           // crash reports of the fingerprint at that time
 		key          uint64
 		choice       dispatch.Choice
 		busy         float64
@@ -341,9 +343,7 @@
 func (c *call) writeAnswer(rep *reply) {
 	defer rep.Close()
 	c.code, c.status = result.Served, rep.Status
-	if c.h.Quarantine.Active() {
-		c.h.Quarantine.Clear(time.Now(), c.fingerprint())
-	}
+	c.clearCrashes()
 	c.writeHeader(rep)
 	if _, err := c.w.Write(rep.buffered); err != nil {
 		c.code = result.CallerGone
@@ -478,6 +478,9 @@
 	if c.route != nil {
 		attrs = append(attrs, slog.String("route", c.route.Name), slog.Duration("left", time.Until(c.deadline)))
 	}
+	if c.suspected {
+		attrs = append(attrs, slog.String("fingerprint", c.fingerprint().String()), slog.Int("crashes", c.crashes))
+	}
 	if owner := c.choice.Owner; owner != nil {
 		attrs = append(attrs, slog.String("owner", string(owner.Name)), slog.Float64("ownerBusy", math.Round(10*c.choice.OwnerRequests)/10))
 	}
--- a/internal/forward/crash.go
+++ b/internal/forward/crash.go
@@ -16,6 +16,19 @@
 // of its server: a server that has crashed refuses the connection.
 const crashCheckDelay = 30 * time.Millisecond
 
+// quarantined reports whether the request must not be sent because equal ones have
+// crashed servers.
+func (c *call) quarantined() bool {
+	if !c.h.Quarantine.Active() {
+		return false
+	}
+	now, fingerprint := time.Now(), c.fingerprint()
+	c.suspected, c.crashes = true, c.h.Quarantine.Crashes(now, fingerprint)
+	v := c.h.Quarantine.Check(now, fingerprint)
+	c.retryDelay = v.RetryAfter
+	return v.Refused
+}
+
 // detectCrash checks in the background whether a server that truncated an answer
 // has crashed, and if so records the request as a possible cause.
 func (c *call) detectCrash(m *roster.Member) {
@@ -28,10 +41,24 @@
 			return
 		}
 		c.h.Quarantine.RecordCrash(time.Now(), fingerprint, origin)
-		c.h.Log.Warn("backend server crashed during a request", "request", c.id, "server", m.Name, "fingerprint", fingerprint)
+		c.h.Metrics.GetOrCreateCounter(`shallotpier_crash_reports_total{from="own"}`).Inc()
+		c.h.Log.Warn("backend server crashed during a request", "request", c.id, "server", m.Name, "fingerprint", fingerprint,
+			"crashes", c.h.Quarantine.Crashes(time.Now(), fingerprint), "quarantined", c.h.Quarantine.Quarantined(time.Now(), fingerprint))
 	}()
 }
 
+// clearCrashes clears the crash reports of a request that was answered.
+func (c *call) clearCrashes() {
+	if !c.h.Quarantine.Active() {
+		return
+	}
+	now, fingerprint := time.Now(), c.fingerprint()
+	crashes := c.h.Quarantine.Crashes(now, fingerprint)
+	if _, cleared := c.h.Quarantine.Clear(now, fingerprint); cleared {
+		c.h.Log.Info("crash reports cleared by an answer", "request", c.id, "server", c.server, "status", c.status, "fingerprint", fingerprint, "crashes", crashes)
+	}
+}
+
 // fingerprint identifies requests that are equal in service, method, host, path,
 // caller, object and body.
 func (c *call) fingerprint() quarantine.Fingerprint {
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -153,12 +153,9 @@
 		return
 	}
 	c.service = c.pickService()
-	if h.Quarantine.Active() {
-		if v := h.Quarantine.Check(c.start, c.fingerprint()); v.Refused {
-			c.retryDelay = v.RetryAfter
-			c.refuse(result.Quarantined)
-			return
-		}
+	if c.quarantined() {
+		c.refuse(result.Quarantined)
+		return
 	}
 	c.forward()
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -239,11 +239,21 @@
 // onUpdate applies an update from a heartbeat of another entry.
 func (n *Node) onUpdate(now time.Time, update heartbeat.Update) {
 	n.options.Store.Invalidate(update.Changes)
-	for _, crash := range update.Crashes {
-		n.Quarantine.Apply(now, crash)
+	for i := range update.Crashes {
+		n.applyCrashReport(now, &update.Crashes[i])
 	}
 }
 
+// applyCrashReport applies a crash report of another entry.
+func (n *Node) applyCrashReport(now time.Time, r *quarantine.CrashReport) {
+	if !n.Quarantine.Apply(now, *r) {
+		return
+	}
+	n.options.Metrics.GetOrCreateCounter(`shallotpier_crash_reports_total{from="entry"}`).Inc()
+	n.options.Log.Info("crash report received", "instance", r.Instance, "fingerprint", r.Fingerprint, "send", r.Send, "age", now.Sub(r.At),
+		"lifted", r.Lifted, "crashes", n.Quarantine.Crashes(now, r.Fingerprint), "quarantined", n.Quarantine.Quarantined(now, r.Fingerprint))
+}
+
 // LongestPeerStoreUptime returns the longest time for which the store has been
 // available without interruption to any other entry.
 func (n *Node) LongestPeerStoreUptime(now time.Time) time.Duration {
@@ -283,6 +293,8 @@
 		}
 		return 0
 	})
+	// Entries with equal lists of crash reports have equal sizes.
+	set.GetOrCreateGauge(`shallotpier_crash_reports`, func() float64 { return float64(n.Quarantine.Size()) })
 	set.GetOrCreateGauge(`shallotpier_requests_running`, func() float64 { return float64(n.handler.Running()) })
 }
 
--- a/internal/quarantine/list.go
+++ b/internal/quarantine/list.go
@@ -156,6 +156,34 @@
 	return s != nil && l.quarantined(s) && now.Sub(s.lastReport) < l.retention()
 }
 
+// Crashes returns the number of crash reports that count for a fingerprint.
+func (l *List) Crashes(now time.Time, fp Fingerprint) int {
+	if l.size.Load() == 0 {
+		return 0
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.states[fp]
+	if s == nil || now.Sub(s.lastReport) >= l.retention() {
+		return 0
+	}
+	return len(s.reports)
+}
+
+// Size returns the number of crash reports and lifts in the list.
+func (l *List) Size() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	n := 0
+	for _, s := range l.states {
+		n += len(s.reports)
+		if !s.liftedAt.IsZero() {
+			n++
+		}
+	}
+	return n
+}
+
 // Done records the end of a send that Check allowed on probation.
 func (l *List) Done(fp Fingerprint) {
 	l.mu.Lock()
@@ -196,11 +224,11 @@
 	return report
 }
 
-// Apply applies a report of this entry or another. Reports may arrive in any order
-// and any number of times.
-func (l *List) Apply(now time.Time, report CrashReport) {
+// Apply applies a report of this entry or another, and reports whether it changed the
+// list. Reports may arrive in any order and any number of times.
+func (l *List) Apply(now time.Time, report CrashReport) bool {
 	if report.At.After(now.Add(maxSkew)) || now.Sub(report.At) >= l.retention() {
-		return
+		return false
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -210,16 +238,19 @@
 	}
 	switch {
 	case report.Lifted:
-		if report.At.After(s.liftedAt) {
-			s.liftedAt, s.lastReport, s.reports, s.running = report.At, report.At, nil, false
+		if !report.At.After(s.liftedAt) {
+			return false
 		}
+		s.liftedAt, s.lastReport, s.reports, s.running = report.At, report.At, nil, false
 	case !report.At.After(s.liftedAt), s.has(report.Send), len(s.reports) >= maxReports:
+		return false
 	default:
 		s.reports = append(s.reports, report)
 		if report.At.After(s.lastReport) {
 			s.lastReport = report.At
 		}
 	}
+	return true
 }
 
 // Active reports whether any fingerprint is listed. Otherwise no request needs to
