heartbeat: a second datagram format that can be extended

Format 1 is a CBOR array, to which no field can be added without entries of the build before dropping every heartbeat. Format 2 is a CBOR map with integer keys; unknown keys are ignored. An entry gets the format that its process sends, and both while that is unknown or it is silent; so a deployment can be upgraded and rolled back one entry at a time. The content is as before.

Tests: a datagram of the build before (bytes taken from it) is read and written again to the byte; the formats sent to an unknown, old, new, silent and replaced entry.

--- a/internal/heartbeat/detector.go
+++ b/internal/heartbeat/detector.go
@@ -63,36 +63,34 @@
 type (
 	// Node is the state that an entry reports about itself.
 	Node struct {
-		_ struct{} `cbor:",toarray"`
-
 		// Instance is the entry's name.
-		Instance id.Instance
+		Instance id.Instance `cbor:"1,keyasint"`
 		// Incarnation identifies its process; later processes have higher ones.
-		Incarnation id.Incarnation
+		Incarnation id.Incarnation `cbor:"2,keyasint"`
 		// Count is the number of heartbeats that the process has sent.
-		Count uint64
+		Count uint64 `cbor:"3,keyasint"`
 		// Zone is its availability zone.
-		Zone id.Zone
+		Zone id.Zone `cbor:"4,keyasint"`
 		// Region is its region.
-		Region id.Region
+		Region id.Region `cbor:"5,keyasint"`
 		// Callers is its address for callers.
-		Callers netip.AddrPort
+		Callers netip.AddrPort `cbor:"6,keyasint"`
 		// Peers is its address for other entries.
-		Peers netip.AddrPort
+		Peers netip.AddrPort `cbor:"7,keyasint"`
 		// LinkMbps is the rate of its network link in Mbit/s; 0 if unknown.
-		LinkMbps float64
+		LinkMbps float64 `cbor:"8,keyasint,omitempty"`
 		// Ready reports that it serves callers and is not shutting down.
-		Ready bool
+		Ready bool `cbor:"9,keyasint,omitempty"`
 		// Changes holds the versions of the newest store changes that the entry
 		// has applied, by kind of object. This field and the following ones are
 		// not relayed.
-		Changes map[follow.Kind]store.Version
+		Changes map[follow.Kind]store.Version `cbor:"10,keyasint,omitempty"`
 		// StoreAvailableFor is for how long the store has been available to the
 		// entry without interruption; 0 if it is unavailable or the entry has no
 		// recent answer.
-		StoreAvailableFor time.Duration
+		StoreAvailableFor time.Duration `cbor:"11,keyasint,omitempty"`
 		// Crashes holds the latest reports of requests that crash servers.
-		Crashes []quarantine.CrashReport
+		Crashes []quarantine.CrashReport `cbor:"12,keyasint,omitempty"`
 	}
 
 	// Update is the content of a heartbeat beside the liveness of entries.
@@ -137,6 +135,7 @@
 		lastDirect time.Time // latest heartbeat received directly
 		lastSeen   time.Time // latest heartbeat, received directly or relayed
 		alive      bool      // state logged last
+		format     uint8     // highest datagram format that its process has sent; 0 if unknown
 	}
 )
 
@@ -276,7 +275,7 @@
 	d.count++
 	self.Count = d.count
 	d.mergeInvalidations(self.Changes)
-	m := &message{Format: format, From: self, Invalidations: make(map[follow.Kind]store.Version, len(d.invalidations))}
+	m := &message{From: self, Invalidations: make(map[follow.Kind]store.Version, len(d.invalidations))}
 	for kind, version := range d.invalidations {
 		m.Invalidations[kind] = version
 	}
@@ -285,15 +284,32 @@
 }
 
 func (d *Detector) write(conn net.PacketConn, m *message, to []netip.AddrPort) {
-	data, err := encode(m)
-	if err != nil {
-		d.Log.Error("heartbeat not encoded", "err", err)
-		return
-	}
+	now := time.Now()
+	var datagrams [latestFormat + 1][]byte
 	for _, addr := range to {
-		// Datagrams may be lost; the next heartbeat repeats the content.
-		_, _ = conn.WriteTo(data, net.UDPAddrFromAddrPort(addr))
+		for _, format := range d.formatsOf(now, addr) {
+			if datagrams[format] == nil {
+				var err error
+				if datagrams[format], err = encode(m, format); err != nil {
+					d.Log.Error("heartbeat not encoded", "format", format, "err", err)
+					return
+				}
+			}
+			// Datagrams may be lost; the next heartbeat repeats the content.
+			_, _ = conn.WriteTo(datagrams[format], net.UDPAddrFromAddrPort(addr))
+		}
+	}
+}
+
+// formatsOf returns the datagram formats to send to an entry: the one that it sends
+// itself, or all if that is unknown or its process may have been replaced.
+func (d *Detector) formatsOf(now time.Time, addr netip.AddrPort) []uint8 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if p := d.peers[addr]; p != nil && p.format > 0 && d.isAlive(p, now) {
+		return []uint8{p.format}
 	}
+	return []uint8{format1, latestFormat}
 }
 
 // receive applies a received heartbeat. It returns false if the heartbeat is dropped.
@@ -308,6 +324,10 @@
 		d.mu.Unlock()
 		return false
 	}
+	if m.From.Incarnation > p.node.Incarnation {
+		p.format = 0
+	}
+	p.format = max(p.format, m.Format)
 	changed := d.apply(now, p, &m.From, now)
 	p.lastDirect = now
 	raised := d.mergeInvalidations(m.Invalidations)
--- a/internal/heartbeat/export_test.go
+++ b/internal/heartbeat/export_test.go
@@ -1,6 +1,51 @@
 package heartbeat
 
-import "time"
+import (
+	"time"
+
+	"github.com/shallotpier/shallotpier/pkg/id"
+)
+
+// Received is the format of a heartbeat and the incarnation of its sender.
+type Received struct {
+	Format      uint8
+	Incarnation id.Incarnation
+}
 
 // Receive applies a heartbeat without zones and entries.
-func (d *Detector) Receive(now time.Time, n Node) { d.receive(now, &message{Format: format, From: n}) }
+func (d *Detector) Receive(now time.Time, n Node) {
+	d.receive(now, &message{Format: latestFormat, From: n})
+}
+
+// ReceiveFormat applies a heartbeat of an entry in a format.
+func (d *Detector) ReceiveFormat(now time.Time, r Received, n Node) {
+	n.Incarnation = r.Incarnation
+	d.receive(now, &message{Format: r.Format, From: n})
+}
+
+// ReceiveDatagram decodes and applies a datagram.
+func (d *Detector) ReceiveDatagram(now time.Time, data []byte) error {
+	m, err := decode(data)
+	if err == nil {
+		d.receive(now, m)
+	}
+	return err
+}
+
+// Format returns the format of a datagram; 0 if it can't be decoded.
+func Format(data []byte) uint8 {
+	m, err := decode(data)
+	if err != nil {
+		return 0
+	}
+	return m.Format
+}
+
+// EncodeFormat1 decodes a datagram and encodes it in format 1.
+func EncodeFormat1(data []byte) ([]byte, error) {
+	m, err := decode(data)
+	if err != nil {
+		return nil, err
+	}
+	return encode(m, format1)
+}
