quarantine: lists that receive the same reports are equal, with a digest

A lift that arrived after a later report removed that report, one that arrived before kept it, and of more than 16 reports the first to arrive were kept: two entries with the same reports could disagree for good. A lift now removes what is not later, and the earliest reports are kept.

--- a/internal/quarantine/list.go
+++ b/internal/quarantine/list.go
@@ -100,15 +100,16 @@
 		// limit, the one with the oldest report is evicted.
 		MaxFingerprints int
 
-		mu     sync.Mutex
-		states map[Fingerprint]*state
+		mu       sync.Mutex
+		states   map[Fingerprint]*state
+		exchange exchange
 		// size is the number of listed fingerprints. Requests take no lock while it
 		// is 0.
 		size atomic.Int64
 	}
 
 	state struct {
-		// reports are the reports since the last lift, in the order of arrival.
+		// reports are the reports since the last lift, the earliest first.
 		reports    []CrashReport
 		lastReport time.Time
 		liftedAt   time.Time
@@ -236,21 +237,16 @@
 	if s == nil {
 		s = l.add(now, report.Fingerprint)
 	}
-	switch {
-	case report.Lifted:
-		if !report.At.After(s.liftedAt) {
-			return false
-		}
-		s.liftedAt, s.lastReport, s.reports, s.running = report.At, report.At, nil, false
-	case !report.At.After(s.liftedAt), s.has(report.Send), len(s.reports) >= maxReports:
-		return false
-	default:
-		s.reports = append(s.reports, report)
-		if report.At.After(s.lastReport) {
-			s.lastReport = report.At
-		}
+	changed := false
+	if report.Lifted {
+		changed = s.lift(report.At)
+	} else {
+		changed = s.record(&report)
 	}
-	return true
+	if changed {
+		l.exchange.valid = false
+	}
+	return changed
 }
 
 // Active reports whether any fingerprint is listed. Otherwise no request needs to
@@ -276,39 +272,42 @@
 	return false
 }
 
-func (s *state) earliest() time.Time {
-	first := s.reports[0].At
-	for i := range s.reports {
-		if at := s.reports[i].At; at.Before(first) {
-			first = at
-		}
+func (s *state) earliest() time.Time { return s.reports[0].At }
+
+// lift removes the reports up to a time, and reports whether the lift is the latest one.
+func (s *state) lift(at time.Time) bool {
+	if !at.After(s.liftedAt) {
+		return false
 	}
-	return first
+	s.liftedAt, s.running = at, false
+	s.reports = slices.DeleteFunc(s.reports, func(r CrashReport) bool { return !r.At.After(at) })
+	s.updateLastReport()
+	return true
 }
 
-func (s *state) has(send string) bool {
-	return slices.ContainsFunc(s.reports, func(r CrashReport) bool { return r.Send == send })
+// record adds a report, and reports whether it counts. Of more than maxReports the
+// earliest count, so that all entries keep the same ones.
+func (s *state) record(report *CrashReport) bool {
+	if !report.At.After(s.liftedAt) || slices.ContainsFunc(s.reports, func(r CrashReport) bool { return r.Send == report.Send }) {
+		return false
+	}
+	i, _ := slices.BinarySearchFunc(s.reports, report, func(r CrashReport, other *CrashReport) int {
+		return cmp.Or(r.At.Compare(other.At), cmp.Compare(r.Send, other.Send))
+	})
+	if i >= maxReports {
+		return false
+	}
+	s.reports = slices.Insert(s.reports, i, *report)
+	s.reports = s.reports[:min(len(s.reports), maxReports)]
+	s.updateLastReport()
+	return true
 }
 
-// Reports returns at most limit of the reports that make up the list, the latest
-// first, for an entry that may not have received them.
-func (l *List) Reports(now time.Time, limit int) []CrashReport {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	var all []CrashReport
-	for fp, s := range l.states {
-		if now.Sub(s.lastReport) >= l.retention() {
-			continue
-		}
-		all = append(all, s.reports...)
-		if !s.liftedAt.IsZero() {
-			all = append(all, CrashReport{Fingerprint: fp, Instance: l.Instance, At: s.liftedAt, Lifted: true})
-		}
+func (s *state) updateLastReport() {
+	s.lastReport = s.liftedAt
+	if n := len(s.reports); n > 0 && s.reports[n-1].At.After(s.lastReport) {
+		s.lastReport = s.reports[n-1].At
 	}
-	slices.SortFunc(all, func(a, b CrashReport) int {
-		return cmp.Or(b.At.Compare(a.At), slices.Compare(a.Fingerprint[:], b.Fingerprint[:]))
-	})
-	return all[:min(len(all), limit)]
 }
 
 // Entries returns the listed fingerprints that have crash reports, sorted by
@@ -348,6 +347,7 @@
 }
 
 func (l *List) drop(fp Fingerprint) {
+	l.exchange.valid = false
 	delete(l.states, fp)
 	l.size.Store(int64(len(l.states)))
 }
--- a/internal/quarantine/list_test.go
+++ b/internal/quarantine/list_test.go
@@ -1,6 +1,8 @@
 package quarantine_test
 
 import (
+	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -123,3 +125,76 @@
 		}
 	})
 }
+
+// Lists that receive the same reports and lifts in different orders must be equal, or
+// entries would disagree for good on which requests to refuse.
+func TestOrderOfReportsHasNoEffect(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		report := rapid.Custom(func(rt *rapid.T) quarantine.CrashReport {
+			r := quarantine.CrashReport{
+				Fingerprint: quarantine.Fingerprint{byte(rapid.IntRange(1, 2).Draw(rt, "fingerprint"))}, Instance: "entry-2",
+				At: start().Add(time.Duration(rapid.IntRange(1, 60).Draw(rt, "second")) * time.Second),
+			}
+			if r.Lifted = rapid.IntRange(0, 9).Draw(rt, "kind") == 0; !r.Lifted {
+				r.Send = fmt.Sprintf("%s-%d", r.At, rapid.IntRange(0, 1).Draw(rt, "send"))
+			}
+			return r
+		})
+		reports := rapid.SliceOfN(report, 0, 60).Draw(rt, "reports")
+		now := start().Add(2 * time.Minute)
+		a := &quarantine.List{Instance: "entry-1", Tolerated: 2}
+		b := &quarantine.List{Instance: "entry-3", Tolerated: 2}
+		for _, r := range reports {
+			a.Apply(now, r)
+		}
+		for _, r := range rapid.Permutation(reports).Draw(rt, "order") {
+			b.Apply(now, r)
+		}
+		if !slices.Equal(a.Entries(now), b.Entries(now)) {
+			rt.Fatalf("%v and %v", a.Entries(now), b.Entries(now))
+		}
+		if a.Digest(now) != b.Digest(now) {
+			rt.Fatalf("digests %x and %x", a.Digest(now), b.Digest(now))
+		}
+	})
+}
+
+// A list that takes what it lacks of another's reports must hold all of both, and have
+// the same digest once the other has done so too.
+func TestMissingReports(t *testing.T) {
+	is := is.New(t)
+	now := start()
+	a, b := &quarantine.List{Instance: "entry-1"}, &quarantine.List{Instance: "entry-2"}
+	is.Equal(a.Digest(now), b.Digest(now))
+	for i := range 20 {
+		l := a
+		if i%3 == 0 {
+			l = b
+		}
+		l.RecordCrash(now.Add(time.Duration(i)), quarantine.Fingerprint{byte(i / 2)}, quarantine.Origin{Send: fmt.Sprint(i)})
+	}
+	b.Lift(now.Add(time.Second), quarantine.Fingerprint{4})
+	now = now.Add(time.Minute)
+	is.True(a.Digest(now) != b.Digest(now))
+	is.Equal(len(a.Missing(now, b.ReportIDs(now), 5)), 5) // bounded
+	for _, pull := range [][2]*quarantine.List{{a, b}, {b, a}} {
+		for _, r := range pull[1].Missing(now, pull[0].ReportIDs(now), quarantine.MaxExchanged) {
+			is.True(pull[0].Apply(now, r))
+		}
+	}
+	is.Equal(a.Digest(now), b.Digest(now))
+	is.Equal(len(a.Missing(now, b.ReportIDs(now), 5)), 0)
+	is.Equal(len(a.Entries(now)), 9) // one of ten was lifted
+}
+
+// Reports that are about to expire must not be exchanged, as an entry whose clock is
+// ahead would drop them each time.
+func TestExpiringReportsAreNotExchanged(t *testing.T) {
+	is := is.New(t)
+	l := &quarantine.List{Instance: "entry-1"}
+	empty := l.Digest(start())
+	l.RecordCrash(start(), quarantine.Fingerprint{1}, quarantine.Origin{Send: "a"})
+	is.True(l.Digest(start().Add(27*time.Minute)) != empty)
+	is.Equal(l.Digest(start().Add(29*time.Minute)), empty)
+	is.Equal(l.Crashes(start().Add(29*time.Minute), quarantine.Fingerprint{1}), 1)
+}
