node: test entries listen on reserved ports

Ports were chosen by listening on port 0 and closing it again, so that an outgoing connection of any process could take them in between. Seen once, with other tests on the machine: TestShutdownEndsWithinTheGracePeriod failed with "listen tcp 127.0.0.1:36909: bind: address already in use", and TestOlderConfigurationIsIgnored asked a foreign listener for 121 s. Ports now come from the blocks below the ephemeral range that other tests use (standin/ports); no check changes.

--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -21,6 +21,7 @@
 	"github.com/shallotpier/shallotpier/internal/node"
 	"github.com/shallotpier/shallotpier/internal/roster"
 	"github.com/shallotpier/shallotpier/internal/route"
+	"github.com/shallotpier/shallotpier/internal/standin/ports"
 	"github.com/shallotpier/shallotpier/pkg/id"
 	"github.com/shallotpier/shallotpier/pkg/service"
 )
@@ -30,16 +31,6 @@
 	grace = 2 * time.Second
 )
 
-func freePort(t *testing.T) netip.AddrPort {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	return netip.MustParseAddrPort(l.Addr().String())
-}
-
 func configOf(version id.Version, prefix string) *node.Config {
 	r := &route.Route{
 		Name: "r", Host: "a.example", Prefix: prefix, Kind: service.Write, Attempts: 1, Timeout: 10 * time.Second,
@@ -50,9 +41,14 @@
 
 func newNode(t *testing.T, change ...func(*node.Options)) *node.Node {
 	t.Helper()
+	block, err := ports.Reserve(2)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { block.Close() })
 	o := node.Options{
 		Self: heartbeat.Node{
-			Instance: "entry-1", Incarnation: 1, Zone: "a-1", Region: "a", Callers: freePort(t), Peers: freePort(t),
+			Instance: "entry-1", Incarnation: 1, Zone: "a-1", Region: "a", Callers: block.Address(0), Peers: block.Address(1),
 		},
 		MissingServerGrace: time.Second, HeartbeatInterval: 100 * time.Millisecond, HeartbeatTimeout: time.Second,
 		Headers: forward.Headers{RequestID: "X-Id", Deadline: "X-Left", Object: "Object", Expect: "X-Expect", NotRun: "X-Not-Run", Signature: "X-Signed"},
