forward: repeats of a request have one fingerprint

What callers and operators saw: a request that crashes servers was sent to more of them than the three after which it is refused.

Cause: the fingerprint held the service that was drawn, the object's cookie and the announced length of the body beside method, host, path, caller and digest. The fingerprint is now of method, host, path, caller and body, whatever the framing.

Entries of the build before compute other fingerprints, so that during an upgrade each build counts by itself.

--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -17,6 +17,7 @@
 	"github.com/shallotpier/shallotpier/internal/dispatch"
 	"github.com/shallotpier/shallotpier/internal/health"
 	"github.com/shallotpier/shallotpier/internal/owner"
+	"github.com/shallotpier/shallotpier/internal/quarantine"
 	"github.com/shallotpier/shallotpier/internal/roster"
 	"github.com/shallotpier/shallotpier/internal/route"
 	"github.com/shallotpier/shallotpier/internal/upstream"
@@ -70,10 +71,11 @@
 		sends        int
 		unconnected  int
 		tried        []id.Server
-		retryGranted bool          // the retry budget was charged for the next send
-		retryDelay   time.Duration // Retry-After of a quarantined request, 0 to derive it from the deadline
-		suspected    bool          // the fingerprint was looked up in a list that isn't empty
-		crashes      int           // crash reports of the fingerprint at that time
+		retryGranted bool                    // the retry budget was charged for the next send
+		retryDelay   time.Duration           // Retry-After of a quarantined request, 0 to derive it from the deadline
+		fp           *quarantine.Fingerprint // once computed
+		suspected    bool                    // the fingerprint was looked up in a list that isn't empty
+		crashes      int                     // crash reports of the fingerprint at that time
 		key          uint64
 		choice       dispatch.Choice
 		busy         float64
--- a/internal/forward/crash.go
+++ b/internal/forward/crash.go
@@ -59,21 +59,22 @@
 	}
 }
 
-// fingerprint identifies requests that are equal in service, method, host, path,
-// caller, object and body.
+// fingerprint identifies requests that are equal in method, host, path, caller and body.
+// What may differ between repeats is left out: the route's service, the object's cookie
+// and the framing of the body. Only the start of a body that isn't buffered whole counts.
 func (c *call) fingerprint() quarantine.Fingerprint {
+	if c.fp != nil {
+		return *c.fp
+	}
 	caller, _, err := net.SplitHostPort(c.r.RemoteAddr)
 	if err != nil {
 		caller = c.r.RemoteAddr
 	}
-	object := ""
-	if cookie, err := c.r.Cookie(c.h.Headers.Object); err == nil {
-		object = cookie.Value
-	}
 	sum := sha256.Sum256(c.body)
 	t := quarantine.Traits{
-		Service: c.service, Method: c.r.Method, Path: c.r.Host + c.r.RequestURI, Key: caller + " " + object,
-		Length: unit.Bytes(c.r.ContentLength), Digest: hex.EncodeToString(sum[:]),
+		Method: c.r.Method, Path: c.r.Host + c.r.RequestURI, Key: caller, Length: unit.Bytes(len(c.body)), Digest: hex.EncodeToString(sum[:]),
 	}
-	return t.Fingerprint()
+	fingerprint := t.Fingerprint()
+	c.fp = &fingerprint
+	return fingerprint
 }
--- /dev/null
+++ b/internal/forward/crash_test.go
@@ -0,0 +1,68 @@
+package forward_test
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/shallotpier/shallotpier/internal/roster"
+	"github.com/shallotpier/shallotpier/internal/route"
+	"github.com/shallotpier/shallotpier/pkg/id"
+	"github.com/shallotpier/shallotpier/pkg/result"
+	"github.com/shallotpier/shallotpier/pkg/service"
+)
+
+// waitForCrashes waits until the entry has recorded a number of crashes.
+func (f *fixture) waitForCrashes(n int) {
+	for i := 0; f.crashes() < n && i < 50; i++ {
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// A request that is repeated with the same path, caller and body must be recognised,
+// however its body is framed, whichever object's cookie it carries, and to whichever of
+// its route's services it is sent.
+func TestRepeatsHaveOneFingerprint(t *testing.T) {
+	const other = id.Service("other")
+	tests := map[string]func(n int, f *fixture, r *http.Request){
+		"identical": func(int, *fixture, *http.Request) {},
+		"other framing": func(n int, _ *fixture, r *http.Request) {
+			if n%2 == 1 {
+				r.ContentLength, r.GetBody = -1, nil
+			}
+		},
+		"other object": func(n int, _ *fixture, r *http.Request) {
+			r.AddCookie(&http.Cookie{Name: "Object", Value: strings.Repeat("x", n+1)})
+		},
+		"other service of the route": func(n int, f *fixture, _ *http.Request) {
+			f.route.Parts = []route.Part{{Service: []id.Service{svc, other}[n%2], Weight: 1}}
+		},
+	}
+	for name, change := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := start(t, service.Write, "crash")
+			if strings.Contains(name, "service") {
+				second := f.backend.listeners[1].Addr().String()
+				f.roster.Remove(time.Now(), "i-1")
+				f.roster.Put(time.Now(), roster.Server{Name: "o-1", Service: other, Address: second, Slots: 6})
+			}
+			code := ""
+			for n := range 4 {
+				r, err := f.request(t.Context(), "/x/8", "body")
+				is.NoErr(err)
+				change(n, f, r)
+				resp, err := http.DefaultClient.Do(r)
+				is.NoErr(err)
+				resp.Body.Close()
+				code = resp.Header.Get(result.HeaderCode)
+				f.waitForCrashes(n + 1)
+			}
+			is.Equal(f.backend.requests.Load(), int64(3))
+			is.Equal(code, result.Quarantined.String())
+		})
+	}
+}
--- a/internal/forward/handler_test.go
+++ b/internal/forward/handler_test.go
@@ -48,6 +48,7 @@
 		*httptest.Server
 		backend *backend
 		roster  *roster.Roster
+		route   *route.Route
 		handler *forward.Handler
 	}
 )
@@ -146,7 +147,7 @@
 		Attempts: 2, Timeout: 400 * time.Millisecond,
 	}
 	config := &forward.Config{Version: 1, Routes: route.NewTable([]*route.Route{rt}), MaxBody: 4 << 20}
-	f := &fixture{backend: b, roster: r}
+	f := &fixture{backend: b, roster: r, route: rt}
 	f.handler = &forward.Handler{
 		Config: func() *forward.Config { return config }, Dispatcher: &dispatch.Dispatcher{Roster: r},
 		Upstream:    &upstream.Client{ConnectTimeout: time.Second, IdleTimeout: time.Second, NonIdempotentIdleTimeout: time.Second, RequestIDHeader: "X-Id"},
@@ -165,20 +166,29 @@
 	return f
 }
 
-// ask sends a request to the entry and returns status, header and body of the
-// answer. The status is 0 if no complete answer was received.
-func (f *fixture) ask(ctx context.Context, path, body string) (int, http.Header, string) {
+// request returns a request to the entry: a GET if it has no body, else a POST.
+func (f *fixture) request(ctx context.Context, path, body string) (*http.Request, error) {
 	method := http.MethodGet
 	if body != "" {
 		method = http.MethodPost
 	}
 	r, err := http.NewRequestWithContext(ctx, method, f.URL+path, strings.NewReader(body))
 	if err != nil {
-		return 0, nil, err.Error()
+		return nil, err
 	}
 	r.Host = "a.example"
 	r.Header.Set("X-Id", "abc")
 	r.Header.Set("X-Left", "2000")
+	return r, nil
+}
+
+// ask sends a request to the entry and returns status, header and body of the
+// answer. The status is 0 if no complete answer was received.
+func (f *fixture) ask(ctx context.Context, path, body string) (int, http.Header, string) {
+	r, err := f.request(ctx, path, body)
+	if err != nil {
+		return 0, nil, err.Error()
+	}
 	resp, err := http.DefaultClient.Do(r)
 	if err != nil {
 		return 0, nil, err.Error()
