forward: only a complete success clears the crashes of a request

What callers and operators saw: a request that crashes servers was sent to more of them than the three after which it is refused.

Cause: any answer that was passed on cleared the count before it was complete, also an error of the server (some answer a share of all requests with 500) and a success that broke off later. Now a count is cleared by a 2xx of the server that was received whole.

Evidence: TestCrashesAreClearedBySuccessOnly failed for a 500 and for a success that is cut (cleared, must not be), and passes.

--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -345,7 +345,10 @@
 func (c *call) writeAnswer(rep *reply) {
 	defer rep.Close()
 	c.code, c.status = result.Served, rep.Status
-	c.clearCrashes()
+	success := rep.Status < http.StatusMultipleChoices
+	if success && rep.complete {
+		c.clearCrashes()
+	}
 	c.writeHeader(rep)
 	if _, err := c.w.Write(rep.buffered); err != nil {
 		c.code = result.CallerGone
@@ -354,6 +357,8 @@
 	if !rep.complete {
 		if _, err := io.Copy(c.w, rep.Body); err != nil {
 			c.code, truncated = copyErrorCode(err), true
+		} else if success {
+			c.clearCrashes()
 		}
 	}
 	rep.member.End(time.Now(), c.outcome(rep, c.code))
--- a/internal/forward/crash.go
+++ b/internal/forward/crash.go
@@ -47,7 +47,7 @@
 	}()
 }
 
-// clearCrashes clears the crash reports of a request that was answered.
+// clearCrashes clears the crash reports of a request that a server has completed.
 func (c *call) clearCrashes() {
 	if !c.h.Quarantine.Active() {
 		return
--- a/internal/forward/crash_test.go
+++ b/internal/forward/crash_test.go
@@ -66,3 +66,33 @@
 		})
 	}
 }
+
+// Only a complete success shows that a request doesn't crash its server: an error of the
+// server, or a success that breaks off, must not clear the crashes that were recorded.
+func TestCrashesAreClearedBySuccessOnly(t *testing.T) {
+	tests := map[string]struct {
+		answer  string
+		cleared bool
+	}{
+		"success":             {"ok", true},
+		"long success":        {"long", true},
+		"success in chunks":   {"chunked", true},
+		"error of the server": {"error", false},
+		"truncated success":   {"long, cut", false},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := start(t, service.Write, "crash", tt.answer)
+			f.ask(t.Context(), "/x/8", "body")
+			f.waitForCrashes(1)
+			is.Equal(f.crashes(), 1)
+			f.ask(t.Context(), "/x/8", "body")
+			is.Equal(f.backend.requests.Load(), int64(2))
+			for f.handler.Running() > 0 {
+				time.Sleep(time.Millisecond)
+			}
+			is.Equal(f.crashes() == 0, tt.cleared)
+		})
+	}
+}
