--- a/internal/quarantine/list.go
+++ b/internal/quarantine/list.go
@@ -96,6 +96,10 @@
 		// quarantines the fingerprint, without probation. If it is 0, a fingerprint
 		// is on probation from its first crash on.
 		Tolerated int
+		// OnQuarantine, if not nil, is called with the reports of a fingerprint that has
+		// become quarantined, at the entry that detected the last of its crashes. It must
+		// not block.
+		OnQuarantine func(reports []CrashReport)
 		// MaxFingerprints is the maximum number of fingerprints; 0 means 10,000. At the
 		// limit, the one with the oldest report is evicted.
 		MaxFingerprints int
@@ -114,6 +118,7 @@
 		lastReport time.Time
 		liftedAt   time.Time
 		running    bool
+		announced  bool // OnQuarantine has been called
 	}
 )
 
@@ -231,22 +236,35 @@
 	if report.At.After(now.Add(maxSkew)) || now.Sub(report.At) >= l.retention() {
 		return false
 	}
+	changed, quarantined := l.apply(now, &report)
+	if quarantined != nil && l.OnQuarantine != nil {
+		l.OnQuarantine(quarantined)
+	}
+	return changed
+}
+
+// apply reports whether a report changed the list, and returns the reports of its
+// fingerprint if OnQuarantine must be called with them.
+func (l *List) apply(now time.Time, report *CrashReport) (changed bool, quarantined []CrashReport) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	s := l.states[report.Fingerprint]
 	if s == nil {
 		s = l.add(now, report.Fingerprint)
 	}
-	changed := false
 	if report.Lifted {
 		changed = s.lift(report.At)
 	} else {
-		changed = s.record(&report)
+		changed = s.record(report)
 	}
 	if changed {
 		l.exchange.valid = false
 	}
-	return changed
+	if n := len(s.reports); n > 0 && !s.announced && s.reports[n-1].Instance == l.Instance && l.quarantined(s) {
+		s.announced = true
+		quarantined = slices.Clone(s.reports)
+	}
+	return changed, quarantined
 }
 
 // Active reports whether any fingerprint is listed. Otherwise no request needs to
@@ -279,7 +297,7 @@
 	if !at.After(s.liftedAt) {
 		return false
 	}
-	s.liftedAt, s.running = at, false
+	s.liftedAt, s.running, s.announced = at, false, false
 	s.reports = slices.DeleteFunc(s.reports, func(r CrashReport) bool { return !r.At.After(at) })
 	s.updateLastReport()
 	return true
