--- a/internal/forward/crash.go
+++ b/internal/forward/crash.go
@@ -16,37 +16,77 @@
 // of its server: a server that has crashed refuses the connection.
 const crashCheckDelay = 30 * time.Millisecond
 
+// quarantined reports whether the request must not be sent because equal ones have
+// crashed servers.
+func (c *call) quarantined() bool {
+	if !c.h.Quarantine.Active() {
+		return false
+	}
+	now, fingerprint := time.Now(), c.fingerprint()
+	c.suspected, c.crashes = true, c.h.Quarantine.Crashes(now, fingerprint)
+	v := c.h.Quarantine.Check(now, fingerprint)
+	c.retryDelay = v.RetryAfter
+	return v.Refused
+}
+
+// quarantinedMeanwhile reports whether the request must not be sent again. It waits for
+// the check of the server that broke off, if its crash may be the one that is too many.
+func (c *call) quarantinedMeanwhile() bool {
+	if c.crashChecked != nil && c.h.Quarantine.Active() && c.h.Quarantine.Crashes(time.Now(), c.fingerprint()) > 0 {
+		<-c.crashChecked
+	}
+	return c.quarantined()
+}
+
 // detectCrash checks in the background whether a server that truncated an answer
 // has crashed, and if so records the request as a possible cause.
 func (c *call) detectCrash(m *roster.Member) {
 	start := time.Now()
 	origin := quarantine.Origin{Service: c.service, Send: c.id + " " + string(m.Name), Began: start}
 	fingerprint := c.fingerprint()
+	checked := make(chan struct{})
+	c.crashChecked = checked
 	go func() {
+		defer close(checked)
 		time.Sleep(crashCheckDelay)
 		if c.h.Upstream.CanConnect(context.Background(), m.Address) {
 			return
 		}
 		c.h.Quarantine.RecordCrash(time.Now(), fingerprint, origin)
-		c.h.Log.Warn("backend server crashed during a request", "request", c.id, "server", m.Name, "fingerprint", fingerprint)
+		c.h.Metrics.GetOrCreateCounter(`shallotpier_crash_reports_total{from="own"}`).Inc()
+		c.h.Log.Warn("backend server crashed during a request", "request", c.id, "server", m.Name, "fingerprint", fingerprint,
+			"crashes", c.h.Quarantine.Crashes(time.Now(), fingerprint), "quarantined", c.h.Quarantine.Quarantined(time.Now(), fingerprint))
 	}()
 }
 
-// fingerprint identifies requests that are equal in service, method, host, path,
-// caller, object and body.
+// clearCrashes clears the crash reports of a request that a server has completed.
+func (c *call) clearCrashes() {
+	if !c.h.Quarantine.Active() {
+		return
+	}
+	now, fingerprint := time.Now(), c.fingerprint()
+	crashes := c.h.Quarantine.Crashes(now, fingerprint)
+	if _, cleared := c.h.Quarantine.Clear(now, fingerprint); cleared {
+		c.h.Log.Info("crash reports cleared by an answer", "request", c.id, "server", c.server, "status", c.status, "fingerprint", fingerprint, "crashes", crashes)
+	}
+}
+
+// fingerprint identifies requests that are equal in method, host, path, caller and body.
+// What may differ between repeats is left out: the route's service, the object's cookie
+// and the framing of the body. Only the start of a body that isn't buffered whole counts.
 func (c *call) fingerprint() quarantine.Fingerprint {
+	if c.fp != nil {
+		return *c.fp
+	}
 	caller, _, err := net.SplitHostPort(c.r.RemoteAddr)
 	if err != nil {
 		caller = c.r.RemoteAddr
 	}
-	object := ""
-	if cookie, err := c.r.Cookie(c.h.Headers.Object); err == nil {
-		object = cookie.Value
-	}
 	sum := sha256.Sum256(c.body)
 	t := quarantine.Traits{
-		Service: c.service, Method: c.r.Method, Path: c.r.Host + c.r.RequestURI, Key: caller + " " + object,
-		Length: unit.Bytes(c.r.ContentLength), Digest: hex.EncodeToString(sum[:]),
+		Method: c.r.Method, Path: c.r.Host + c.r.RequestURI, Key: caller, Length: unit.Bytes(len(c.body)), Digest: hex.EncodeToString(sum[:]),
 	}
-	return t.Fingerprint()
+	fingerprint := t.Fingerprint()
+	c.fp = &fingerprint
+	return fingerprint
 }
