--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -17,6 +17,7 @@
 	"github.com/shallotpier/shallotpier/internal/dispatch"
 	"github.com/shallotpier/shallotpier/internal/health"
 	"github.com/shallotpier/shallotpier/internal/owner"
+	"github.com/shallotpier/shallotpier/internal/quarantine"
 	"github.com/shallotpier/shallotpier/internal/roster"
 	"github.com/shallotpier/shallotpier/internal/route"
 	"github.com/shallotpier/shallotpier/internal/upstream"
@@ -38,7 +39,7 @@
 	// forwarded, so that a request whose answer is truncated can be retried.
 	maxBufferedAnswer = 256 << 10
 	// maxLogAttrs is the greatest number of attributes of a request's log line.
-	maxLogAttrs = 18
+	maxLogAttrs = 20
 	// maxConnectFailures is how many servers may fail to accept a connection
 	// before a request is refused.
 	maxConnectFailures = 3
@@ -70,8 +71,12 @@
 		sends        int
 		unconnected  int
 		tried        []id.Server
-		retryGranted bool          // the retry budget was charged for the next send
-		retryDelay   time.Duration // Retry-After of a quarantined request, 0 to derive it from the deadline
+		retryGranted bool                    // the retry budget was charged for the next send
+		retryDelay   time.Duration           // Retry-After of a quarantined request, 0 to derive it from the deadline
+		fp           *quarantine.Fingerprint // once computed
+		suspected    bool                    // the fingerprint was looked up in a list that isn't empty
+		crashes      int                     // crash reports of the fingerprint at that time
+		crashChecked chan struct{}           // closed after the check of the last server that broke off
 		key          uint64
 		choice       dispatch.Choice
 		busy         float64
@@ -170,6 +175,13 @@
 			return
 		}
 		c.retryGranted = false
+		if c.quarantinedMeanwhile() {
+			if c.sends == 0 {
+				code = result.Quarantined
+			}
+			c.refuse(code)
+			return
+		}
 	}
 }
 
@@ -295,12 +307,20 @@
 	}
 	buffered, err := io.ReadAll(io.LimitReader(rep.Body, maxBufferedAnswer+1))
 	if err != nil {
-		return asSendError(err).Code
+		return c.brokenOff(rep, asSendError(err).Code)
 	}
 	rep.buffered, rep.complete = buffered, len(buffered) <= maxBufferedAnswer
 	return 0
 }
 
+// brokenOff records an answer that broke off with a code, and returns the code.
+func (c *call) brokenOff(rep *reply, code result.Code) result.Code {
+	if code == result.AnswerCut {
+		c.detectCrash(rep.member)
+	}
+	return code
+}
+
 // impliesNotRun reports whether callers would conclude from a status that the
 // request did not run.
 func impliesNotRun(status int) bool {
@@ -341,8 +361,9 @@
 func (c *call) writeAnswer(rep *reply) {
 	defer rep.Close()
 	c.code, c.status = result.Served, rep.Status
-	if c.h.Quarantine.Active() {
-		c.h.Quarantine.Clear(time.Now(), c.fingerprint())
+	success := rep.Status < http.StatusMultipleChoices
+	if success && rep.complete {
+		c.clearCrashes()
 	}
 	c.writeHeader(rep)
 	if _, err := c.w.Write(rep.buffered); err != nil {
@@ -351,7 +372,9 @@
 	truncated := false
 	if !rep.complete {
 		if _, err := io.Copy(c.w, rep.Body); err != nil {
-			c.code, truncated = copyErrorCode(err), true
+			c.code, truncated = c.brokenOff(rep, copyErrorCode(err)), true
+		} else if success {
+			c.clearCrashes()
 		}
 	}
 	rep.member.End(time.Now(), c.outcome(rep, c.code))
@@ -478,6 +501,9 @@
 	if c.route != nil {
 		attrs = append(attrs, slog.String("route", c.route.Name), slog.Duration("left", time.Until(c.deadline)))
 	}
+	if c.suspected {
+		attrs = append(attrs, slog.String("fingerprint", c.fingerprint().String()), slog.Int("crashes", c.crashes))
+	}
 	if owner := c.choice.Owner; owner != nil {
 		attrs = append(attrs, slog.String("owner", string(owner.Name)), slog.Float64("ownerBusy", math.Round(10*c.choice.OwnerRequests)/10))
 	}
