soak: the store is restored from an older copy

Two faults are added: a restore from a copy up to 6 s old, after the store was away for up to 0.7 s, and the same once a server that drains has been announced for 3 s, from a copy made before. What the operator and the servers wrote is repeated within 1.5 s, in the order of the writes; what entries wrote is not.

The check of draining is stricter: an entry that nothing disturbed for 3 s from the announcement on, and that was not disturbed since, must respect it also while the store is disturbed. Before, any disturbance of the store in the last 5 s excused it.

--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -113,7 +113,8 @@
 }
 
 // checkDraining looks for requests that reached a server more than drainDelay after
-// it had announced draining.
+// it had announced draining. An entry that had received the announcement must also
+// respect it while the store is disturbed.
 func (c *checker) checkDraining() {
 	for name, runs := range c.runs {
 		a := c.byID[name]
@@ -122,7 +123,7 @@
 		}
 		for _, r := range runs {
 			since, ok := c.soak.drainingSince[r.Server]
-			if !ok || r.At.Sub(since) <= drainDelay || !c.quiet(a.entry, r.At) {
+			if !ok || r.At.Sub(since) <= drainDelay || !c.quiet(a.entry, r.At) && !c.received(a.entry, since, r.At) {
 				continue
 			}
 			c.addViolation("leaving: %s reached %s through %s %v after the server announced draining", a.id, r.Server, a.entry.name, r.At.Sub(since))
@@ -130,6 +131,14 @@
 	}
 }
 
+// received reports whether an entry must have received an announcement of draining,
+// since nothing disturbed it or the store within drainDelay, and whether the entry was
+// not disturbed from then on until a time.
+func (c *checker) received(e *process, announced, until time.Time) bool {
+	deadline := announced.Add(drainDelay)
+	return c.soak.storeDisturbance.quiet(deadline, drainDelay) && e.disturbance.quiet(until, until.Sub(announced))
+}
+
 // quiet reports whether no fault disturbed the entry or the store during the
 // quietPeriod before a time.
 func (c *checker) quiet(e *process, at time.Time) bool {
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -7,13 +7,24 @@
 	"syscall"
 	"time"
 
+	"github.com/shallotpier/shallotpier/pkg/id"
 	"github.com/shallotpier/shallotpier/platform"
 	"github.com/shallotpier/shallotpier/platform/standin"
 )
 
-// maxFaultGap is the longest time between the starts of two faults. Many faults last
-// longer, so that they overlap.
-const maxFaultGap = 900 * time.Millisecond
+const (
+	// maxFaultGap is the longest time between the starts of two faults. Many faults
+	// last longer, so that they overlap.
+	maxFaultGap = 900 * time.Millisecond
+	// maxCopyAge is the greatest age of a copy from which the store is restored.
+	maxCopyAge = 6 * time.Second
+	// rewriteTime is the time in which the operator and the servers repeat the writes
+	// that a restored store has lost.
+	rewriteTime = 1500 * time.Millisecond
+	// minRatio and ratioRange limit faultParams.ratio.
+	minRatio   = 0.2
+	ratioRange = 0.6
+)
 
 // fault injects one kind of fault and returns when it has ended.
 type fault func(ctx context.Context, s *soak, p faultParams)
@@ -35,7 +46,7 @@
 func (s *soak) chooseFaults() []fault {
 	all := []fault{
 		killEntry, stopEntry, pauseEntry, reloadEntry, stallStore, stallStoreResponses, resetStoreConnections, failStore, compactStore,
-		crashServer, drainServer, slowServer, loseResponses, rejectRequests, stallServer, delayServer, changeConfig,
+		restoreStore, restoreAfterDrain, crashServer, drainServer, slowServer, loseResponses, rejectRequests, stallServer, delayServer, changeConfig,
 		changeConfig, evacuateZone,
 	}
 	var enabled []fault
@@ -57,7 +68,7 @@
 		f := all[s.rng.IntN(len(all))]
 		p := faultParams{
 			entry: s.entries[s.rng.IntN(len(s.entries))], server: s.servers[s.rng.IntN(len(s.servers))],
-			duration: time.Duration(0.3e9 + s.rng.Int64N(2.5e9)), ratio: 0.2 + 0.6*s.rng.Float64(),
+			duration: time.Duration(0.3e9 + s.rng.Int64N(2.5e9)), ratio: minRatio + ratioRange*s.rng.Float64(),
 		}
 		gap := time.Duration(s.rng.Int64N(int64(maxFaultGap)))
 		wg.Go(func() { f(ctx, s, p) })
@@ -152,6 +163,37 @@
 	s.storeDisturbance.add(time.Now())
 }
 
+// restoreStore restores the store from a copy, after it was away for a moment.
+func restoreStore(ctx context.Context, s *soak, p faultParams) {
+	s.restore(ctx, p.duration/4, time.Duration((p.ratio-minRatio)/ratioRange*float64(maxCopyAge)))
+}
+
+// restoreAfterDrain drains a server, and restores the store from a copy made before,
+// once the entries have received the announcement.
+func restoreAfterDrain(ctx context.Context, s *soak, p faultParams) {
+	name := s.announceDraining(p.server)
+	sleep(ctx, drainDelay+p.duration/4)
+	s.restore(ctx, p.duration/4, drainDelay+p.duration/2)
+	s.endDraining(p.server, name)
+}
+
+// restore restores the store from a copy, after it was away. The operator and the
+// servers repeat their lost writes one after the other.
+func (s *soak) restore(ctx context.Context, away, age time.Duration) {
+	s.logFault("store away for %v, then restored from a copy %v old", away, age)
+	s.storeDisturbance.add(time.Now().Add(away + rewriteTime))
+	s.store.Fail(http.StatusServiceUnavailable)
+	sleep(ctx, away)
+	lost := s.store.Restore(away + age)
+	s.store.Fail(0)
+	s.logFault("store restored, %d writes to repeat", len(lost))
+	for _, w := range lost {
+		sleep(ctx, time.Duration(s.random()*float64(rewriteTime)/float64(len(lost))))
+		s.store.Rewrite(w)
+	}
+	s.storeDisturbance.add(time.Now())
+}
+
 func crashServer(ctx context.Context, s *soak, p faultParams) {
 	name := p.server.Name()
 	s.logFault("server %s crashes for %v", name, p.duration)
@@ -164,17 +206,28 @@
 
 // drainServer drains a server and starts another one at its address.
 func drainServer(ctx context.Context, s *soak, p faultParams) {
-	name := p.server.Name()
+	name := s.announceDraining(p.server)
+	sleep(ctx, drainDelay+p.duration)
+	s.endDraining(p.server, name)
+}
+
+// announceDraining lets a server announce that it drains, and returns its name.
+func (s *soak) announceDraining(b *backend) id.Server {
+	name := b.Name()
 	s.logFault("server %s drains", name)
-	p.server.Register("draining")
+	b.Register("draining")
 	s.recordDraining(name)
-	sleep(ctx, drainDelay+p.duration)
-	if p.server.Name() != name {
+	return name
+}
+
+// endDraining replaces a server that drained by another one at its address.
+func (s *soak) endDraining(b *backend, name id.Server) {
+	if b.Name() != name {
 		return // it crashed in the meantime
 	}
 	s.store.Remove(platform.KindServers, string(name))
-	p.server.Stop()
-	s.restartServer(p.server)
+	b.Stop()
+	s.restartServer(b)
 }
 
 // restartServer starts a server under a new name. If another fault has already
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -5,9 +5,9 @@
 // Faults follow each other at random intervals, determined by a seed, and may overlap:
 // signals shut down, kill, pause and reload entries; proxies delay, reset or stall, in
 // one or both directions, the connections to the store and to servers; the store
-// fails, stalls watches or discards its history; servers crash, slow down, reject
-// requests, lose responses, drain, and restart under other names; configurations
-// change and zones are evacuated.
+// fails, stalls watches, discards its history or is restored from an older copy;
+// servers crash, slow down, reject requests, lose responses, drain, and restart under
+// other names; configurations change and zones are evacuated.
 //
 // A run terminates only processes that it started. [Run] returns an error if the run
 // itself failed; violated guarantees are listed in the [Report].
