heartbeat: changes are told with the store's era, in format 2 alone

After a restore an entry compares a revision of the era before with one that was given out again.

Format 2 carries versions with their era, as a number in era 0 and as a text such as 2:850 later; invalidations are merged as pairs, so that a lower revision of a later era replaces a higher one, and is relayed. Format 1, which entries of the build before read, carries versions of era 0 alone. A map that becomes empty isn't nil: such an entry would take the report for a relayed one and go on with the old versions.

Evidence: without leaving later eras out of format 1 an entry of the build before drops the heartbeat ("cannot unmarshal UTF-8 text string ... of type uint64"), and with a nil map the test reports "not true: got.From.Changes != nil". The tests decode with the structures of the build before. go test -race passes for heartbeat, node and platform.

--- a/internal/heartbeat/export_test.go
+++ b/internal/heartbeat/export_test.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/shallotpier/shallotpier/internal/follow"
+	"github.com/shallotpier/shallotpier/internal/store"
 	"github.com/shallotpier/shallotpier/pkg/id"
 )
 
@@ -49,3 +51,9 @@
 	}
 	return encode(m, format1)
 }
+
+// ReceiveInvalidations applies a heartbeat of an entry with the newest store changes known
+// to it.
+func (d *Detector) ReceiveInvalidations(now time.Time, n Node, changes map[follow.Kind]store.Version) {
+	d.receive(now, &message{Format: latestFormat, From: n, Invalidations: changes})
+}
--- a/internal/heartbeat/format1.go
+++ b/internal/heartbeat/format1.go
@@ -1,6 +1,7 @@
 package heartbeat
 
 import (
+	"maps"
 	"net/netip"
 	"time"
 
@@ -60,7 +61,7 @@
 )
 
 func newMessage1(m *message) *message1 {
-	out := &message1{Format: format1, From: newNode1(&m.From), Invalidations: m.Invalidations, Zones: m.Zones}
+	out := &message1{Format: format1, From: newNode1(&m.From), Invalidations: firstEra(m.Invalidations), Zones: m.Zones}
 	for i := range m.Entries {
 		out.Entries = append(out.Entries, relayedNode1{Node: newNode1(&m.Entries[i].Node), Age: m.Entries[i].Age})
 	}
@@ -70,10 +71,19 @@
 func newNode1(n *Node) node1 {
 	return node1{
 		Instance: n.Instance, Incarnation: n.Incarnation, Count: n.Count, Zone: n.Zone, Region: n.Region, Callers: n.Callers,
-		Peers: n.Peers, LinkMbps: n.LinkMbps, Ready: n.Ready, Changes: n.Changes, StoreAvailableFor: n.StoreAvailableFor, Crashes: n.Crashes,
+		Peers: n.Peers, LinkMbps: n.LinkMbps, Ready: n.Ready, Changes: firstEra(n.Changes), StoreAvailableFor: n.StoreAvailableFor, Crashes: n.Crashes,
 	}
 }
 
+// firstEra returns the versions of era 0. An entry that sends format 1 knows no eras,
+// and would compare the revision of a later one with those of its own. A map that
+// becomes empty is not nil, which stands for a relayed report.
+func firstEra(versions map[follow.Kind]store.Version) map[follow.Kind]store.Version {
+	out := maps.Clone(versions)
+	maps.DeleteFunc(out, func(_ follow.Kind, v store.Version) bool { return v.Era > 0 })
+	return out
+}
+
 func (n *node1) node() Node {
 	return Node{
 		Instance: n.Instance, Incarnation: n.Incarnation, Count: n.Count, Zone: n.Zone, Region: n.Region, Callers: n.Callers,
