follow: the first list of an era is compared with a peer's state

A history of TestHistoriesOfRestores: the store is restored from an older copy, an entry that can't reach it takes over a peer's state of the later era, in which a server is leaving, as the peer knows from before; then the store is back and lists the server as ready, as in the copy. The entry used it again although it had acknowledged its leaving, because the list was of the era that it already had.

The sink is now told of a restore before the first list of an era also if a peer's state of that era was applied. It is logged and counted once.

TestHistoriesOfRestores plays servers, restores from copies of different age and lagging connections of 4 entries with rapid and synctest.

--- a/internal/follow/era.go
+++ b/internal/follow/era.go
@@ -69,12 +69,14 @@
 	}
 }
 
-// handleRestore reports that the applied state is from an earlier era than the state
-// to be applied next. The caller must hold applying.
+// handleRestore reports that the state to be applied next may be older than the applied
+// one. The caller must hold applying.
 func (f *Follower) handleRestore(now time.Time, before, after store.Version, source string) {
-	f.Log.Warn("store restored from an older copy", "kind", f.Kind, "eraBefore", before.Era, "era", after.Era,
-		"revisionBefore", before.Revision, "revision", after.Revision, "source", source)
-	f.count("shallotpier_store_restores_total")
+	if before.Era < after.Era {
+		f.Log.Warn("store restored from an older copy", "kind", f.Kind, "eraBefore", before.Era, "era", after.Era,
+			"revisionBefore", before.Revision, "revision", after.Revision, "source", source)
+		f.count("shallotpier_store_restores_total")
+	}
 	f.Sink.StoreRestored(now, before, after)
 }
 
--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -72,9 +72,10 @@
 		// StoreRecovered is called before Replace when the store is available again
 		// after an outage, with the time since its last answer.
 		StoreRecovered(now time.Time, outage time.Duration)
-		// StoreRestored is called before Replace, after StoreRecovered, when the
-		// store has been restored from an older copy since the applied state, whose
-		// newest version is before. Objects may then be older than those applied.
+		// StoreRestored is called before the state of a later era is applied, which is
+		// from the store or a peer and may be older than the state applied before. It
+		// is called again before the first list of an era if a peer's state of that
+		// era has been applied. It is called after StoreRecovered.
 		StoreRestored(now time.Time, before, after store.Version)
 	}
 
@@ -353,7 +354,7 @@
 	defer f.applying.Unlock()
 	f.mu.Lock()
 	before := store.Latest(f.latest, f.covered)
-	restored := !before.IsZero() && before.Era < covered.Era
+	restored := !before.IsZero() && f.covered.Era < covered.Era
 	f.covered = covered
 	for _, o := range all {
 		f.latest = store.Latest(f.latest, o.Version)
--- a/internal/follow/restore_test.go
+++ b/internal/follow/restore_test.go
@@ -308,6 +308,33 @@
 	})
 }
 
+// The first list of an era must be compared with what was known before it, also if a
+// peer's state of that era has been applied: that state may hold what the peer knew
+// before.
+func TestFirstListAfterAPeersStateIsComparedWithIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		s := feed.New(store.Version{Era: 1, Revision: 500})
+		putAll(s, "ready", "i-1", "i-2")
+		f := start(ctx, s, true)
+		time.Sleep(time.Minute)
+		f.client.SetFault(feed.Fault{Unavailable: true})
+		time.Sleep(5 * time.Second)
+		s.Restore(s.Copy())
+		is.True(f.Bootstrap(s.Version(), func() { f.table.set(map[string]string{"i-1": "leaving"}) }))
+		time.Sleep(time.Second)
+		f.client.SetFault(feed.Fault{})
+		time.Sleep(5 * time.Second)
+		first, after := store.Version{Era: 1, Revision: 502}, store.Version{Era: 2, Revision: 502}
+		cancel()
+		time.Sleep(time.Minute)
+		synctest.Wait()
+		is.Equal(f.table.restores, []restore{{first, after}, {after, after}})
+		is.Equal(f.Metrics.GetOrCreateCounter(`shallotpier_store_restores_total{kind="servers"}`).Get(), uint64(1))
+	})
+}
+
 // A restore must be reported once, with what was known before it, to the sink, in the
 // log and in the metrics; compacted history and a plain outage must not be reported so.
 func TestRestoreIsReported(t *testing.T) {
