roster, node: a peer's state doesn't undo a leaving that it doesn't know of

An entry that has seen the server leave, and then can't reach the store, takes over the peer's state, which is of a later change, and uses the server. The same could happen after a plain outage.

Roster.Bootstrap, which applies a peer's list in place of Replace, ignores registrations that are earlier than what the entry knows. Those without a sequence, of a build that sends none, count as before.

--- a/internal/follow/history_test.go
+++ b/internal/follow/history_test.go
@@ -357,7 +357,7 @@
 				list    []roster.Server
 			)
 			from.Capture(func(v store.Version) { version, list = v, from.roster.Servers(now) })
-			to.Bootstrap(version, func() { to.roster.Replace(now, list) })
+			to.Bootstrap(version, func() { to.roster.Bootstrap(now, list) })
 		}
 	}
 }
--- a/internal/node/snapshot.go
+++ b/internal/node/snapshot.go
@@ -152,7 +152,7 @@
 	}
 	if p := s.Servers; p != nil && followers[follow.Servers] != nil {
 		followers[follow.Servers].Bootstrap(p.Version, func() {
-			n.Roster.Replace(now, p.Value)
+			n.Roster.Bootstrap(now, p.Value)
 			n.MarkServersListed()
 		})
 	}
--- a/internal/roster/restore.go
+++ b/internal/roster/restore.go
@@ -12,7 +12,15 @@
 // removed. A copy from which the store is restored is seconds old.
 const endedMemory = 5 * time.Minute
 
+// Sources of registrations.
+const (
+	fromStore source = iota
+	fromPeer
+)
+
 type (
+	source int
+
 	// report identifies a registration and orders those of a server.
 	report struct {
 		startedAt int64
@@ -77,15 +85,22 @@
 	return order < 0 || order == 0 && known.leaving && !p.leaving
 }
 
-// outdated reports whether a registration may come from the copy of which the store was
-// restored and is contradicted by what was known before.
-func (r *Roster) outdated(s *Server) bool {
+// outdated reports whether a registration is older than what is known of the server. Of
+// the store's registrations only those can be that come from the copy of which it was
+// restored. Those of a peer without a sequence are from a build that sends none.
+func (r *Roster) outdated(s *Server, from source) bool {
+	mayBe := func(restores int) bool {
+		if from == fromPeer {
+			return s.Sequence > 0
+		}
+		return restores < r.restores
+	}
 	if m := r.members[s.Name]; m != nil {
-		return m.restores < r.restores && s.report().contradicts(m.report())
+		return mayBe(m.restores) && s.report().contradicts(m.report())
 	}
 	e := r.ended[s.Name]
 	switch {
-	case e == nil || e.restores == r.restores:
+	case e == nil || !mayBe(e.restores):
 		return false
 	case e.lost:
 		return s.report().contradicts(e.report)
--- a/internal/roster/restore_test.go
+++ b/internal/roster/restore_test.go
@@ -156,6 +156,38 @@
 	}
 }
 
+// A peer's state must not undo a leaving or an end that it doesn't know of, unless the
+// peer's build sends no sequence.
+func TestBootstrap(t *testing.T) {
+	other := server("i-2")
+	tests := map[string]struct {
+		before  roster.Server
+		removed bool
+		peer    []roster.Server
+		want    []id.Server
+	}{
+		"later registration":               {reported(1, 6, true), false, []roster.Server{reported(1, 7, false), other}, []id.Server{"i-1", "i-2"}},
+		"peer doesn't know of the leaving": {reported(1, 6, true), false, []roster.Server{reported(1, 5, false), other}, []id.Server{"i-2"}},
+		"peer doesn't know of the end":     {reported(1, 6, false), true, []roster.Server{reported(1, 6, false), other}, []id.Server{"i-2"}},
+		"peer doesn't know of the restart": {reported(2, 1, false), false, []roster.Server{reported(1, 6, true), other}, []id.Server{"i-1", "i-2"}},
+		"leaving":                          {reported(1, 6, false), false, []roster.Server{reported(1, 7, true), other}, []id.Server{"i-2"}},
+		"leaving, without a sequence":      {reported(1, 6, false), false, []roster.Server{reported(1, 0, true), other}, []id.Server{"i-2"}},
+		"missing":                          {reported(1, 6, false), false, []roster.Server{other}, []id.Server{"i-2"}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			r := newRoster()
+			r.Replace(start, []roster.Server{tt.before, other})
+			if tt.removed {
+				r.Remove(start, "i-1")
+			}
+			r.Bootstrap(start, tt.peer)
+			is.Equal(names(r), tt.want)
+		})
+	}
+}
+
 // Within an era the store's word must count as before: a registration that comes back
 // unchanged after its removal is used.
 func TestRemovedServerComesBackWithinAnEra(t *testing.T) {
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -190,7 +190,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	before := r.members[s.Name]
-	if r.put(now, s) {
+	if r.put(now, s, fromStore) {
 		r.publishOne(before, s.Name)
 	}
 }
@@ -209,10 +209,22 @@
 func (r *Roster) Replace(now time.Time, list []Server) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.replace(now, list, fromStore)
+}
+
+// Bootstrap applies the servers that another entry knows. It may keep servers that the
+// store doesn't list, and may not know of their leaving.
+func (r *Roster) Bootstrap(now time.Time, list []Server) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.replace(now, list, fromPeer)
+}
+
+func (r *Roster) replace(now time.Time, list []Server, from source) {
 	listed := make(map[id.Server]bool, len(list))
 	for _, s := range list {
 		listed[s.Name] = true
-		r.put(now, s)
+		r.put(now, s, from)
 	}
 	for name, m := range maps.Clone(r.members) {
 		if !listed[name] {
@@ -348,11 +360,11 @@
 func entrySeed(entry netip.AddrPort) uint64 { return owner.Seed(id.Server(entry.String())) }
 
 // put reports whether anything has changed.
-func (r *Roster) put(now time.Time, s Server) bool {
+func (r *Roster) put(now time.Time, s Server, from source) bool {
 	if r.members == nil {
 		r.members = make(map[id.Server]*Member)
 	}
-	if r.outdated(&s) {
+	if r.outdated(&s, from) {
 		r.ignore(&s)
 		return false
 	}
