entryview, node, cli: status and explain show the era of the store

The state of each kind of store objects has the latest era seen in an answer, and the change's version shows the era in which it was listed.

Evidence: the added assertions of TestStateAndExplain and the case "store era" of TestDifferences, which the fields before can't express; go test of entryview, node and cli passes.

--- a/internal/entryview/view.go
+++ b/internal/entryview/view.go
@@ -72,8 +72,11 @@
 	StoreState struct {
 		// Name is the kind's name.
 		Name string `json:"name"`
-		// Change is the version of the newest applied change.
+		// Change is the version of the newest applied change; its era is that in
+		// which the store had it.
 		Change store.Version `json:"change"`
+		// Era is the latest era in any answer of the store.
+		Era store.Era `json:"era"`
 		// Age is the time since the store's last answer, in nanoseconds in JSON.
 		Age time.Duration `json:"age"`
 	}
@@ -112,6 +115,8 @@
 		Reason string `json:"reason"`
 		// Server is the selected server, empty if there is none.
 		Server id.Server `json:"server,omitempty"`
+		// Servers is the state of the list of servers that the choice is based on.
+		Servers StoreState `json:"servers"`
 		// Ranking holds the servers in order of preference for the object.
 		Ranking []Server `json:"ranking"`
 	}
@@ -191,7 +196,9 @@
 		}
 		for _, k := range v.Store {
 			if i := slices.IndexFunc(first.Store, func(f StoreState) bool { return f.Name == k.Name }); i >= 0 {
-				if f := first.Store[i]; f.Change != k.Change {
+				if f := first.Store[i]; f.Era != k.Era {
+					report("%s of era %d and %d of the store", k.Name, f.Era, k.Era)
+				} else if f.Change != k.Change {
 					report("%s up to change %s and %s", k.Name, f.Change, k.Change)
 				} else if (f.Age - k.Age).Abs() > ageMargin {
 					report("%s confirmed %v and %v ago", k.Name, f.Age.Round(time.Millisecond), k.Age.Round(time.Millisecond))
--- a/internal/entryview/view_test.go
+++ b/internal/entryview/view_test.go
@@ -23,11 +23,13 @@
 		change func(v *entryview.View)
 		want   []string
 	}{
-		"none":                         {func(*entryview.View) {}, nil},
-		"configuration":                {func(v *entryview.View) { v.Version = 6 }, []string{"entry-1 and entry-2: configuration 7 and 6"}},
-		"evacuated zones":              {func(v *entryview.View) { v.EvacuatedZones = []id.Zone{"a-1"} }, []string{"entry-1 and entry-2: evacuated zones [] and [a-1]"}},
-		"known entries":                {func(v *entryview.View) { v.Known = 5 }, []string{"entry-1 and entry-2: 6 and 5 other entries known"}},
-		"store change":                 {func(v *entryview.View) { v.Store[0].Change.Revision = 39 }, []string{"entry-1 and entry-2: servers up to change 40 and 39"}},
+		"none":            {func(*entryview.View) {}, nil},
+		"configuration":   {func(v *entryview.View) { v.Version = 6 }, []string{"entry-1 and entry-2: configuration 7 and 6"}},
+		"evacuated zones": {func(v *entryview.View) { v.EvacuatedZones = []id.Zone{"a-1"} }, []string{"entry-1 and entry-2: evacuated zones [] and [a-1]"}},
+		"known entries":   {func(v *entryview.View) { v.Known = 5 }, []string{"entry-1 and entry-2: 6 and 5 other entries known"}},
+		"store change":    {func(v *entryview.View) { v.Store[0].Change.Revision = 39 }, []string{"entry-1 and entry-2: servers up to change 40 and 39"}},
+		"store era": {func(v *entryview.View) { v.Store[0].Change, v.Store[0].Era = store.Version{Era: 1, Revision: 40}, 1 },
+			[]string{"entry-1 and entry-2: servers of era 0 and 1 of the store"}},
 		"age within the margin":        {func(v *entryview.View) { v.Store[0].Age = 10 * time.Second }, nil},
 		"age beyond the margin":        {func(v *entryview.View) { v.Store[0].Age = time.Minute }, []string{"entry-1 and entry-2: servers confirmed 1s and 1m0s ago"}},
 		"server state":                 {func(v *entryview.View) { v.Servers[0].State = entryview.Out }, []string{"entry-1 and entry-2: server i-1 is usable and out"}},
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -16,12 +16,14 @@
 	"github.com/matryer/is"
 
 	"github.com/shallotpier/shallotpier/internal/entryview"
+	"github.com/shallotpier/shallotpier/internal/follow"
 	"github.com/shallotpier/shallotpier/internal/forward"
 	"github.com/shallotpier/shallotpier/internal/heartbeat"
 	"github.com/shallotpier/shallotpier/internal/node"
 	"github.com/shallotpier/shallotpier/internal/roster"
 	"github.com/shallotpier/shallotpier/internal/route"
 	"github.com/shallotpier/shallotpier/internal/standin/ports"
+	"github.com/shallotpier/shallotpier/internal/store"
 	"github.com/shallotpier/shallotpier/pkg/id"
 	"github.com/shallotpier/shallotpier/pkg/service"
 )
@@ -190,7 +192,9 @@
 // to.
 func TestStateAndExplain(t *testing.T) {
 	is := is.New(t)
-	n := newNode(t)
+	group := unavailableGroup()
+	n := newNode(t, func(o *node.Options) { o.Store = group })
+	group[follow.Servers].Bootstrap(store.Version{Era: 2, Revision: 40}, func() {})
 	n.Configure(configOf(3, "/x/"))
 	now := time.Now()
 	n.Roster.Put(now, roster.Server{Name: "i-1", Service: svc, Address: "127.0.0.1:1", Zone: "a-1", Slots: 6})
@@ -206,6 +210,9 @@
 	v, err := entryview.Fetch(t.Context(), server.Client(), address)
 	is.NoErr(err)
 	is.Equal(v.Version, id.Version(3))
+	is.Equal(len(v.Store), 1)
+	is.Equal(v.Store[0].Change, store.Version{Era: 2, Revision: 40})
+	is.Equal(v.Store[0].Era, store.Era(2))
 	states := map[id.Server]entryview.State{}
 	for _, s := range v.Servers {
 		states[s.Name] = s.State
@@ -216,6 +223,8 @@
 	is.Equal(e.Server, id.Server("i-1"))
 	is.Equal(e.Reason, "owner")
 	is.Equal(len(e.Ranking), 1)
+	is.Equal(e.Servers.Change, store.Version{Era: 2, Revision: 40})
+	is.Equal(e.Servers.Era, store.Era(2))
 	e, err = entryview.Explain(t.Context(), server.Client(), address, "a.example", "/y/1", "17")
 	is.NoErr(err)
 	is.Equal(e.Reason, "no route")
--- a/internal/node/state.go
+++ b/internal/node/state.go
@@ -9,6 +9,7 @@
 
 	"github.com/shallotpier/shallotpier/internal/dispatch"
 	"github.com/shallotpier/shallotpier/internal/entryview"
+	"github.com/shallotpier/shallotpier/internal/follow"
 	"github.com/shallotpier/shallotpier/internal/owner"
 	"github.com/shallotpier/shallotpier/internal/roster"
 	"github.com/shallotpier/shallotpier/pkg/id"
@@ -25,8 +26,8 @@
 	if c := n.config.Load(); c != nil {
 		v.Version = c.Version
 	}
-	for kind, version := range self.Changes {
-		v.Store = append(v.Store, entryview.StoreState{Name: string(kind), Change: version, Age: n.options.Store.Age(kind, now)})
+	for kind := range self.Changes {
+		v.Store = append(v.Store, n.storeState(now, kind))
 	}
 	slices.SortFunc(v.Store, func(x, y entryview.StoreState) int { return strings.Compare(x.Name, y.Name) })
 	for _, other := range n.Heartbeats.Alive(now) {
@@ -38,6 +39,15 @@
 	return v
 }
 
+// storeState returns the state of a kind of store objects.
+func (n *Node) storeState(now time.Time, kind follow.Kind) entryview.StoreState {
+	s := entryview.StoreState{Name: string(kind)}
+	if f := n.options.Store[kind]; f != nil {
+		s.Change, s.Era, s.Age = f.Latest(), f.Era(), f.Age(now)
+	}
+	return s
+}
+
 func (n *Node) serverState(now time.Time, m *roster.Member, evacuated []id.Zone) entryview.Server {
 	s := entryview.Server{Name: m.Name, Service: m.Service, Zone: m.Zone, Slots: m.Slots, Busy: m.EstimatedRequests(now), Own: m.InFlight()}
 	switch {
@@ -63,7 +73,7 @@
 // route that splits its traffic, it uses the service selected by the smallest random
 // draw, 0.
 func (n *Node) Explain(now time.Time, host, path, object string) *entryview.Explanation {
-	e := &entryview.Explanation{}
+	e := &entryview.Explanation{Servers: n.storeState(now, follow.Servers)}
 	c := n.config.Load()
 	if c == nil {
 		e.Reason = "no configuration"
