--- a/internal/follow/restore_test.go
+++ b/internal/follow/restore_test.go
@@ -48,6 +48,7 @@
 		client *feed.Client
 		table  *table
 		logged *bytes.Buffer
+		cancel context.CancelFunc
 	}
 )
 
@@ -92,15 +93,31 @@
 	t.values = maps.Clone(values)
 }
 
-// start starts a follower of s, as a short-poll entry if short is set.
-func start(ctx context.Context, s *feed.Store, short bool) *followed {
-	f := &followed{store: s, client: &feed.Client{Store: s, Timeout: callTimeout}, table: &table{}, logged: &bytes.Buffer{}}
-	f.Follower = &follow.Follower{
-		Feed: f.client, Kind: follow.Servers, Sink: f.table, Timeout: callTimeout, ShortWait: shortWait, LongWait: longWait, Batch: batch,
-		StallTimeout: stallTimeout, ShortPoll: func() bool { return short }, Log: slog.New(slog.NewTextHandler(f.logged, nil)), Metrics: metrics.NewSet(),
-	}
-	go f.Run(ctx)
-	return f
+// followRestorable runs a check with a follower that has two objects of era 1, ready, of a
+// short-poll entry if short is set.
+func followRestorable(t *testing.T, short bool, check func(is *is.I, f *followed)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		s := feed.New(store.Version{Era: 1, Revision: 500})
+		f := &followed{store: s, client: &feed.Client{Store: s, Timeout: callTimeout}, table: &table{}, logged: &bytes.Buffer{}, cancel: cancel}
+		f.Follower = &follow.Follower{
+			Feed: f.client, Kind: follow.Servers, Sink: f.table, Timeout: callTimeout, ShortWait: shortWait, LongWait: longWait, Batch: batch,
+			StallTimeout: stallTimeout, ShortPoll: func() bool { return short }, Log: slog.New(slog.NewTextHandler(f.logged, nil)), Metrics: metrics.NewSet(),
+		}
+		putAll(s, "ready", "i-1", "i-2")
+		go f.Run(ctx)
+		time.Sleep(time.Minute)
+		check(is.New(t), f)
+		f.stop()
+	})
+}
+
+// stop ends the follower and its pending calls.
+func (f *followed) stop() {
+	f.cancel()
+	time.Sleep(time.Minute)
+	synctest.Wait()
 }
 
 // restoreLater restores the store to its present copy after some lost writes, with the
@@ -210,18 +227,10 @@
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				is := is.New(t)
-				ctx, cancel := context.WithCancel(t.Context())
-				s := feed.New(store.Version{Era: 1, Revision: 500})
-				putAll(s, "ready", "i-1", "i-2")
-				f := start(ctx, s, !tt.long)
-				time.Sleep(time.Minute)
+			followRestorable(t, !tt.long, func(is *is.I, f *followed) {
 				tt.play(f)
 				time.Sleep(repairBound)
-				is.Equal(f.table.has(), s.Values())
-				cancel()
-				time.Sleep(time.Minute) // let pending calls end
+				is.Equal(f.table.has(), f.store.Values())
 			})
 		})
 	}
@@ -230,13 +239,8 @@
 // An invalidation by a lost revision must not make the entry list the objects again
 // and again.
 func TestInvalidationByALostRevisionEndsWithItsEra(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		ctx, cancel := context.WithCancel(t.Context())
-		s := feed.New(store.Version{Era: 1, Revision: 500})
-		putAll(s, "ready", "i-1", "i-2")
-		f := start(ctx, s, true)
-		time.Sleep(time.Minute)
+	followRestorable(t, true, func(is *is.I, f *followed) {
+		s := f.store
 		restoreLater(s, func() {
 			putAll(s, "lost", "i-8", "i-9")
 			f.Invalidate(s.Version())
@@ -249,22 +253,15 @@
 		}
 		is.Equal(f.client.Lists(), before)
 		is.True(!f.NeedsPeerState())
-		cancel()
-		time.Sleep(time.Minute)
 	})
 }
 
 // A later era in the answer to any call must make all followers of an entry list their
 // objects again, also those whose own connection is silent.
 func TestEraIsSharedAmongFollowers(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		ctx, cancel := context.WithCancel(t.Context())
-		s := feed.New(store.Version{Era: 1, Revision: 500})
-		putAll(s, "ready", "i-1", "i-2")
-		f := start(ctx, s, false)
+	followRestorable(t, false, func(is *is.I, f *followed) {
+		s := f.store
 		g := follow.Group{follow.Servers: f.Follower}
-		time.Sleep(time.Minute)
 		older := s.Copy()
 		s.Put("i-1", "leaving")
 		time.Sleep(time.Second)
@@ -277,21 +274,14 @@
 		time.Sleep(100 * time.Millisecond)
 		is.Equal(f.table.has(), s.Values())
 		is.Equal(g.Era(follow.Servers), store.Era(2))
-		cancel()
-		time.Sleep(time.Minute)
 	})
 }
 
 // An answer of an older era, on a connection that lagged, must change nothing, must not
 // count as an answer of the store, and must not be requested in a tight loop.
 func TestAnswersOfAnOlderEraAreDropped(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		ctx, cancel := context.WithCancel(t.Context())
-		s := feed.New(store.Version{Era: 1, Revision: 500})
-		putAll(s, "ready", "i-1", "i-2")
-		f := start(ctx, s, true)
-		time.Sleep(time.Minute)
+	followRestorable(t, true, func(is *is.I, f *followed) {
+		s := f.store
 		f.ObserveEra(2) // the answers of f's connection lag behind
 		s.Put("i-1", "leaving")
 		before := f.client.Lists()
@@ -303,8 +293,6 @@
 		s.Restore(s.Copy())
 		time.Sleep(repairBound)
 		is.Equal(f.table.has(), s.Values())
-		cancel()
-		time.Sleep(time.Minute)
 	})
 }
 
@@ -312,13 +300,8 @@
 // peer's state of that era has been applied: that state may hold what the peer knew
 // before.
 func TestFirstListAfterAPeersStateIsComparedWithIt(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		ctx, cancel := context.WithCancel(t.Context())
-		s := feed.New(store.Version{Era: 1, Revision: 500})
-		putAll(s, "ready", "i-1", "i-2")
-		f := start(ctx, s, true)
-		time.Sleep(time.Minute)
+	followRestorable(t, true, func(is *is.I, f *followed) {
+		s := f.store
 		f.client.SetFault(feed.Fault{Unavailable: true})
 		time.Sleep(5 * time.Second)
 		s.Restore(s.Copy())
@@ -327,9 +310,7 @@
 		f.client.SetFault(feed.Fault{})
 		time.Sleep(5 * time.Second)
 		first, after := store.Version{Era: 1, Revision: 502}, store.Version{Era: 2, Revision: 502}
-		cancel()
-		time.Sleep(time.Minute)
-		synctest.Wait()
+		f.stop()
 		is.Equal(f.table.restores, []restore{{first, after}, {after, after}})
 		is.Equal(f.Metrics.GetOrCreateCounter(`shallotpier_store_restores_total{kind="servers"}`).Get(), uint64(1))
 	})
@@ -369,18 +350,10 @@
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				is := is.New(t)
-				ctx, cancel := context.WithCancel(t.Context())
-				s := feed.New(store.Version{Era: 1, Revision: 500})
-				putAll(s, "ready", "i-1", "i-2")
-				f := start(ctx, s, true)
-				time.Sleep(time.Minute)
-				tt.play(s)
+			followRestorable(t, true, func(is *is.I, f *followed) {
+				tt.play(f.store)
 				time.Sleep(repairBound)
-				cancel()
-				time.Sleep(time.Minute)
-				synctest.Wait()
+				f.stop()
 				is.Equal(f.table.restores, tt.want)
 				is.Equal(strings.Count(f.logged.String(), "store restored from an older copy"), len(tt.want))
 				is.Equal(f.Metrics.GetOrCreateCounter(`shallotpier_store_restores_total{kind="servers"}`).Get(), uint64(len(tt.want)))
