logread: a request's trace shows restores of the store before it

Evidence: the new test fails before: "[outdated registration ignored] != [store restored from an older copy outdated registration ignored ...]".

--- a/internal/logread/logread.go
+++ b/internal/logread/logread.go
@@ -69,7 +69,8 @@
 func concernsAll(message string) bool {
 	switch message {
 	case "configuration in force", "configuration rejected", "evacuated zones changed", "store lost", "store regained",
-		"watch is behind", "zone out of reach", "zone reached again", "snapshot taken in", "leaving", "started", "settings in force":
+		"watch is behind", "zone out of reach", "zone reached again", "snapshot taken in", "leaving", "started", "settings in force",
+		"store restored from an older copy", "backend servers after a restore of the store", "evacuated zones missing since a restore of the store":
 		return true
 	default:
 		return false
--- a/internal/logread/logread_test.go
+++ b/internal/logread/logread_test.go
@@ -43,6 +43,29 @@
 	is.True(strings.Contains(out.String(), "connection refused"))
 }
 
+// A request that was sent by what an entry knew from before a restore of the store must be
+// explained by it.
+func TestFindExtractsRestores(t *testing.T) {
+	is := is.New(t)
+	const restored = `time=2026-02-24T07:26:12.000Z level=WARN msg="store restored from an older copy" kind=servers eraBefore=1 era=2 revisionBefore=905 revision=880 source=store
+time=2026-02-24T07:26:12.100Z level=INFO msg="outdated registration ignored" server=i-1 known=ended leaving=false sequence=5 sequenceKnown=6
+time=2026-02-24T07:26:12.100Z level=INFO msg="outdated registration ignored" server=i-9 known=ended leaving=false sequence=5 sequenceKnown=6
+time=2026-02-24T07:26:12.100Z level=INFO msg="backend servers after a restore of the store" listed=3 known=3 outdated=1 ended=1 missing=1
+time=2026-02-24T07:26:13.000Z level=INFO msg="evacuated zones missing since a restore of the store" zones=[a-1]
+time=2026-02-24T07:26:13.100Z level=INFO msg=request request=ab code=2010 status=503 owner=i-1 choice=full server="" sends=0
+`
+	trace, err := logread.Find(strings.NewReader(restored), "ab")
+	is.NoErr(err)
+	var changes []string
+	for _, l := range trace.StateChanges {
+		changes = append(changes, l.Message)
+	}
+	is.Equal(changes, []string{
+		"store restored from an older copy", "outdated registration ignored",
+		"backend servers after a restore of the store", "evacuated zones missing since a restore of the store",
+	})
+}
+
 func TestFindFailsForUnknownRequest(t *testing.T) {
 	_, err := logread.Find(strings.NewReader(log), "zz")
 	is.New(t).True(err != nil)
