--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -15,7 +15,9 @@
 
 // failedSeeds returns the seeds that failed in the past, by cause.
 func failedSeeds() map[string]uint64 {
-	return map[string]uint64{}
+	return map[string]uint64{
+		"a server's leaving is undone by a restore of the store": 3102,
+	}
 }
 
 var seed = flag.Uint64("seed", uint64(time.Now().UnixNano()), "seed of the run with a fresh seed")
