quarantine: reports that decide go before others

What callers and operators would see: after a crash of many servers, a request that had been refused is sent to servers again, by an entry whose list is full or by one that was not there.

Cause: what a full list evicts, what entries exchange and which three reports a heartbeat carries was chosen by age, whatever it decides. Now the fingerprints with the most crashes go first, then the latest; so a heartbeat carries the reports of a quarantined request also while calls between entries fail.

Evidence: TestQuarantineIsExchangedBesideManyOthers (beside 1,000 others) and TestQuarantineIsNotEvictedByOthers failed and pass.

--- a/internal/quarantine/exchange.go
+++ b/internal/quarantine/exchange.go
@@ -10,7 +10,8 @@
 )
 
 const (
-	// MaxExchanged is the maximum number of reports that entries exchange: the latest.
+	// MaxExchanged is the maximum number of reports that entries exchange: those of the
+	// fingerprints with the most crashes, of these the latest.
 	MaxExchanged = 1000
 	// exchangeMargin is how long before its expiry a report is no longer exchanged, so
 	// that entries whose clocks differ don't send each other what they must drop.
@@ -34,7 +35,7 @@
 	exchange struct {
 		valid   bool
 		at      time.Time
-		reports []CrashReport // the latest first
+		reports []CrashReport // those with the most crashes first
 		ids     []ReportID    // of the reports
 		digest  Digest
 	}
@@ -71,14 +72,15 @@
 	return slices.Clone(l.exchanged(now).ids)
 }
 
-// Reports returns at most limit of the reports that make up the list, the latest
-// first, for an entry that may not have received them.
+// Reports returns at most limit of the reports that make up the list, for an entry that
+// may not have received them: those of the fingerprints with the most crashes first, of
+// these the latest first.
 func (l *List) Reports(now time.Time, limit int) []CrashReport {
 	return l.Missing(now, nil, limit)
 }
 
-// Missing returns at most limit of the exchanged reports that are not known, the
-// latest first.
+// Missing returns at most limit of the exchanged reports that are not known, in the
+// order of Reports.
 func (l *List) Missing(now time.Time, known []ReportID, limit int) []CrashReport {
 	has := make(map[ReportID]bool, len(known))
 	for _, id := range known {
@@ -103,12 +105,14 @@
 		return x
 	}
 	x := exchange{valid: true, at: now, digest: emptyDigest}
+	crashes := make(map[Fingerprint]int, len(l.states))
 	fresh := func(at time.Time) bool { return now.Sub(at) < l.retention()-exchangeMargin }
 	for fp, s := range l.states {
 		if now.Sub(s.lastReport) >= l.retention() {
 			l.drop(fp)
 			continue
 		}
+		crashes[fp] = len(s.reports)
 		for i := range s.reports {
 			if fresh(s.reports[i].At) {
 				x.reports = append(x.reports, s.reports[i])
@@ -119,7 +123,10 @@
 		}
 	}
 	slices.SortFunc(x.reports, func(a, b CrashReport) int {
-		return cmp.Or(b.At.Compare(a.At), slices.Compare(a.Fingerprint[:], b.Fingerprint[:]), cmp.Compare(a.Send, b.Send))
+		return cmp.Or(
+			cmp.Compare(crashes[b.Fingerprint], crashes[a.Fingerprint]), b.At.Compare(a.At),
+			slices.Compare(a.Fingerprint[:], b.Fingerprint[:]), cmp.Compare(a.Send, b.Send),
+		)
 	})
 	x.reports = x.reports[:min(len(x.reports), MaxExchanged)]
 	for i := range x.reports {
--- /dev/null
+++ b/internal/quarantine/limits_test.go
@@ -0,0 +1,68 @@
+package quarantine_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/shallotpier/shallotpier/internal/quarantine"
+	"github.com/shallotpier/shallotpier/pkg/id"
+)
+
+// newList returns a list as entries that tolerate two crashes use it.
+func newList(instance id.Instance) *quarantine.List {
+	return &quarantine.List{Instance: instance, Tolerated: 2}
+}
+
+// crash records the crash of a server by a request.
+func crash(l *quarantine.List, at time.Time, fp quarantine.Fingerprint, send int) quarantine.CrashReport {
+	return l.RecordCrash(at, fp, quarantine.Origin{Send: fmt.Sprintf("%s-%d", l.Instance, send), Began: at.Add(-time.Millisecond)})
+}
+
+// other returns the fingerprint of one of many other requests.
+func other(n int) quarantine.Fingerprint {
+	return quarantine.Fingerprint{2, byte(n >> 16), byte(n >> 8), byte(n)}
+}
+
+// A request that has crashed three servers must be refused by an entry that was not there,
+// also if a crash of many servers has cut more requests than entries exchange afterwards.
+func TestQuarantineIsExchangedBesideManyOthers(t *testing.T) {
+	for _, others := range []int{quarantine.MaxExchanged - 3, quarantine.MaxExchanged} {
+		t.Run(fmt.Sprintf("%d others", others), func(t *testing.T) {
+			is := is.New(t)
+			a, b, fp, now := newList("entry-1"), newList("entry-2"), quarantine.Fingerprint{1}, start()
+			for n := range 3 {
+				now = now.Add(time.Second)
+				crash(a, now, fp, n)
+			}
+			is.True(a.Check(now, fp).Refused)
+			now = now.Add(time.Second)
+			for n := range others {
+				crash(a, now, other(n), n)
+			}
+			for _, r := range a.Missing(now, b.ReportIDs(now), quarantine.MaxExchanged) {
+				b.Apply(now, r)
+			}
+			is.Equal(a.Digest(now), b.Digest(now))
+			is.True(b.Check(now, fp).Refused)
+		})
+	}
+}
+
+// A request that has crashed three servers must still be refused after more requests than
+// the list holds have been cut once each.
+func TestQuarantineIsNotEvictedByOthers(t *testing.T) {
+	is := is.New(t)
+	l, fp, now := newList("entry-1"), quarantine.Fingerprint{1}, start()
+	l.MaxFingerprints = 100
+	for n := range 3 {
+		crash(l, now, fp, n)
+	}
+	for n := range l.MaxFingerprints {
+		now = now.Add(time.Millisecond)
+		crash(l, now, other(n), n)
+	}
+	is.True(l.Check(now, fp).Refused)
+}
--- a/internal/quarantine/list.go
+++ b/internal/quarantine/list.go
@@ -370,20 +370,23 @@
 	l.size.Store(int64(len(l.states)))
 }
 
-// evict removes the expired fingerprints, or the one with the oldest report if none has
-// expired, so that there is room for another one.
+// evict removes the expired fingerprints, or the one with the fewest crashes, of these
+// the one with the oldest report, if none has expired, so that there is room for another
+// one.
 func (l *List) evict(now time.Time, limit int) {
-	var oldest Fingerprint
-	at := now.Add(maxSkew)
+	var (
+		first Fingerprint
+		least *state
+	)
 	for fp, s := range l.states {
 		if now.Sub(s.lastReport) >= l.retention() {
 			l.drop(fp)
-		} else if s.lastReport.Before(at) {
-			oldest, at = fp, s.lastReport
+		} else if least == nil || cmp.Or(cmp.Compare(len(s.reports), len(least.reports)), s.lastReport.Compare(least.lastReport)) < 0 {
+			first, least = fp, s
 		}
 	}
 	if len(l.states) >= limit {
-		l.drop(oldest)
+		l.drop(first)
 	}
 }
 
