quarantine: copies of a request on one server count as one crash

What callers would see: a frequent read is refused for half an hour after a single server has crashed, because three copies of it ran there.

Cause: each send was counted, not each crashed server. Reports name their server now; one counts for each, the latest, and of more than 16 the latest: the earliest, which were kept before, left entries different when a lift came between.

--- a/internal/forward/crash.go
+++ b/internal/forward/crash.go
@@ -42,7 +42,7 @@
 // has crashed, and if so records the request as a possible cause.
 func (c *call) detectCrash(m *roster.Member) {
 	start := time.Now()
-	origin := quarantine.Origin{Service: c.service, Send: c.id + " " + string(m.Name), Began: start}
+	origin := quarantine.Origin{Service: c.service, Send: c.id + " " + string(m.Name), Server: m.Name, Began: start}
 	fingerprint := c.fingerprint()
 	checked := make(chan struct{})
 	c.crashChecked = checked
--- a/internal/quarantine/exchange.go
+++ b/internal/quarantine/exchange.go
@@ -50,7 +50,7 @@
 	if r.Lifted {
 		_, _ = d.Write(binary.BigEndian.AppendUint64(nil, uint64(r.At.UnixNano())))
 	} else {
-		_, _ = d.WriteString(r.Send)
+		_, _ = d.WriteString(r.crash())
 	}
 	return ReportID(d.Sum64())
 }
--- a/internal/quarantine/limits_test.go
+++ b/internal/quarantine/limits_test.go
@@ -66,3 +66,26 @@
 	}
 	is.True(l.Check(now, fp).Refused)
 }
+
+// Entries that receive more reports of one request than count, and a lift, must agree
+// whichever comes first.
+func TestLiftAmongMoreReportsThanCount(t *testing.T) {
+	is := is.New(t)
+	a, b, fp, now := newList("entry-1"), newList("entry-2"), quarantine.Fingerprint{1}, start()
+	source := newList("entry-3")
+	var reports []quarantine.CrashReport
+	for n := range 17 {
+		reports = append(reports, crash(source, now.Add(time.Duration(n)*time.Second), fp, n))
+	}
+	lift := quarantine.CrashReport{Fingerprint: fp, Instance: "entry-3", At: now.Add(14 * time.Second), Lifted: true}
+	now = now.Add(time.Minute)
+	for _, r := range reports {
+		a.Apply(now, r)
+	}
+	a.Apply(now, lift)
+	b.Apply(now, lift)
+	for _, r := range reports {
+		b.Apply(now, r)
+	}
+	is.Equal(a.Crashes(now, fp), b.Crashes(now, fp))
+}
--- a/internal/quarantine/list.go
+++ b/internal/quarantine/list.go
@@ -29,6 +29,8 @@
 		Fingerprint Fingerprint `json:"fingerprint"`
 		// Send is the ID of the send that crashed the server.
 		Send string `json:"send,omitempty"`
+		// Server is the server that crashed; empty in reports of entries that send none.
+		Server id.Server `json:"server,omitempty"`
 		// Instance is the entry that detected the crash.
 		Instance id.Instance `json:"instance"`
 		// Service is the request's service.
@@ -51,6 +53,9 @@
 		Class id.Class
 		// Send is the ID of the send.
 		Send string
+		// Server is the server, whose name no later process of it has. If it is empty,
+		// each send counts as the crash of another server.
+		Server id.Server
 		// Began is the time at which it was begun.
 		Began time.Time
 	}
@@ -113,7 +118,8 @@
 	}
 
 	state struct {
-		// reports are the reports since the last lift, the earliest first.
+		// reports are the reports since the last lift, the earliest first, one for each
+		// crashed server.
 		reports    []CrashReport
 		lastReport time.Time
 		liftedAt   time.Time
@@ -202,7 +208,7 @@
 // RecordCrash records that a send crashed a server and returns the report for the
 // other entries.
 func (l *List) RecordCrash(now time.Time, fp Fingerprint, o Origin) CrashReport {
-	report := CrashReport{Fingerprint: fp, Send: o.Send, Instance: l.Instance, Service: o.Service, Class: o.Class, Began: o.Began, At: now}
+	report := CrashReport{Fingerprint: fp, Send: o.Send, Server: o.Server, Instance: l.Instance, Service: o.Service, Class: o.Class, Began: o.Began, At: now}
 	l.Apply(now, report)
 	return report
 }
@@ -303,22 +309,41 @@
 	return true
 }
 
-// record adds a report, and reports whether it counts. Of more than maxReports the
-// earliest count, so that all entries keep the same ones.
+// record adds a report, and reports whether it counts. Of several of one server, the
+// latest counts, and of more than maxReports the latest, so that all entries keep the
+// same ones whenever a lift reaches them.
 func (s *state) record(report *CrashReport) bool {
-	if !report.At.After(s.liftedAt) || slices.ContainsFunc(s.reports, func(r CrashReport) bool { return r.Send == report.Send }) {
+	if !report.At.After(s.liftedAt) {
 		return false
 	}
-	i, _ := slices.BinarySearchFunc(s.reports, report, func(r CrashReport, other *CrashReport) int {
-		return cmp.Or(r.At.Compare(other.At), cmp.Compare(r.Send, other.Send))
-	})
-	if i >= maxReports {
-		return false
+	known := slices.IndexFunc(s.reports, func(r CrashReport) bool { return r.crash() == report.crash() })
+	if known >= 0 {
+		if report.compare(&s.reports[known]) <= 0 {
+			return false
+		}
+		s.reports = slices.Delete(s.reports, known, known+1)
 	}
+	i, _ := slices.BinarySearchFunc(s.reports, report, func(r CrashReport, other *CrashReport) int { return r.compare(other) })
 	s.reports = slices.Insert(s.reports, i, *report)
-	s.reports = s.reports[:min(len(s.reports), maxReports)]
+	dropped := len(s.reports) > maxReports
+	if dropped {
+		s.reports = slices.Delete(s.reports, 0, 1)
+	}
 	s.updateLastReport()
-	return true
+	return !dropped || i > 0
+}
+
+// crash identifies the crash that a report is about.
+func (r *CrashReport) crash() string {
+	if r.Server != "" {
+		return string(r.Server)
+	}
+	return r.Send
+}
+
+// compare orders reports of a fingerprint by time.
+func (r *CrashReport) compare(o *CrashReport) int {
+	return cmp.Or(r.At.Compare(o.At), cmp.Compare(r.Send, o.Send))
 }
 
 func (s *state) updateLastReport() {
--- a/internal/quarantine/list_test.go
+++ b/internal/quarantine/list_test.go
@@ -10,6 +10,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/shallotpier/shallotpier/internal/quarantine"
+	"github.com/shallotpier/shallotpier/pkg/id"
 )
 
 func start() time.Time { return time.Date(2026, 12, 3, 22, 0, 0, 0, time.UTC) }
@@ -137,6 +138,9 @@
 			}
 			if r.Lifted = rapid.IntRange(0, 9).Draw(rt, "kind") == 0; !r.Lifted {
 				r.Send = fmt.Sprintf("%s-%d", r.At, rapid.IntRange(0, 1).Draw(rt, "send"))
+				if n := rapid.IntRange(0, 40).Draw(rt, "server"); n > 20 {
+					r.Server = id.Server(fmt.Sprintf("s-%d", n))
+				}
 			}
 			return r
 		})
@@ -159,6 +163,21 @@
 	})
 }
 
+// Several copies of a request that run on one server when it crashes must count as one
+// crash, or a frequent request is refused after a single one.
+func TestCopiesOnOneServerCountOnce(t *testing.T) {
+	is := is.New(t)
+	l, fp, now := newList("entry-1"), quarantine.Fingerprint{1}, start()
+	for n := range 5 {
+		l.RecordCrash(now.Add(time.Duration(n)), fp, quarantine.Origin{Send: fmt.Sprint(n), Server: "i-1"})
+	}
+	is.Equal(l.Crashes(now, fp), 1)
+	l.RecordCrash(now.Add(time.Second), fp, quarantine.Origin{Send: "6", Server: "i-2"})
+	is.True(!l.Check(now.Add(time.Second), fp).Refused)
+	l.RecordCrash(now.Add(2*time.Second), fp, quarantine.Origin{Send: "7", Server: "i-3"})
+	is.True(l.Check(now.Add(2*time.Second), fp).Refused)
+}
+
 // A list that takes what it lacks of another's reports must hold all of both, and have
 // the same digest once the other has done so too.
 func TestMissingReports(t *testing.T) {
