quarantine: lifts and crashes of entries whose clocks differ; a success ends a quarantine

What callers would see: a request that a server has answered stays under suspicion, or one that crashes servers isn't counted for some seconds, where the clock of the entry that reported is ahead; a frequent request whose copies were cut on three servers at once is refused for half an hour although another copy was answered.

Cause: a lift was ordered by the clock of the entry that made it, and a success of a quarantined request was ignored. A lift is now not earlier than what it lifts, a crash later than the lift before it, and a complete success always clears, as such a request doesn't crash every server.

Evidence: TestSuccessClearsReportsOfEntryWithClockAhead (1 != 0), TestCrashCountsAfterLiftOfEntryWithClockAhead and TestSuccessEndsQuarantineOfConcurrentSends failed and pass. Lists of the daemon, which tolerate no crash, keep a quarantine until it expires or is lifted, as before.

--- a/internal/quarantine/limits_test.go
+++ b/internal/quarantine/limits_test.go
@@ -89,3 +89,40 @@
 	}
 	is.Equal(a.Crashes(now, fp), b.Crashes(now, fp))
 }
+
+// A success must clear the crashes that were recorded before it, also if the clock of the
+// entry that recorded them is up to two seconds ahead.
+func TestSuccessClearsReportsOfEntryWithClockAhead(t *testing.T) {
+	is := is.New(t)
+	l, fp, now := newList("entry-1"), quarantine.Fingerprint{1}, start()
+	l.Apply(now, quarantine.CrashReport{Fingerprint: fp, Send: "a", Instance: "entry-2", At: now.Add(2 * time.Second)})
+	now = now.Add(time.Second)
+	_, cleared := l.Clear(now, fp)
+	is.True(cleared)
+	is.Equal(l.Crashes(now, fp), 0)
+}
+
+// A crash must count although another entry, whose clock is up to two seconds ahead, has
+// cleared earlier crashes just before.
+func TestCrashCountsAfterLiftOfEntryWithClockAhead(t *testing.T) {
+	is := is.New(t)
+	l, fp, now := newList("entry-1"), quarantine.Fingerprint{1}, start()
+	l.Apply(now, quarantine.CrashReport{Fingerprint: fp, Instance: "entry-2", At: now.Add(2 * time.Second), Lifted: true})
+	for n := range 3 {
+		crash(l, now.Add(time.Duration(n+1)*500*time.Millisecond), fp, n)
+	}
+	is.True(l.Check(now.Add(2*time.Second), fp).Refused)
+}
+
+// A frequent request that ran on three servers that stopped at once, and is then answered
+// by another one, must not be refused any longer.
+func TestSuccessEndsQuarantineOfConcurrentSends(t *testing.T) {
+	is := is.New(t)
+	l, fp, now := newList("entry-1"), quarantine.Fingerprint{1}, start()
+	for n := range 3 {
+		crash(l, now.Add(time.Duration(n)*time.Millisecond), fp, n)
+	}
+	now = now.Add(100 * time.Millisecond)
+	l.Clear(now, fp) // a fourth copy was under way
+	is.True(!l.Check(now, fp).Refused)
+}
--- a/internal/quarantine/list.go
+++ b/internal/quarantine/list.go
@@ -209,21 +209,27 @@
 // other entries.
 func (l *List) RecordCrash(now time.Time, fp Fingerprint, o Origin) CrashReport {
 	report := CrashReport{Fingerprint: fp, Send: o.Send, Server: o.Server, Instance: l.Instance, Service: o.Service, Class: o.Class, Began: o.Began, At: now}
+	l.mu.Lock()
+	if s := l.states[fp]; s != nil && !now.After(s.liftedAt) {
+		report.At = s.liftedAt.Add(1) // the lift is of an entry whose clock is ahead
+	}
+	l.mu.Unlock()
 	l.Apply(now, report)
 	return report
 }
 
-// Clear ends the probation of a fingerprint whose request got a complete answer. It
-// returns the report for the other entries, and false if there was no probation.
+// Clear ends the state of a fingerprint whose request got a complete answer, as it
+// doesn't crash every server. It returns the report for the other entries, and false if
+// there is no crash report of it, or if it is quarantined and no crash is tolerated.
 func (l *List) Clear(now time.Time, fp Fingerprint) (CrashReport, bool) {
 	if l.size.Load() == 0 {
 		return CrashReport{}, false
 	}
 	l.mu.Lock()
 	s := l.states[fp]
-	probation := s != nil && len(s.reports) > 0 && !l.quarantined(s)
+	clears := s != nil && len(s.reports) > 0 && (l.Tolerated > 0 || !l.quarantined(s))
 	l.mu.Unlock()
-	if !probation {
+	if !clears {
 		return CrashReport{}, false
 	}
 	return l.Lift(now, fp), true
@@ -232,6 +238,11 @@
 // Lift ends the state of a fingerprint and returns the report for the other entries.
 func (l *List) Lift(now time.Time, fp Fingerprint) CrashReport {
 	report := CrashReport{Fingerprint: fp, Instance: l.Instance, At: now, Lifted: true}
+	l.mu.Lock()
+	if s := l.states[fp]; s != nil && s.lastReport.After(now) {
+		report.At = s.lastReport // of an entry whose clock is ahead
+	}
+	l.mu.Unlock()
 	l.Apply(now, report)
 	return report
 }
