heartbeat: an entry that sends format 1 gets the latest format too

What would be seen: two entries of this build exchange no digests for as long as both live.

Cause: an entry that had sent format 1 got format 1 alone. Two entries send each other both formats at first; where the datagram of format 2 was lost and that of format 1 arrived, each took the other for one of the build before. And the format of a process was kept for the next one if another entry relayed its start first. Now the latest format alone goes only to a process that has sent it, and all formats to others; entries of the build before drop what they can't read, with a log line.

TestFormatsSent asks for both formats where it asked for format 1 alone.

--- a/internal/heartbeat/detector.go
+++ b/internal/heartbeat/detector.go
@@ -142,7 +142,8 @@
 		lastDirect time.Time // latest heartbeat received directly
 		lastSeen   time.Time // latest heartbeat, received directly or relayed
 		alive      bool      // state logged last
-		format     uint8     // highest datagram format that its process has sent; 0 if unknown
+		format     uint8     // highest datagram format that the process formatOf has sent
+		formatOf   id.Incarnation
 	}
 )
 
@@ -308,13 +309,14 @@
 	}
 }
 
-// formatsOf returns the datagram formats to send to an entry: the one that it sends
-// itself, or all if that is unknown or its process may have been replaced.
+// formatsOf returns the datagram formats to send to an entry: the latest if its process
+// has sent that, else all. An entry that sends format 1 may be of this build and not have
+// received a datagram of the latest format yet.
 func (d *Detector) formatsOf(now time.Time, addr netip.AddrPort) []uint8 {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if p := d.peers[addr]; p != nil && p.format > 0 && d.isAlive(p, now) {
-		return []uint8{p.format}
+	if p := d.peers[addr]; p != nil && p.format == latestFormat && p.formatOf == p.node.Incarnation && d.isAlive(p, now) {
+		return []uint8{latestFormat}
 	}
 	return []uint8{format1, latestFormat}
 }
@@ -331,8 +333,8 @@
 		d.mu.Unlock()
 		return false
 	}
-	if m.From.Incarnation > p.node.Incarnation {
-		p.format = 0
+	if m.From.Incarnation != p.formatOf {
+		p.format, p.formatOf = 0, m.From.Incarnation
 	}
 	p.format = max(p.format, m.Format)
 	changed := d.apply(now, p, &m.From, now)
--- a/internal/heartbeat/format1.go
+++ b/internal/heartbeat/format1.go
@@ -15,7 +15,7 @@
 
 const (
 	// format1 is the layout of a message as a CBOR array, which leaves no room for
-	// further fields. It is sent to entries that send it themselves.
+	// further fields. It is sent to entries that haven't sent a later one.
 	format1 = 1
 	// cborMajorType masks the type in the first byte of a CBOR item; cborArray is that
 	// of arrays.
--- a/internal/heartbeat/format_test.go
+++ b/internal/heartbeat/format_test.go
@@ -39,8 +39,7 @@
 	is.Equal(hex.EncodeToString(again), heartbeat1)
 }
 
-// An entry must get the format that it sends, and all formats while that is unknown or
-// its process may have been replaced by one of another build.
+// An entry must get the latest format alone only if its process has sent it.
 func TestFormatsSent(t *testing.T) {
 	tests := map[string]struct {
 		received []heartbeat.Received
@@ -48,11 +47,11 @@
 		want     []uint8
 	}{
 		"unknown":                      {nil, 0, []uint8{1, 2}},
-		"sends format 1":               {[]heartbeat.Received{{Format: 1, Incarnation: 1}}, 0, []uint8{1}},
+		"sends format 1":               {[]heartbeat.Received{{Format: 1, Incarnation: 1}}, 0, []uint8{1, 2}},
 		"sends format 2":               {[]heartbeat.Received{{Format: 2, Incarnation: 1}}, 0, []uint8{2}},
 		"sends both":                   {[]heartbeat.Received{{Format: 2, Incarnation: 1}, {Format: 1, Incarnation: 1}}, 0, []uint8{2}},
 		"silent":                       {[]heartbeat.Received{{Format: 2, Incarnation: 1}}, time.Minute, []uint8{1, 2}},
-		"replaced by the build before": {[]heartbeat.Received{{Format: 2, Incarnation: 1}, {Format: 1, Incarnation: 2}}, 0, []uint8{1}},
+		"replaced by the build before": {[]heartbeat.Received{{Format: 2, Incarnation: 1}, {Format: 1, Incarnation: 2}}, 0, []uint8{1, 2}},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
