crashreports: a comparison tells both entries

What callers and operators would see: an entry that can't call others, or seldom gets through, is not told of a request that crashes servers.

The answer now names what the other entry has, and the caller sends it the rest.

Evidence: TestComparisonTellsBothEntries failed and passes.

--- a/internal/crashreports/exchange.go
+++ b/internal/crashreports/exchange.go
@@ -18,8 +18,8 @@
 const (
 	// MethodReport sends crash reports to an entry.
 	MethodReport = "sightings.tell"
-	// MethodCompare sends which crash reports an entry has and returns the others that
-	// the receiver has.
+	// MethodCompare sends which crash reports an entry has. It returns the others that
+	// the receiver has, and which that are.
 	MethodCompare = "sightings.compare"
 
 	defaultPeriod = 10 * time.Second
@@ -67,7 +67,7 @@
 		Reports []quarantine.CrashReport `json:"news"`
 		// ForwardTo lists entries to which the receiver forwards the reports.
 		ForwardTo []id.Instance `json:"tell,omitempty"`
-		// Known identifies the reports that the answer omits, as the sender has them.
+		// Known identifies the reports that the sender has.
 		Known []quarantine.ReportID `json:"known,omitempty"`
 	}
 
@@ -138,7 +138,8 @@
 	}()
 }
 
-// pull requests from another entry the reports that this one lacks.
+// pull requests from another entry the reports that this one lacks, and sends it those
+// that it lacks itself, as it may not be able to call this one.
 func (x *Exchange) pull(ctx context.Context, other id.Instance) error {
 	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
 	defer cancel()
@@ -150,6 +151,9 @@
 		return err
 	}
 	x.apply(reply.Reports)
+	if missing := x.List.Missing(time.Now(), reply.Known, quarantine.MaxExchanged); len(missing) > 0 {
+		return x.Peers.Call(ctx, other, MethodReport, message{Reports: missing}, nil)
+	}
 	return nil
 }
 
@@ -169,7 +173,8 @@
 		return nil, err
 	}
 	x.apply(m.Reports)
-	return message{Reports: x.List.Missing(time.Now(), m.Known, quarantine.MaxExchanged)}, nil
+	now := time.Now()
+	return message{Reports: x.List.Missing(now, m.Known, quarantine.MaxExchanged), Known: x.List.ReportIDs(now)}, nil
 }
 
 func (x *Exchange) apply(reports []quarantine.CrashReport) {
--- a/internal/crashreports/exchange_test.go
+++ b/internal/crashreports/exchange_test.go
@@ -189,7 +189,8 @@
 		crash("a", 100)
 		heartbeat()
 		heartbeat()
-		is.Equal(calls.Load(), int64(2)) // b lacks a report, which only b can pull
+		is.Equal(calls.Load(), int64(2)) // b lacks a report and gets it
+		is.Equal(len(all["b"].List.Entries(time.Now())), 21)
 		crash("b", 101)
 		heartbeat()
 		heartbeat()
