linger, entry: an answer isn't lost while the caller still sends

Callers that sent an announced body of 100 KiB with "Connection: close" and were refused with 413 sometimes got a reset connection instead of the answer.

Cause: net/http closes a connection whose body the handler left unread. For a request with "Connection: close" it reads none of the rest; otherwise it reads up to 256 KiB, before it writes the answer's header, and closes 500 ms later without reading. Bytes that arrive at the closed socket reset the connection, and the reset discards what the caller has not read.

internal/linger sends the answer with "Connection: close" first and then reads the rest of the body, at most 16 MiB and 5 s. The connection is never reused, so that no byte of a body can be taken for a request. An answer without a length is left to net/http, which ends it only after the handler has returned, unless the request has "Connection: close", where net/http would read nothing.

Ruled out by a trial on a scratch copy: full duplex mode of net/http. After a read deadline within the body, the bytes that followed were parsed as the next request (2 requests instead of 1).

--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -14,6 +14,7 @@
 
 	"github.com/shallotpier/shallotpier/internal/admission"
 	"github.com/shallotpier/shallotpier/internal/backend"
+	"github.com/shallotpier/shallotpier/internal/linger"
 	"github.com/shallotpier/shallotpier/internal/once"
 	"github.com/shallotpier/shallotpier/internal/quarantine"
 	"github.com/shallotpier/shallotpier/pkg/id"
@@ -118,6 +119,11 @@
 
 // ServeHTTP serves one request.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	l := linger.Handler{Next: http.HandlerFunc(h.serve)}
+	l.ServeHTTP(w, r)
+}
+
+func (h *Handler) serve(w http.ResponseWriter, r *http.Request) {
 	c := &call{h: h, w: w, r: r, started: time.Now(), ctx: r.Context(), broadcasts: new(sync.WaitGroup)}
 	defer c.finish()
 	c.id = validRequestID(r.Header.Get(result.HeaderRequestID))
