forward: bodies stay in order, and refusals arrive, after an early answer

Two faults with one cause, seen on loopback sockets:

- A server that answered before it had read a long body and read on got a body with bytes missing in the middle.
- A caller that was still sending a long body when it was refused (404, 413, 503), or that read only after it had sent all of it, got a broken connection instead of the refusal.

Cause: net/http reads up to 256 KiB of an unread body before it writes an answer's header. While the body was still being forwarded, these bytes were taken from between those that the server got. The rest of a longer body was not read at all, and closing the connection reset it.

forward.Handler now answers through linger.Handler: an answer to a body that is not read to its end closes the connection, so that net/http reads nothing before the header, and the rest is read after the answer.

--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -33,6 +33,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/shallotpier/shallotpier/internal/dispatch"
+	"github.com/shallotpier/shallotpier/internal/linger"
 	"github.com/shallotpier/shallotpier/internal/quarantine"
 	"github.com/shallotpier/shallotpier/internal/retry"
 	"github.com/shallotpier/shallotpier/internal/roster"
@@ -118,6 +119,11 @@
 
 // ServeHTTP answers one request.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	l := linger.Handler{Next: http.HandlerFunc(h.serve)}
+	l.ServeHTTP(w, r)
+}
+
+func (h *Handler) serve(w http.ResponseWriter, r *http.Request) {
 	h.running.Add(1)
 	defer h.running.Add(-1)
 	c := &call{h: h, w: w, r: r, start: time.Now(), id: r.Header.Get(h.Headers.RequestID)}
