upstream, forward: a send ends when its body can't be read to its end

A caller that disconnected within a long body, or whose chunked body went over the limit while it was forwarded, left the server waiting for the rest until the deadline, with its slot in use. The caller of the body over the limit got 504 at the deadline instead of 413.

Cause: the body is written by a goroutine of its own; when it failed to read from the caller, nothing ended the exchange that waited for the answer.

The exchange now closes its connection when the body fails before the server has answered; the result is callerGone, as in internal/backend, or bodyOverLimit with 413. An answer that has begun is still delivered.

--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -60,7 +60,7 @@
 		route   *route.Route
 		service id.Service
 		body    []byte
-		stream  io.Reader
+		stream  *streamedBody
 		length  int64
 
 		// The outcome, for the answer and the log line.
@@ -112,7 +112,8 @@
 	}
 	c.body, c.length = buf.Bytes(), n
 	if n > maxBufferedBody {
-		c.stream, c.length = io.MultiReader(bytes.NewReader(c.body), c.r.Body), c.r.ContentLength
+		c.stream = &streamedBody{Reader: io.MultiReader(bytes.NewReader(c.body), c.r.Body)}
+		c.length = c.r.ContentLength
 	}
 	return 0
 }
@@ -164,6 +165,7 @@
 			c.writeAnswer(rep)
 			return
 		}
+		code = c.stream.failureCode(code)
 		failed = code
 		if !c.retryGranted && !c.mayRetry(code) {
 			c.refuse(code)
@@ -441,7 +443,7 @@
 		return http.StatusNotFound
 	case result.BadRequest:
 		return http.StatusBadRequest
-	case result.BodyTooLarge:
+	case result.BodyTooLarge, result.BodyOverLimit:
 		return http.StatusRequestEntityTooLarge
 	case result.AnswerLate:
 		return http.StatusGatewayTimeout
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -139,6 +139,8 @@
 		resp        *http.Response
 		stopCancel  func() bool
 		written     chan error
+		body        *requestBody
+		answered    atomic.Bool
 		startOffset int64
 		complete    bool
 		strays      int
@@ -189,7 +191,10 @@
 			return nil, &SendError{Code: connectCode(ctx), Err: err}
 		}
 	}
-	x := &exchange{client: c, conn: cn, request: req, ctx: ctx, startOffset: cn.wrote.Load(), written: make(chan error, 1)}
+	x := &exchange{
+		client: c, conn: cn, request: req, ctx: ctx, startOffset: cn.wrote.Load(), written: make(chan error, 1),
+		body: &requestBody{ReadCloser: req.HTTP.Body},
+	}
 	if deadline, ok := ctx.Deadline(); ok {
 		_ = cn.SetDeadline(deadline)
 	}
@@ -357,7 +362,7 @@
 		x.written <- nil
 		return x.conn.send(x.request.HTTP)
 	}
-	go func() { x.written <- x.conn.send(x.request.HTTP) }()
+	go func() { x.written <- x.sendBody() }()
 	return nil
 }
 
@@ -384,6 +389,7 @@
 			continue
 		case got == x.request.ID, got == "" && resp.StatusCode >= http.StatusMultipleChoices:
 			x.resp = resp
+			x.answered.Store(true)
 			return nil
 		case got == "":
 			return fmt.Errorf("%w: no request id", errInvalidAnswer)
@@ -404,6 +410,9 @@
 // fail closes the connection and returns err with its result code.
 func (x *exchange) fail(err error) *SendError {
 	cause := x.ctx.Err()
+	if cause == nil {
+		cause = x.body.failure()
+	}
 	x.close()
 	// Wait for the concurrent writer, so that all bytes written are counted.
 	x.written <- <-x.written
