node: tests of graceful shutdown with requests on kept connections

- a request that was passed on to a server is answered, whether its connection is busy, calm or idle for longer than requests are served
- requests that run at the end of that time are answered within the grace period

--- /dev/null
+++ b/internal/node/stop_test.go
@@ -0,0 +1,172 @@
+package node_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/shallotpier/shallotpier/internal/node"
+	"github.com/shallotpier/shallotpier/internal/roster"
+)
+
+// recordingServer is a backend server that records the ids of the requests it gets.
+type recordingServer struct {
+	*httptest.Server
+	delay time.Duration
+	seen  sync.Map // id to true
+}
+
+func newRecordingServer(t *testing.T, delay time.Duration) *recordingServer {
+	t.Helper()
+	s := &recordingServer{delay: delay}
+	s.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.seen.Store(r.Header.Get("X-Id"), true)
+		_, _ = io.Copy(io.Discard, r.Body)
+		time.Sleep(s.delay)
+		w.Header().Set("X-Id", r.Header.Get("X-Id"))
+		w.Header().Set("X-Signed", "s")
+		_, _ = io.WriteString(w, r.Header.Get("X-Id"))
+	}))
+	t.Cleanup(s.Close)
+	return s
+}
+
+// run starts the node with one server. The returned function stops it and waits for
+// its end.
+func run(t *testing.T, n *node.Node, server string) (stop func() error) {
+	t.Helper()
+	n.Configure(configOf(1, "/x/"))
+	n.Roster.Put(time.Now(), roster.Server{Name: "i-1", Service: svc, Address: server, Slots: 1000})
+	n.MarkServersListed()
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- n.Run(ctx) }()
+	for range 100 {
+		if c, err := net.Dial("tcp", n.Self().Callers.String()); err == nil {
+			c.Close()
+			break
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	return func() error {
+		cancel()
+		return <-ended
+	}
+}
+
+// keepSending sends requests on kept connections until the entry accepts none, with a
+// pause between two. It calls lost for each request that isn't answered.
+func keepSending(addr netip.AddrPort, name string, pause time.Duration, lost func(reqID string)) {
+	for k := 0; ; k++ {
+		c, err := net.Dial("tcp", addr.String())
+		if err != nil {
+			return
+		}
+		br := bufio.NewReader(c)
+		for open := true; open; k++ {
+			reqID := fmt.Sprintf("%s-%d", name, k)
+			_, err := fmt.Fprintf(c, "POST /x/1 HTTP/1.1\r\nHost: a.example\r\nX-Id: %s\r\nContent-Length: 3\r\n\r\none", reqID)
+			if err == nil {
+				open, err = readOwnAnswer(br, reqID)
+			}
+			if err != nil {
+				lost(reqID)
+				break
+			}
+			time.Sleep(pause)
+		}
+		c.Close()
+	}
+}
+
+// readOwnAnswer reads the answer to a request. It reports whether the connection stays
+// open.
+func readOwnAnswer(br *bufio.Reader, reqID string) (open bool, err error) {
+	resp, err := http.ReadResponse(br, nil)
+	if err != nil {
+		return false, err
+	}
+	body, err := io.ReadAll(resp.Body)
+	if err == nil && resp.StatusCode == http.StatusOK && string(body) != reqID {
+		err = fmt.Errorf("the answer belongs to %q", body)
+	}
+	return !resp.Close, err
+}
+
+// A request that was passed on to a server must be answered, at whichever moment of a
+// shutdown it comes on a kept connection.
+func TestShutdownLosesNoRequestOnKeptConnections(t *testing.T) {
+	pauses := map[string]time.Duration{
+		"busy":  0,
+		"calm":  50 * time.Millisecond,
+		"quiet": 1100 * time.Millisecond, // longer than the time in which requests are still served
+	}
+	for name, pause := range pauses {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			server := newRecordingServer(t, 2*time.Millisecond)
+			n := newNode(t)
+			stop := run(t, n, server.Listener.Addr().String())
+			var passedOn, crossed atomic.Int64
+			var wg sync.WaitGroup
+			for k := range 40 {
+				wg.Go(func() {
+					time.Sleep(time.Duration(k) * pause / 40)
+					keepSending(n.Self().Callers, fmt.Sprintf("%s-%d", name, k), pause, func(reqID string) {
+						if _, ok := server.seen.Load(reqID); ok {
+							passedOn.Add(1)
+							return
+						}
+						crossed.Add(1)
+					})
+				})
+			}
+			time.Sleep(200 * time.Millisecond)
+			is.NoErr(stop())
+			wg.Wait()
+			is.Equal(passedOn.Load(), int64(0))
+			t.Logf("%d requests crossed the close of their connection", crossed.Load())
+		})
+	}
+}
+
+// A request that runs at the end of the time in which requests are served, and one that
+// came last in it, must be answered within the grace period.
+func TestShutdownWaitsForRunningRequests(t *testing.T) {
+	is := is.New(t)
+	server := newRecordingServer(t, grace/4)
+	n := newNode(t)
+	stop := run(t, n, server.Listener.Addr().String())
+	var answered, sent atomic.Int64
+	var wg sync.WaitGroup
+	for k := range 20 {
+		wg.Go(func() {
+			time.Sleep(time.Duration(k) * grace / 50) // up to 0.4 of the grace period
+			c, err := net.Dial("tcp", n.Self().Callers.String())
+			if err != nil {
+				return
+			}
+			defer c.Close()
+			sent.Add(1)
+			_, _ = fmt.Fprintf(c, "POST /x/1 HTTP/1.1\r\nHost: a.example\r\nX-Id: r-%d\r\nContent-Length: 3\r\n\r\none", k)
+			if _, err := readOwnAnswer(bufio.NewReader(c), fmt.Sprintf("r-%d", k)); err == nil {
+				answered.Add(1)
+			}
+		})
+	}
+	is.NoErr(stop())
+	wg.Wait()
+	is.Equal(sent.Load(), int64(20))
+	is.Equal(answered.Load(), sent.Load())
+}
