forward: a caller that doesn't read releases the server at the deadline

A caller that stopped reading a long answer kept the server's connection, and its slot, until it disconnected.

Cause: the deadline ends the reading from the server, but the copy was waiting to write to the caller. An answer that is copied while it comes in now has the request's deadline for writing too. Complete answers that are buffered are still delivered late.

--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -383,6 +383,10 @@
 	} else if !rep.complete && rep.Length >= 0 {
 		header.Set("Content-Length", strconv.FormatInt(rep.Length, 10))
 	}
+	if !rep.complete {
+		// The server's connection is in use until the caller has read the answer.
+		_ = http.NewResponseController(c.w).SetWriteDeadline(c.deadline)
+	}
 	c.w.WriteHeader(rep.Status)
 }
 
--- a/internal/forward/truncated_test.go
+++ b/internal/forward/truncated_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"errors"
 	"io"
 	"net"
@@ -201,3 +202,32 @@
 		})
 	}
 }
+
+// A caller that doesn't read its answer must not keep a server's connection beyond the
+// deadline.
+func TestCallerThatDoesNotReadReleasesTheServer(t *testing.T) {
+	is := is.New(t)
+	f := start(t, service.Write, "ok")
+	released := make(chan error, 1)
+	piece := make([]byte, 64<<10)
+	f.serve(t, func(c net.Conn, _ *bufio.Reader, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		_, err := io.WriteString(c, okHeader+"Content-Length: 1000000000\r\n\r\n")
+		for err == nil {
+			_, err = c.Write(piece)
+		}
+		released <- err
+	})
+	s := f.connect(t)
+	p := &post{path: "/x/8", body: "body"}
+	_, err := io.WriteString(s, p.head()+p.body)
+	is.NoErr(err)
+	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+	defer cancel()
+	select {
+	case err := <-released:
+		is.True(err != nil)
+	case <-ctx.Done():
+		is.Fail() // the server still sends to a caller that doesn't read
+	}
+}
