linger: known red, an answer without a length before a long body

The end of such an answer is written after the handler has returned, so reading the body first would delay it. Ending the connection by hand (Hijack) is a way that wasn't tried.

The entry sends such answers only if a server answers early with more than 256 KiB and no length, or, in internal/entry, with any length unknown.

--- a/internal/linger/linger_test.go
+++ b/internal/linger/linger_test.go
@@ -168,3 +168,22 @@
 		is.Equal(string(data), "one")
 	}
 }
+
+// An answer without a length that is sent before a long body was read must reach a
+// caller that sends its whole body first.
+func TestChunkedAnswerReachesCallerThatReadsLast(t *testing.T) {
+	is := is.New(t)
+	c := serve(t, &linger.Handler{Next: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, "one")
+		_ = http.NewResponseController(w).Flush()
+		_, _ = io.WriteString(w, "two")
+	})})
+	const length = 12 << 20
+	_, err := io.WriteString(c, head(length)+strings.Repeat("x", length))
+	is.NoErr(err)
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	is.NoErr(err)
+	data, err := io.ReadAll(resp.Body)
+	is.NoErr(err)
+	is.Equal(string(data), "onetwo")
+}
