node: an entry that starts has no retry allowance at first

What callers and operators would see: BUDGET of retries on a service with little traffic while entries restart.

The share of the requests that an entry counted itself is granted from the start.

Evidence: TestRetryAllowanceAfterStart failed ({0.4 16} != {0.4 0}) and passes.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -41,6 +41,7 @@
 	"github.com/shallotpier/shallotpier/internal/peer"
 	"github.com/shallotpier/shallotpier/internal/peer/rpc"
 	"github.com/shallotpier/shallotpier/internal/quarantine"
+	"github.com/shallotpier/shallotpier/internal/retry"
 	"github.com/shallotpier/shallotpier/internal/roster"
 	"github.com/shallotpier/shallotpier/internal/upstream"
 	"github.com/shallotpier/shallotpier/pkg/id"
@@ -454,9 +455,14 @@
 
 func (n *Node) storeAge() time.Duration { return n.options.Store.Age(follow.Servers, time.Now()) }
 
-// retryLimits returns this entry's share of the retry limits.
+// retryLimits returns this entry's share of the retry limits. There is no allowance until
+// the entry knows the others, among which it is divided, and in the first retry.Window,
+// for which a previous process of this entry may have used it.
 func (n *Node) retryLimits() forward.RetryLimits {
 	r := n.bounds.Load().RetryLimits
-	entries := float64(len(n.Heartbeats.KnownPeers()) + 1)
-	return forward.RetryLimits{Share: r.Share * retryBudgetShare, Allowance: r.Allowance * retryBudgetShare / entries}
+	limits := forward.RetryLimits{Share: r.Share * retryBudgetShare}
+	if n.entriesListed.Load() && time.Since(n.started) >= retry.Window {
+		limits.Allowance = r.Allowance * retryBudgetShare / float64(len(n.Heartbeats.KnownPeers())+1)
+	}
+	return limits
 }
