--- a/internal/crashreports/spread_test.go
+++ b/internal/crashreports/spread_test.go
@@ -4,12 +4,14 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"flag"
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -30,10 +32,11 @@
 	synRetransmission = time.Second
 	// grown is the number of entries of a large deployment, in grownZones zones.
 	grown, grownZones = 60, 6
-	// seeds is the number of runs of each case.
-	seeds = 2
 )
 
+// seeds is the number of runs of each case.
+var seeds = flag.Uint64("seeds", 2, "seeds of each case of the simulated deployments")
+
 type (
 	// spread is a simulated deployment whose entries exchange heartbeats and pull reports.
 	spread struct {
@@ -44,6 +47,8 @@
 		byName  map[id.Instance]*spreadEntry
 		// loss is the share of packets that are lost between two entries.
 		loss func(from, to *spreadEntry) float64
+		// calls is the number of calls between entries.
+		calls atomic.Int64
 	}
 
 	// spreadCase is a deployment and what disturbs it.
@@ -113,6 +118,7 @@
 
 // Call opens a connection and makes a call; each packet may be lost and is sent again.
 func (e *spreadEntry) Call(ctx context.Context, name id.Instance, method string, params, result any) error {
+	e.s.calls.Add(1)
 	to := e.s.byName[name]
 	packets := []time.Duration{synRetransmission, synRetransmission, retransmission, retransmission}
 	for i, again := range packets {
@@ -265,8 +271,8 @@
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			worst, late := time.Duration(0), []string(nil)
-			for seed := range uint64(seeds) {
+			worst, late, calls := time.Duration(0), []string(nil), int64(0)
+			for seed := range *seeds {
 				synctest.Test(t, func(t *testing.T) {
 					ctx, cancel := context.WithCancel(t.Context())
 					s := newSpread(ctx, seed, tt.entries, tt.zones)
@@ -311,6 +317,8 @@
 					if took > tt.limit {
 						late = append(late, fmt.Sprintf("seed %d after %v, %d don't", seed, took, missing))
 					}
+					time.Sleep(10 * time.Second)
+					calls = max(calls, s.calls.Load())
 					cancel()
 					time.Sleep(5 * time.Second)
 				})
@@ -318,7 +326,7 @@
 			if len(late) > 0 {
 				t.Errorf("entries in touch refuse later than %v: %v", tt.limit, late)
 			}
-			t.Logf("all refuse after %v, worst of %d", worst, seeds)
+			t.Logf("all refuse after %v, worst of %d; %d calls", worst, *seeds, calls)
 		})
 	}
 }
@@ -334,7 +342,7 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			unequal := 0
-			for seed := range uint64(2 * seeds) {
+			for seed := range 2 * *seeds {
 				synctest.Test(t, func(t *testing.T) {
 					ctx, cancel := context.WithCancel(t.Context())
 					s := newSpread(ctx, seed, tt.entries, tt.zones)
@@ -356,7 +364,7 @@
 				})
 			}
 			if unequal > 0 {
-				t.Errorf("%d of %d lists lack reports 20 s later", unequal, 2*seeds*tt.entries)
+				t.Errorf("%d of %d lists lack reports 20 s later", unequal, 2**seeds*uint64(tt.entries))
 			}
 		})
 	}
