--- a/internal/forward/crash.go
+++ b/internal/forward/crash.go
@@ -33,7 +33,10 @@
 // the check of the server that broke off, if its crash may be the one that is too many.
 func (c *call) quarantinedMeanwhile() bool {
 	if c.crashChecked != nil && c.h.Quarantine.Active() && c.h.Quarantine.Crashes(time.Now(), c.fingerprint()) > 0 {
-		<-c.crashChecked
+		select {
+		case <-c.crashChecked:
+		case <-c.ctx.Done():
+		}
 	}
 	return c.quarantined()
 }
--- a/internal/quarantine/doc.go
+++ b/internal/quarantine/doc.go
@@ -1,14 +1,19 @@
 // Package quarantine stops requests that crash backend servers from being sent to
 // more servers.
 //
-// A request is identified by its [Fingerprint]: service, method, path, the caller's
-// idempotency key, the length of the body and the digest of the body if there is one.
-// A [List] counts the sends of a fingerprint after which a backend server closed the
-// connection without an answer. After the first crash report the fingerprint is on
+// A request is identified by its [Fingerprint] of those of its [Traits] that repeats of it
+// share. A [List] counts the backend servers that closed the connection to a send of a
+// fingerprint without a complete answer. After the first crash report the fingerprint is on
 // probation: the entry that detected the crash may send it again, one send at a time,
 // and every other entry refuses it for a hold time. If another send, begun after the
 // first crash, crashes its server too, all entries quarantine the fingerprint. A
-// complete answer ends the probation, and both states expire.
+// complete answer ends the probation, and both states expire. A List that tolerates
+// crashes ([List.Tolerated]) has no probation: it refuses a fingerprint after one crash
+// more, and a complete answer ends that too.
+//
+// Reports may be applied in any order and any number of times: lists with the same
+// reports are equal. An entry finds by [List.Digest] whether another one's list differs,
+// and by [List.ReportIDs] and [List.Missing] what it lacks.
 //
 // The entry that detects a crash notifies all other entries before it answers its
 // caller, so that a caller that retries after the answer reaches entries that have
