--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -9,6 +9,7 @@
 	"math"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"strconv"
 	"time"
 
@@ -61,7 +62,7 @@
 		route   *route.Route
 		service id.Service
 		body    []byte
-		stream  io.Reader
+		stream  *streamedBody
 		length  int64
 
 		// The outcome, for the answer and the log line.
@@ -107,17 +108,23 @@
 	}
 	size := min(max(c.r.ContentLength, 0), maxBufferedBody)
 	buf := bytes.NewBuffer(make([]byte, 0, size+bytes.MinRead))
+	control := http.NewResponseController(c.w)
+	_ = control.SetReadDeadline(c.deadline)
 	n, err := io.Copy(buf, io.LimitReader(c.r.Body, maxBufferedBody+1))
+	_ = control.SetReadDeadline(time.Time{})
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
 		return result.BodyTooLarge
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return result.DeadlinePassed
 	case err != nil:
 		return result.CallerLeft
 	}
 	c.body, c.length = buf.Bytes(), n
 	if n > maxBufferedBody {
-		c.stream, c.length = io.MultiReader(bytes.NewReader(c.body), c.r.Body), c.r.ContentLength
+		c.stream = &streamedBody{Reader: io.MultiReader(bytes.NewReader(c.body), c.r.Body)}
+		c.length = c.r.ContentLength
 	}
 	return 0
 }
@@ -169,6 +176,7 @@
 			c.writeAnswer(rep)
 			return
 		}
+		code = c.stream.failureCode(code)
 		failed = code
 		if !c.retryGranted && !c.mayRetry(code) {
 			c.refuse(code)
@@ -398,6 +406,10 @@
 	} else if !rep.complete && rep.Length >= 0 {
 		header.Set("Content-Length", strconv.FormatInt(rep.Length, 10))
 	}
+	if !rep.complete {
+		// The server's connection is in use until the caller has read the answer.
+		_ = http.NewResponseController(c.w).SetWriteDeadline(c.deadline)
+	}
 	c.w.WriteHeader(rep.Status)
 }
 
@@ -464,7 +476,7 @@
 		return http.StatusNotFound
 	case result.BadRequest:
 		return http.StatusBadRequest
-	case result.BodyTooLarge:
+	case result.BodyTooLarge, result.BodyOverLimit:
 		return http.StatusRequestEntityTooLarge
 	case result.AnswerLate:
 		return http.StatusGatewayTimeout
--- a/internal/forward/crash.go
+++ b/internal/forward/crash.go
@@ -33,7 +33,10 @@
 // the check of the server that broke off, if its crash may be the one that is too many.
 func (c *call) quarantinedMeanwhile() bool {
 	if c.crashChecked != nil && c.h.Quarantine.Active() && c.h.Quarantine.Crashes(time.Now(), c.fingerprint()) > 0 {
-		<-c.crashChecked
+		select {
+		case <-c.crashChecked:
+		case <-c.ctx.Done():
+		}
 	}
 	return c.quarantined()
 }
@@ -42,7 +45,7 @@
 // has crashed, and if so records the request as a possible cause.
 func (c *call) detectCrash(m *roster.Member) {
 	start := time.Now()
-	origin := quarantine.Origin{Service: c.service, Send: c.id + " " + string(m.Name), Began: start}
+	origin := quarantine.Origin{Service: c.service, Send: c.id + " " + string(m.Name), Server: m.Name, Began: start}
 	fingerprint := c.fingerprint()
 	checked := make(chan struct{})
 	c.crashChecked = checked
--- a/internal/quarantine/list.go
+++ b/internal/quarantine/list.go
@@ -29,6 +29,8 @@
 		Fingerprint Fingerprint `json:"fingerprint"`
 		// Send is the ID of the send that crashed the server.
 		Send string `json:"send,omitempty"`
+		// Server is the server that crashed; empty in reports of entries that send none.
+		Server id.Server `json:"server,omitempty"`
 		// Instance is the entry that detected the crash.
 		Instance id.Instance `json:"instance"`
 		// Service is the request's service.
@@ -51,6 +53,9 @@
 		Class id.Class
 		// Send is the ID of the send.
 		Send string
+		// Server is the server, whose name no later process of it has. If it is empty,
+		// each send counts as the crash of another server.
+		Server id.Server
 		// Began is the time at which it was begun.
 		Began time.Time
 	}
@@ -113,7 +118,8 @@
 	}
 
 	state struct {
-		// reports are the reports since the last lift, the earliest first.
+		// reports are the reports since the last lift, the earliest first, one for each
+		// crashed server.
 		reports    []CrashReport
 		lastReport time.Time
 		liftedAt   time.Time
@@ -202,22 +208,28 @@
 // RecordCrash records that a send crashed a server and returns the report for the
 // other entries.
 func (l *List) RecordCrash(now time.Time, fp Fingerprint, o Origin) CrashReport {
-	report := CrashReport{Fingerprint: fp, Send: o.Send, Instance: l.Instance, Service: o.Service, Class: o.Class, Began: o.Began, At: now}
+	report := CrashReport{Fingerprint: fp, Send: o.Send, Server: o.Server, Instance: l.Instance, Service: o.Service, Class: o.Class, Began: o.Began, At: now}
+	l.mu.Lock()
+	if s := l.states[fp]; s != nil && !now.After(s.liftedAt) {
+		report.At = s.liftedAt.Add(1) // the lift is of an entry whose clock is ahead
+	}
+	l.mu.Unlock()
 	l.Apply(now, report)
 	return report
 }
 
-// Clear ends the probation of a fingerprint whose request got a complete answer. It
-// returns the report for the other entries, and false if there was no probation.
+// Clear ends the state of a fingerprint whose request got a complete answer, as it
+// doesn't crash every server. It returns the report for the other entries, and false if
+// there is no crash report of it, or if it is quarantined and no crash is tolerated.
 func (l *List) Clear(now time.Time, fp Fingerprint) (CrashReport, bool) {
 	if l.size.Load() == 0 {
 		return CrashReport{}, false
 	}
 	l.mu.Lock()
 	s := l.states[fp]
-	probation := s != nil && len(s.reports) > 0 && !l.quarantined(s)
+	clears := s != nil && len(s.reports) > 0 && (l.Tolerated > 0 || !l.quarantined(s))
 	l.mu.Unlock()
-	if !probation {
+	if !clears {
 		return CrashReport{}, false
 	}
 	return l.Lift(now, fp), true
@@ -226,6 +238,11 @@
 // Lift ends the state of a fingerprint and returns the report for the other entries.
 func (l *List) Lift(now time.Time, fp Fingerprint) CrashReport {
 	report := CrashReport{Fingerprint: fp, Instance: l.Instance, At: now, Lifted: true}
+	l.mu.Lock()
+	if s := l.states[fp]; s != nil && s.lastReport.After(now) {
+		report.At = s.lastReport // of an entry whose clock is ahead
+	}
+	l.mu.Unlock()
 	l.Apply(now, report)
 	return report
 }
@@ -303,22 +320,41 @@
 	return true
 }
 
-// record adds a report, and reports whether it counts. Of more than maxReports the
-// earliest count, so that all entries keep the same ones.
+// record adds a report, and reports whether it counts. Of several of one server, the
+// latest counts, and of more than maxReports the latest, so that all entries keep the
+// same ones whenever a lift reaches them.
 func (s *state) record(report *CrashReport) bool {
-	if !report.At.After(s.liftedAt) || slices.ContainsFunc(s.reports, func(r CrashReport) bool { return r.Send == report.Send }) {
+	if !report.At.After(s.liftedAt) {
 		return false
 	}
-	i, _ := slices.BinarySearchFunc(s.reports, report, func(r CrashReport, other *CrashReport) int {
-		return cmp.Or(r.At.Compare(other.At), cmp.Compare(r.Send, other.Send))
-	})
-	if i >= maxReports {
-		return false
+	known := slices.IndexFunc(s.reports, func(r CrashReport) bool { return r.crash() == report.crash() })
+	if known >= 0 {
+		if report.compare(&s.reports[known]) <= 0 {
+			return false
+		}
+		s.reports = slices.Delete(s.reports, known, known+1)
 	}
+	i, _ := slices.BinarySearchFunc(s.reports, report, func(r CrashReport, other *CrashReport) int { return r.compare(other) })
 	s.reports = slices.Insert(s.reports, i, *report)
-	s.reports = s.reports[:min(len(s.reports), maxReports)]
+	dropped := len(s.reports) > maxReports
+	if dropped {
+		s.reports = slices.Delete(s.reports, 0, 1)
+	}
 	s.updateLastReport()
-	return true
+	return !dropped || i > 0
+}
+
+// crash identifies the crash that a report is about.
+func (r *CrashReport) crash() string {
+	if r.Server != "" {
+		return string(r.Server)
+	}
+	return r.Send
+}
+
+// compare orders reports of a fingerprint by time.
+func (r *CrashReport) compare(o *CrashReport) int {
+	return cmp.Or(r.At.Compare(o.At), cmp.Compare(r.Send, o.Send))
 }
 
 func (s *state) updateLastReport() {
@@ -370,20 +406,23 @@
 	l.size.Store(int64(len(l.states)))
 }
 
-// evict removes the expired fingerprints, or the one with the oldest report if none has
-// expired, so that there is room for another one.
+// evict removes the expired fingerprints, or the one with the fewest crashes, of these
+// the one with the oldest report, if none has expired, so that there is room for another
+// one.
 func (l *List) evict(now time.Time, limit int) {
-	var oldest Fingerprint
-	at := now.Add(maxSkew)
+	var (
+		first Fingerprint
+		least *state
+	)
 	for fp, s := range l.states {
 		if now.Sub(s.lastReport) >= l.retention() {
 			l.drop(fp)
-		} else if s.lastReport.Before(at) {
-			oldest, at = fp, s.lastReport
+		} else if least == nil || cmp.Or(cmp.Compare(len(s.reports), len(least.reports)), s.lastReport.Compare(least.lastReport)) < 0 {
+			first, least = fp, s
 		}
 	}
 	if len(l.states) >= limit {
-		l.drop(oldest)
+		l.drop(first)
 	}
 }
 
