soak: every generator has a random stream of its own

The faults of servers and caller 0 drew from the same stream, PCG(seed, 1), so that which answers were lost followed the requests of that caller. The streams are now numbered in one place.

Evidence: reading; the streams' numbers were 0, 1 and n+1 for caller n.

--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -54,7 +54,7 @@
 
 // run sends the requests of caller n until ctx ends.
 func (c *callers) run(ctx context.Context, s *soak, n int) {
-	rng := rand.New(rand.NewPCG(s.options.Seed, uint64(n)+1))
+	rng := rand.New(rand.NewPCG(s.options.Seed, firstCallerStream+uint64(n)))
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2, DisableCompression: true}, Timeout: requestDeadline}
 	defer client.CloseIdleConnections()
 	var (
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -55,6 +55,14 @@
 	minRecovered = 0.95
 )
 
+// Random streams of a seed.
+const (
+	faultStream uint64 = iota
+	serverFaultStream
+	// firstCallerStream is the stream of caller 0; the others follow.
+	firstCallerStream
+)
+
 type (
 	// Options are the parameters of a run.
 	Options struct {
@@ -137,8 +145,8 @@
 		o.Folder = folder
 	}
 	s := &soak{
-		options: o, rng: rand.New(rand.NewPCG(o.Seed, 0)), start: time.Now(), store: standin.NewStore(),
-		drainingSince: make(map[id.Server]time.Time), versions: make(map[int]time.Time), faultRNG: rand.New(rand.NewPCG(o.Seed, 1)),
+		options: o, rng: rand.New(rand.NewPCG(o.Seed, faultStream)), start: time.Now(), store: standin.NewStore(),
+		drainingSince: make(map[id.Server]time.Time), versions: make(map[int]time.Time), faultRNG: rand.New(rand.NewPCG(o.Seed, serverFaultStream)),
 	}
 	defer s.tearDown()
 	if err := s.setUp(); err != nil {
