soak: the check of unsent requests covers all runs

A run whose id belongs to no attempt was passed over as one that the end of the soak interrupted. So a request that no caller sent, or whose id was lost on the way, was never found. Attempts that the end interrupts are now recorded as such, and a run without an attempt is a violation.

--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -43,6 +43,7 @@
 		body           string
 		signature      string
 		duringShutdown bool // a graceful shutdown of the entry was in progress
+		interrupted    bool // by the end of the run, so that there is no result
 	}
 
 	// callers sends requests and records the attempts.
@@ -72,9 +73,7 @@
 		a := s.newAttempt(rng, fmt.Sprintf("c%d-%d", n, i))
 		a.entry = entries[rng.IntN(len(entries))]
 		s.send(ctx, client, rng, a)
-		if ctx.Err() != nil && a.status == 0 {
-			return // interrupted by the end of the run
-		}
+		a.interrupted = ctx.Err() != nil && a.status == 0
 		c.mu.Lock()
 		c.attempts = append(c.attempts, a)
 		c.mu.Unlock()
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -41,7 +41,7 @@
 		if a.status == http.StatusOK {
 			r.Served++
 		}
-		if a.sent.After(recoveryEnd) && a.version == 0 {
+		if a.sent.After(recoveryEnd) && a.version == 0 && !a.interrupted {
 			recoverySent++
 			if a.status == http.StatusOK {
 				recoveryServed++
@@ -70,13 +70,14 @@
 // seconds returns the time since the start of the run, in seconds.
 func (c *checker) seconds(t time.Time) float64 { return t.Sub(c.soak.start).Seconds() }
 
-// checkRuns looks for writes that ran more than once and for requests that reached
-// a server modified.
+// checkRuns looks for requests that no caller sent, for writes that ran more than
+// once and for requests that reached a server modified.
 func (c *checker) checkRuns() {
 	for name, runs := range c.runs {
 		a := c.byID[name]
 		if a == nil {
-			continue // interrupted by the end of the run
+			c.addViolation("unasked: %s %s ran as %q, which no caller sent", runs[0].Method, runs[0].Path, name)
+			continue
 		}
 		if len(runs) > 1 && a.method == http.MethodPost {
 			c.addViolation("twice: %s ran %d times", name, len(runs))
@@ -99,7 +100,7 @@
 			c.addViolation("mixed: %s got the wrong answer %q", a.id, a.body)
 		case a.status == http.StatusServiceUnavailable && a.method == http.MethodPost && len(runs) > 0:
 			c.addViolation("refused: %s was answered with 503 but ran", a.id)
-		case a.status == 0 && a.duringShutdown && len(runs) > 0 && a.done.Sub(a.sent) < requestDeadline && a.entry.disturbance.quiet(a.done, quietPeriod):
+		case a.status == 0 && !a.interrupted && a.duringShutdown && len(runs) > 0 && a.done.Sub(a.sent) < requestDeadline && a.entry.disturbance.quiet(a.done, quietPeriod):
 			c.addViolation("lost: %s ran but got no answer at %.2f s from %s, which was shutting down", a.id, c.seconds(a.done), a.entry.name)
 		}
 	}
