soak: a crashed server refuses connections

Before, only the server behind the proxy ended: the proxy went on accepting, and reset what it had accepted. An entry tells a crash from a broken connection by a new connection, so it never counted one in the soak. Now the proxy stops listening until the server is back, one fault at a time takes a server down, and a start is repeated while the address is in use.

Entries record apart since when they are out of touch, as a kill leaves ten seconds of allowance in the other record; paths to servers record their disturbances.

--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -15,6 +15,11 @@
 // longer, so that they overlap.
 const maxFaultGap = 900 * time.Millisecond
 
+const (
+	restartTries    = 20
+	restartInterval = 50 * time.Millisecond
+)
+
 // fault injects one kind of fault and returns when it has ended.
 type fault func(ctx context.Context, s *soak, p faultParams)
 
@@ -95,11 +100,11 @@
 
 func pauseEntry(ctx context.Context, s *soak, p faultParams) {
 	s.logFault("%s paused for %v", p.entry.name, p.duration)
-	p.entry.disturbance.add(time.Now().Add(p.duration))
+	p.entry.disturb(time.Now().Add(p.duration))
 	p.entry.signal(syscall.SIGSTOP)
 	sleep(ctx, p.duration)
 	p.entry.signal(syscall.SIGCONT)
-	p.entry.disturbance.add(time.Now())
+	p.entry.disturb(time.Now())
 }
 
 func reloadEntry(_ context.Context, s *soak, p faultParams) {
@@ -117,16 +122,16 @@
 // duration of the fault.
 func (s *soak) stallStorePath(ctx context.Context, p faultParams, m mode) {
 	s.logFault("store path stalled (mode %d) for %s for %v", m, p.entry.name, p.duration)
-	p.entry.disturbance.add(time.Now().Add(p.duration))
+	p.entry.disturb(time.Now().Add(p.duration))
 	p.entry.storeProxy.setMode(m, 0)
 	sleep(ctx, p.duration)
 	p.entry.storeProxy.setMode(forwarding, 0)
-	p.entry.disturbance.add(time.Now())
+	p.entry.disturb(time.Now())
 }
 
 func resetStoreConnections(_ context.Context, s *soak, p faultParams) {
 	s.logFault("store connections of %s reset", p.entry.name)
-	p.entry.disturbance.add(time.Now())
+	p.entry.disturb(time.Now())
 	p.entry.storeProxy.reset()
 }
 
@@ -153,13 +158,24 @@
 }
 
 func crashServer(ctx context.Context, s *soak, p faultParams) {
-	name := p.server.Name()
-	s.logFault("server %s crashes for %v", name, p.duration)
-	p.server.Stop()
-	p.server.proxy.reset()
-	s.store.Remove(platform.KindServers, string(name))
-	sleep(ctx, p.duration)
-	s.restartServer(p.server)
+	if s.takeDown(p.server) {
+		s.logFault("server %s crashes for %v", p.server.Name(), p.duration)
+		sleep(ctx, p.duration)
+		s.restartServer(p.server)
+	}
+}
+
+// takeDown crashes a server and reports whether it was up: its connections are reset,
+// new ones are refused, and its registration is removed.
+func (s *soak) takeDown(b *backend) bool {
+	if b.down.Swap(true) {
+		return false
+	}
+	b.proxy.refuse()
+	b.proxy.reset()
+	b.Crash()
+	s.store.Remove(platform.KindServers, string(b.Name()))
+	return true
 }
 
 // drainServer drains a server and starts another one at its address.
@@ -169,7 +185,7 @@
 	p.server.Register("draining")
 	s.recordDraining(name)
 	sleep(ctx, drainDelay+p.duration)
-	if p.server.Name() != name {
+	if p.server.Name() != name || p.server.down.Swap(true) {
 		return // it crashed in the meantime
 	}
 	s.store.Remove(platform.KindServers, string(name))
@@ -177,12 +193,18 @@
 	s.restartServer(p.server)
 }
 
-// restartServer starts a server under a new name. If another fault has already
-// restarted it, the start fails because the address is in use.
+// restartServer starts a server that is down under a new name. The address may be in
+// use for a short time.
 func (s *soak) restartServer(b *backend) {
-	if err := b.startBehindProxy(s.newServerName()); err != nil {
-		s.logFault("server not started: %v", err)
+	var err error
+	for range restartTries {
+		if err = s.startBehindProxy(b); err == nil {
+			b.down.Store(false)
+			return
+		}
+		time.Sleep(restartInterval)
 	}
+	s.logFault("server not started: %v", err)
 }
 
 func slowServer(ctx context.Context, s *soak, p faultParams) {
@@ -208,16 +230,22 @@
 
 func stallServer(ctx context.Context, s *soak, p faultParams) {
 	s.logFault("server %s is stalled for %v", p.server.Name(), p.duration)
-	p.server.proxy.setMode(stalled, 0)
-	sleep(ctx, p.duration)
-	p.server.proxy.setMode(forwarding, 0)
+	s.setServerPath(ctx, p, stalled, 0)
 }
 
 func delayServer(ctx context.Context, s *soak, p faultParams) {
 	s.logFault("server %s is delayed for %v", p.server.Name(), p.duration)
-	p.server.proxy.setMode(forwarding, 50*time.Millisecond)
+	s.setServerPath(ctx, p, forwarding, 50*time.Millisecond)
+}
+
+// setServerPath sets the mode and the delay of a server's proxy for the duration of the
+// fault.
+func (s *soak) setServerPath(ctx context.Context, p faultParams, m mode, delay time.Duration) {
+	p.server.disturbance.add(time.Now().Add(p.duration))
+	p.server.proxy.setMode(m, delay)
 	sleep(ctx, p.duration)
 	p.server.proxy.setMode(forwarding, 0)
+	p.server.disturbance.add(time.Now())
 }
 
 func changeConfig(_ context.Context, s *soak, _ faultParams) {
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -39,6 +39,9 @@
 	settingsPath string
 	// disturbance records the faults of the entry and of its path to the store.
 	disturbance disturbance
+	// outOfTouch records the faults and the starts after which the entry counts as
+	// out of touch for the stableWindow.
+	outOfTouch disturbance
 
 	// relaunchMu is held from detecting that the process has exited until it is
 	// started again, so that overlapping faults don't start two processes.
@@ -94,6 +97,13 @@
 	return 0, nil, eris.Errorf("no free port found in %d attempts", portTries)
 }
 
+// disturb records that a fault disturbs the entry or its path to the store from now
+// until the given time.
+func (e *process) disturb(until time.Time) {
+	e.disturbance.add(until)
+	e.outOfTouch.add(until)
+}
+
 // hasExited reports whether the process has exited.
 func (e *process) hasExited() bool {
 	e.mu.Lock()
@@ -137,7 +147,7 @@
 z-0 = "r-0"
 z-1 = "r-1"
 `, e.name, zone(e.zone), region(e.zone), e.ports[0], e.ports[1], e.ports[2], e.ports[3], e.ports[4],
-		e.storeProxy.address(), int(gracePeriod.Seconds()))
+		e.storeProxy.address, int(gracePeriod.Seconds()))
 }
 
 // launch starts the process, which appends its output to the entry's log file.
@@ -153,6 +163,7 @@
 	if err := cmd.Start(); err != nil {
 		return eris.Wrap(err, "start entry")
 	}
+	e.outOfTouch.add(time.Now())
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	exited := make(chan struct{})
@@ -176,6 +187,7 @@
 
 // kill kills the process and waits for its end.
 func (e *process) kill() {
+	e.outOfTouch.add(time.Now())
 	e.signal(syscall.SIGKILL)
 	e.wait()
 }
@@ -183,6 +195,7 @@
 // stop requests a graceful shutdown, waits for the end of the process, and kills it
 // after the gracePeriod.
 func (e *process) stop() {
+	e.outOfTouch.add(time.Now())
 	e.mu.Lock()
 	e.stoppingSince = time.Now()
 	exited := e.exited
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -7,13 +7,14 @@
 	"time"
 )
 
-// proxy forwards TCP connections over loopback. It can delay or reset them and stall
-// one or both directions.
+// proxy forwards TCP connections over loopback. It can delay, reset or refuse them and
+// stall one or both directions.
 type proxy struct {
-	listener net.Listener
-	target   string
+	address string
+	target  string
 
 	mu       sync.Mutex
+	listener net.Listener // nil while connections are refused
 	mode     mode
 	delay    time.Duration
 	open     map[net.Conn]bool
@@ -32,20 +33,39 @@
 )
 
 func newProxy(target string) (*proxy, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	p := &proxy{address: "127.0.0.1:0", target: target, open: make(map[net.Conn]bool), released: make(chan struct{})}
+	close(p.released)
+	return p, p.listen()
+}
+
+// listen accepts connections, at the same address as before.
+func (p *proxy) listen() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.listener != nil {
+		return nil
+	}
+	l, err := net.Listen("tcp", p.address)
 	if err != nil {
-		return nil, err
+		return err
 	}
-	p := &proxy{listener: l, target: target, open: make(map[net.Conn]bool), released: make(chan struct{})}
-	close(p.released)
-	go p.serve()
-	return p, nil
+	p.listener, p.address = l, l.Addr().String()
+	go p.serve(l)
+	return nil
 }
 
-func (p *proxy) address() string { return p.listener.Addr().String() }
+// refuse refuses new connections until listen is called.
+func (p *proxy) refuse() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.listener != nil {
+		_ = p.listener.Close()
+		p.listener = nil
+	}
+}
 
 func (p *proxy) close() {
-	_ = p.listener.Close()
+	p.refuse()
 	p.setMode(forwarding, 0)
 	p.reset()
 }
@@ -76,9 +96,9 @@
 	}
 }
 
-func (p *proxy) serve() {
+func (p *proxy) serve(l net.Listener) {
 	for {
-		c, err := p.listener.Accept()
+		c, err := l.Accept()
 		if err != nil {
 			return
 		}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -26,6 +26,7 @@
 	"math/rand/v2"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -122,7 +123,9 @@
 		// versions holds the time of publication of each configuration.
 		versions    map[int]time.Time
 		serverNames int // number of names used
-		faultRNG    *rand.Rand
+		// named holds the server of each name.
+		named    map[id.Server]*backend
+		faultRNG *rand.Rand
 	}
 
 	// backend is a backend server behind a proxy.
@@ -130,6 +133,9 @@
 		*standin.Server
 		proxy *proxy
 		zone  id.Zone
+		// disturbance records the faults of the path to the server.
+		disturbance disturbance
+		down        atomic.Bool
 	}
 )
 
@@ -146,14 +152,14 @@
 	}
 	s := &soak{
 		options: o, rng: rand.New(rand.NewPCG(o.Seed, faultStream)), start: time.Now(), store: standin.NewStore(),
-		drainingSince: make(map[id.Server]time.Time), versions: make(map[int]time.Time), faultRNG: rand.New(rand.NewPCG(o.Seed, serverFaultStream)),
+		drainingSince: make(map[id.Server]time.Time), versions: make(map[int]time.Time), named: make(map[id.Server]*backend), faultRNG: rand.New(rand.NewPCG(o.Seed, serverFaultStream)),
 	}
+	ctx, cancel := context.WithCancel(ctx)
 	defer s.tearDown()
+	defer cancel()
 	if err := s.setUp(); err != nil {
 		return nil, err
 	}
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
 	var wg sync.WaitGroup
 	for i := range o.Callers {
 		wg.Go(func() { s.callers.run(ctx, s, i) })
@@ -190,7 +196,7 @@
 		b.Server = &standin.Server{
 			Store: s.store, Ledger: &s.ledger, Service: serviceName, Zone: b.zone, Slots: slots, ProcessingTime: processingTime,
 		}
-		if err := b.startBehindProxy(s.newServerName()); err != nil {
+		if err := s.startBehindProxy(b); err != nil {
 			return err
 		}
 		s.servers = append(s.servers, b)
@@ -234,9 +240,14 @@
 	return nil
 }
 
-// startBehindProxy starts the server and, the first time, its proxy.
-func (b *backend) startBehindProxy(name id.Server) error {
-	if err := b.Start(name); err != nil {
+// startBehindProxy starts a server under a new name and, the first time, its proxy.
+func (s *soak) startBehindProxy(b *backend) error {
+	if b.proxy != nil {
+		if err := b.proxy.listen(); err != nil {
+			return eris.Wrap(err, "listen for the backend server")
+		}
+	}
+	if err := b.Start(s.newServerName(b)); err != nil {
 		return eris.Wrap(err, "start backend server")
 	}
 	if b.proxy == nil {
@@ -245,7 +256,7 @@
 			return eris.Wrap(err, "start server proxy")
 		}
 		b.proxy = p
-		b.AdvertisedAddress = p.address()
+		b.AdvertisedAddress = p.address
 		b.Register("ready")
 	}
 	return nil
@@ -275,11 +286,13 @@
 }
 
 // newServerName returns an unused name for a backend server.
-func (s *soak) newServerName() id.Server {
+func (s *soak) newServerName(b *backend) id.Server {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.serverNames++
-	return id.Server(fmt.Sprintf("s-%d", s.serverNames))
+	name := id.Server(fmt.Sprintf("s-%d", s.serverNames))
+	s.named[name] = b
+	return name
 }
 
 // publishConfig publishes the next configuration version. Each version has a route of
