soak: runs side by side have different loopback addresses

Names of requests and servers are the same in all runs, and a port that one run releases while a server or an entry is down can be given to another run, whose server takes the request for its own.

Entries, servers and proxies of a run now listen on an address of its own, by the seed.

--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -99,7 +99,7 @@
 func (s *soak) lookup(client *http.Client, n int) []*process {
 	for k := range s.entries {
 		at := s.entries[(n+k)%len(s.entries)]
-		addresses, err := standin.Lookup(client, fmt.Sprintf("127.0.0.1:%d", at.ports[2]), host, zone(n), region(n))
+		addresses, err := standin.Lookup(client, at.address(2), host, zone(n), region(n))
 		if err != nil {
 			continue // try the next entry
 		}
@@ -141,7 +141,7 @@
 func (s *soak) send(ctx context.Context, client *http.Client, a *attempt) {
 	sum := sha256.Sum256([]byte(a.payload))
 	a.digest = hex.EncodeToString(sum[:])
-	r, err := http.NewRequestWithContext(ctx, a.method, fmt.Sprintf("http://127.0.0.1:%d%s", a.entry.ports[0], a.path), strings.NewReader(a.payload))
+	r, err := http.NewRequestWithContext(ctx, a.method, "http://"+a.entry.address(0)+a.path, strings.NewReader(a.payload))
 	if err != nil {
 		return
 	}
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"sync"
 	"syscall"
 	"time"
@@ -56,7 +57,7 @@
 
 func newProcess(s *soak, i int) (*process, error) {
 	e := &process{soak: s, name: fmt.Sprintf("entry-%d", i), zone: i % 2}
-	p, err := newProxy(s.store.Address())
+	p, err := newProxy(s.ip, s.store.Address())
 	if err != nil {
 		return nil, eris.Wrap(err, "start store proxy")
 	}
@@ -68,7 +69,7 @@
 // prepare assigns free ports to the entry and writes its settings.
 func (e *process) prepare() error {
 	for k := range e.ports {
-		port, free, err := reservePort()
+		port, free, err := e.soak.reservePort()
 		if err != nil {
 			return err
 		}
@@ -79,10 +80,10 @@
 }
 
 // reservePort reserves a port that is free for TCP and UDP until free is called.
-func reservePort() (port int, free func(), err error) {
+func (s *soak) reservePort() (port int, free func(), err error) {
 	for range portTries {
 		port = firstPort + rand.IntN(lastPort-firstPort)
-		address := fmt.Sprintf("127.0.0.1:%d", port)
+		address := net.JoinHostPort(s.ip, strconv.Itoa(port))
 		l, err := net.Listen("tcp", address)
 		if err != nil {
 			continue
@@ -104,6 +105,10 @@
 	e.outOfTouch.add(until)
 }
 
+// address returns the IP address and port of one of the entry's listeners, in the order
+// of ports.
+func (e *process) address(i int) string { return net.JoinHostPort(e.soak.ip, strconv.Itoa(e.ports[i])) }
+
 // hasExited reports whether the process has exited.
 func (e *process) hasExited() bool {
 	e.mu.Lock()
@@ -123,11 +128,11 @@
 linkMbps = 1000
 
 [listen]
-callers = "127.0.0.1:%d"
-readiness = "127.0.0.1:%d"
-directory = "127.0.0.1:%d"
-peers = "127.0.0.1:%d"
-metrics = "127.0.0.1:%d"
+callers = %q
+readiness = %q
+directory = %q
+peers = %q
+metrics = %q
 
 [store]
 address = %q
@@ -146,7 +151,7 @@
 [regions]
 z-0 = "r-0"
 z-1 = "r-1"
-`, e.name, zone(e.zone), region(e.zone), e.ports[0], e.ports[1], e.ports[2], e.ports[3], e.ports[4],
+`, e.name, zone(e.zone), region(e.zone), e.address(0), e.address(1), e.address(2), e.address(3), e.address(4),
 		e.storeProxy.address, int(gracePeriod.Seconds()))
 }
 
@@ -226,5 +231,5 @@
 }
 
 func (e *process) isReady() bool {
-	return standin.Ready(&http.Client{Timeout: readinessTimeout}, fmt.Sprintf("127.0.0.1:%d", e.ports[1]))
+	return standin.Ready(&http.Client{Timeout: readinessTimeout}, e.address(1))
 }
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -32,8 +32,8 @@
 	stalledResponses
 )
 
-func newProxy(target string) (*proxy, error) {
-	p := &proxy{address: "127.0.0.1:0", target: target, open: make(map[net.Conn]bool), released: make(chan struct{})}
+func newProxy(ip, target string) (*proxy, error) {
+	p := &proxy{address: net.JoinHostPort(ip, "0"), target: target, open: make(map[net.Conn]bool), released: make(chan struct{})}
 	close(p.released)
 	return p, p.listen()
 }
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -110,6 +110,7 @@
 	// soak is the state of one run.
 	soak struct {
 		options Options
+		ip      string // of the entries and servers
 		rng     *rand.Rand
 		start   time.Time
 		store   *standin.Store
@@ -158,7 +159,7 @@
 		o.Folder = folder
 	}
 	s := &soak{
-		options: o, rng: rand.New(rand.NewPCG(o.Seed, faultStream)), start: time.Now(), store: standin.NewStore(),
+		options: o, ip: runIP(o.Seed), rng: rand.New(rand.NewPCG(o.Seed, faultStream)), start: time.Now(), store: standin.NewStore(),
 		drainingSince: make(map[id.Server]time.Time), versions: make(map[int]time.Time), named: make(map[id.Server]*backend), faultRNG: rand.New(rand.NewPCG(o.Seed, serverFaultStream)),
 	}
 	ctx, cancel := context.WithCancel(ctx)
@@ -183,6 +184,10 @@
 	return s.report(recoveryEnd), nil
 }
 
+// runIP returns the loopback address of a run. Runs side by side have different ones,
+// as a port that one run releases for some time could otherwise be taken by another one.
+func runIP(seed uint64) string { return fmt.Sprintf("127.%d.%d.1", 1+seed/250%250, 1+seed%250) }
+
 func (o Options) withDefaults() Options {
 	if o.Length == 0 {
 		o.Length = 15 * time.Second
@@ -205,7 +210,7 @@
 	for i := range s.options.Servers {
 		b := &backend{zone: zone(i)}
 		b.Server = &standin.Server{
-			Store: s.store, Ledger: &s.ledger, Service: serviceName, Zone: b.zone, Slots: slots, ProcessingTime: processingTime,
+			Store: s.store, Ledger: &s.ledger, IP: s.ip, Service: serviceName, Zone: b.zone, Slots: slots, ProcessingTime: processingTime,
 		}
 		if s.crashing != nil {
 			s.crashing.prepare(ctx, s, b, i)
@@ -265,7 +270,7 @@
 		return eris.Wrap(err, "start backend server")
 	}
 	if b.proxy == nil {
-		p, err := newProxy(b.Address())
+		p, err := newProxy(s.ip, b.Address())
 		if err != nil {
 			return eris.Wrap(err, "start server proxy")
 		}
