--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -30,6 +30,10 @@
 		// Reports of the other requests on a crashed server displace that of the
 		// request that crashes it; these stay refused.
 		"crashing_read_beside_others": 1027,
+		// Copies of a frequent read on one crashed server count as several crashes.
+		"frequent_read_on_a_crashed_server":                    2057,
+		"frequent_read_on_a_server_crashed_by_another_read":    2035,
+		"frequent_read_on_a_server_crashed_by_another_request": 2046,
 	}
 }
 
