--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -35,29 +35,34 @@
 	for _, r := range s.ledger.Runs() {
 		c.runs[r.Request] = append(c.runs[r.Request], r)
 	}
-	r := &Report{Seed: s.options.Seed, Requests: len(c.attempts), Faults: s.faults, Folder: s.options.Folder}
-	recoverySent, recoveryServed := 0, 0
+	s.mu.Lock()
+	r := &Report{Seed: s.options.Seed, Requests: len(c.attempts), Faults: slices.Clone(s.faults), Folder: s.options.Folder}
+	s.mu.Unlock()
+	var recovery []*attempt
+	recoveryServed := 0
 	for _, a := range c.attempts {
 		if a.status == http.StatusOK {
 			r.Served++
 		}
-		if a.sent.After(recoveryEnd) && a.version == 0 {
-			recoverySent++
+		if a.sent.After(recoveryEnd) && a.version == 0 && !a.crashing && !a.interrupted {
+			recovery = append(recovery, a)
 			if a.status == http.StatusOK {
 				recoveryServed++
 			}
 		}
 	}
-	if recoverySent > 0 {
-		r.Recovered = float64(recoveryServed) / float64(recoverySent)
+	if len(recovery) > 0 {
+		r.Recovered = float64(recoveryServed) / float64(len(recovery))
 	}
 	if r.Recovered < minRecovered {
-		c.addViolation("recovery: only %d of %d requests were served after the last fault", recoveryServed, recoverySent)
+		c.addViolation("recovery: only %d of %d requests were served after the last fault", recoveryServed, len(recovery))
 	}
 	c.checkRuns()
 	c.checkAnswers()
 	c.checkDraining()
 	c.checkVersions()
+	c.checkRefused(recovery)
+	r.Crashes = c.checkCrashing()
 	r.Violations = c.violations
 	return r
 }
@@ -70,19 +75,20 @@
 // seconds returns the time since the start of the run, in seconds.
 func (c *checker) seconds(t time.Time) float64 { return t.Sub(c.soak.start).Seconds() }
 
-// checkRuns looks for writes that ran more than once and for requests that reached
-// a server modified.
+// checkRuns looks for requests that no caller sent, for writes that ran more than
+// once and for requests that reached a server modified.
 func (c *checker) checkRuns() {
 	for name, runs := range c.runs {
 		a := c.byID[name]
 		if a == nil {
-			continue // interrupted by the end of the run
+			c.addViolation("unasked: %s %s ran as %q, which no caller sent", runs[0].Method, runs[0].Path, name)
+			continue
 		}
 		if len(runs) > 1 && a.method == http.MethodPost {
 			c.addViolation("twice: %s ran %d times", name, len(runs))
 		}
 		for _, r := range runs {
-			if r.Method != a.method || r.Path != a.path || r.Digest != a.digest && r.Digest != "broken off" {
+			if r.Method != a.method || r.Path != a.path || r.Digest != a.digest && r.Digest != standin.BrokenOff {
 				c.addViolation("changed: %s was sent as %s %s and ran as %s %s", name, a.method, a.path, r.Method, r.Path)
 			}
 		}
@@ -99,7 +105,7 @@
 			c.addViolation("mixed: %s got the wrong answer %q", a.id, a.body)
 		case a.status == http.StatusServiceUnavailable && a.method == http.MethodPost && len(runs) > 0:
 			c.addViolation("refused: %s was answered with 503 but ran", a.id)
-		case a.status == 0 && a.duringShutdown && len(runs) > 0 && a.done.Sub(a.sent) < requestDeadline && a.entry.disturbance.quiet(a.done, quietPeriod):
+		case a.status == 0 && !a.interrupted && a.duringShutdown && len(runs) > 0 && a.done.Sub(a.sent) < requestDeadline && a.entry.disturbance.quiet(a.done, quietPeriod):
 			c.addViolation("lost: %s ran but got no answer at %.2f s from %s, which was shutting down", a.id, c.seconds(a.done), a.entry.name)
 		}
 	}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -7,7 +7,8 @@
 // one or both directions, the connections to the store and to servers; the store
 // fails, stalls watches, discards its history or is restored from an older copy;
 // servers crash, slow down, reject requests, lose responses, drain, and restart under
-// other names; configurations change and zones are evacuated.
+// other names; configurations change and zones are evacuated. In some runs one caller
+// repeats a request that crashes every server that runs it.
 //
 // A run terminates only processes that it started. [Run] returns an error if the run
 // itself failed; violated guarantees are listed in the [Report].
@@ -26,6 +27,7 @@
 	"math/rand/v2"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -55,6 +57,15 @@
 	minRecovered = 0.95
 )
 
+// Random streams of a seed.
+const (
+	faultStream uint64 = iota
+	serverFaultStream
+	crashingStream
+	// firstCallerStream is the stream of caller 0; the others follow.
+	firstCallerStream
+)
+
 type (
 	// Options are the parameters of a run.
 	Options struct {
@@ -86,6 +97,8 @@
 		// than the recovery time of 5 s after the last fault, without version
 		// probes.
 		Recovered float64
+		// Crashes is the number of servers that a request crashed.
+		Crashes int
 		// Faults lists the injected faults, in order.
 		Faults []string
 		// Violations lists the violations of guarantees.
@@ -97,6 +110,7 @@
 	// soak is the state of one run.
 	soak struct {
 		options Options
+		ip      string // of the entries and servers
 		rng     *rand.Rand
 		start   time.Time
 		store   *standin.Store
@@ -114,7 +128,12 @@
 		// versions holds the time of publication of each configuration.
 		versions    map[int]time.Time
 		serverNames int // number of names used
-		faultRNG    *rand.Rand
+		// named holds the server of each name.
+		named    map[id.Server]*backend
+		faultRNG *rand.Rand
+		// crashing is the request that crashes servers; nil if the run has none.
+		crashing *crashingRequest
+		restarts sync.WaitGroup
 	}
 
 	// backend is a backend server behind a proxy.
@@ -122,6 +141,9 @@
 		*standin.Server
 		proxy *proxy
 		zone  id.Zone
+		// disturbance records the faults of the path to the server.
+		disturbance disturbance
+		down        atomic.Bool
 	}
 )
 
@@ -137,19 +159,23 @@
 		o.Folder = folder
 	}
 	s := &soak{
-		options: o, rng: rand.New(rand.NewPCG(o.Seed, 0)), start: time.Now(), store: standin.NewStore(),
-		drainingSince: make(map[id.Server]time.Time), versions: make(map[int]time.Time), faultRNG: rand.New(rand.NewPCG(o.Seed, 1)),
+		options: o, ip: runIP(o.Seed), rng: rand.New(rand.NewPCG(o.Seed, faultStream)), start: time.Now(), store: standin.NewStore(),
+		drainingSince: make(map[id.Server]time.Time), versions: make(map[int]time.Time), named: make(map[id.Server]*backend), faultRNG: rand.New(rand.NewPCG(o.Seed, serverFaultStream)),
 	}
+	ctx, cancel := context.WithCancel(ctx)
 	defer s.tearDown()
-	if err := s.setUp(); err != nil {
+	defer cancel()
+	s.crashing = s.newCrashingRequest()
+	if err := s.setUp(ctx); err != nil {
 		return nil, err
 	}
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
 	var wg sync.WaitGroup
-	for i := range o.Callers {
+	for i := range s.callerCount() {
 		wg.Go(func() { s.callers.run(ctx, s, i) })
 	}
+	if s.crashing != nil {
+		wg.Go(func() { s.crashing.run(ctx, s) })
+	}
 	s.inject(ctx)
 	recoveryEnd := time.Now().Add(recoveryTime)
 	sleep(ctx, recoveryTime+2*time.Second)
@@ -158,6 +184,10 @@
 	return s.report(recoveryEnd), nil
 }
 
+// runIP returns the loopback address of a run. Runs side by side have different ones,
+// as a port that one run releases for some time could otherwise be taken by another one.
+func runIP(seed uint64) string { return fmt.Sprintf("127.%d.%d.1", 1+seed/250%250, 1+seed%250) }
+
 func (o Options) withDefaults() Options {
 	if o.Length == 0 {
 		o.Length = 15 * time.Second
@@ -175,14 +205,17 @@
 }
 
 // setUp starts the stand-ins and the entries and waits until the entries are ready.
-func (s *soak) setUp() error {
+func (s *soak) setUp(ctx context.Context) error {
 	s.publishConfig()
 	for i := range s.options.Servers {
 		b := &backend{zone: zone(i)}
 		b.Server = &standin.Server{
-			Store: s.store, Ledger: &s.ledger, Service: serviceName, Zone: b.zone, Slots: slots, ProcessingTime: processingTime,
+			Store: s.store, Ledger: &s.ledger, IP: s.ip, Service: serviceName, Zone: b.zone, Slots: slots, ProcessingTime: processingTime,
 		}
-		if err := b.startBehindProxy(s.newServerName()); err != nil {
+		if s.crashing != nil {
+			s.crashing.prepare(ctx, s, b, i)
+		}
+		if err := s.startBehindProxy(b); err != nil {
 			return err
 		}
 		s.servers = append(s.servers, b)
@@ -226,18 +259,23 @@
 	return nil
 }
 
-// startBehindProxy starts the server and, the first time, its proxy.
-func (b *backend) startBehindProxy(name id.Server) error {
-	if err := b.Start(name); err != nil {
+// startBehindProxy starts a server under a new name and, the first time, its proxy.
+func (s *soak) startBehindProxy(b *backend) error {
+	if b.proxy != nil {
+		if err := b.proxy.listen(); err != nil {
+			return eris.Wrap(err, "listen for the backend server")
+		}
+	}
+	if err := b.Start(s.newServerName(b)); err != nil {
 		return eris.Wrap(err, "start backend server")
 	}
 	if b.proxy == nil {
-		p, err := newProxy(b.Address())
+		p, err := newProxy(s.ip, b.Address())
 		if err != nil {
 			return eris.Wrap(err, "start server proxy")
 		}
 		b.proxy = p
-		b.AdvertisedAddress = p.address()
+		b.AdvertisedAddress = p.address
 		b.Register("ready")
 	}
 	return nil
@@ -248,6 +286,7 @@
 		e.kill()
 		e.storeProxy.close()
 	}
+	s.restarts.Wait()
 	for _, b := range s.servers {
 		b.Stop()
 		b.proxy.close()
@@ -267,11 +306,13 @@
 }
 
 // newServerName returns an unused name for a backend server.
-func (s *soak) newServerName() id.Server {
+func (s *soak) newServerName(b *backend) id.Server {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.serverNames++
-	return id.Server(fmt.Sprintf("s-%d", s.serverNames))
+	name := id.Server(fmt.Sprintf("s-%d", s.serverNames))
+	s.named[name] = b
+	return name
 }
 
 // publishConfig publishes the next configuration version. Each version has a route of
