serverlimit, forward, platform: log the limits that servers name

An entry now keeps the limit of each server from its answers, logs when one is named, changes or ends, and shows it in status, explain and the gauge shallotpier_servers{state="limited"}. Nothing acts on it yet.

A limit is learned from signed answers and from refusals that say "not run"; not from an answer of another server (421), an unsigned one or one with a value that isn't a decimal number. Only a signed answer without the header ends it. What was known of an earlier start of the server doesn't count.

--- a/internal/cli/platform.go
+++ b/internal/cli/platform.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/netip"
 	"os"
+	"strconv"
 	"strings"
 	"text/tabwriter"
 	"time"
@@ -18,6 +19,7 @@
 	"github.com/shallotpier/shallotpier/internal/logread"
 	"github.com/shallotpier/shallotpier/internal/operator"
 	"github.com/shallotpier/shallotpier/internal/store"
+	"github.com/shallotpier/shallotpier/pkg/unit"
 )
 
 // entryTimeout bounds a query to an entry on the platform.
@@ -133,19 +135,22 @@
 
 func (s *platformStatus) text(w io.Writer) error {
 	t := tabwriter.NewWriter(w, 0, 0, tabPadding, ' ', 0)
-	fmt.Fprintln(t, "ENTRY\tZONE\tREADY\tVERSION\tRUNNING\tENTRIES\tSERVERS\tUSABLE\tERA\tSTORE")
+	fmt.Fprintln(t, "ENTRY\tZONE\tREADY\tVERSION\tRUNNING\tENTRIES\tSERVERS\tUSABLE\tLIMITED\tERA\tSTORE")
 	for _, v := range s.Entries {
-		usable, oldest, era := 0, time.Duration(0), store.Era(0)
+		usable, limited, oldest, era := 0, 0, time.Duration(0), store.Era(0)
 		for _, server := range v.Servers {
 			if server.State == entryview.Usable {
 				usable++
 			}
+			if server.Limit > 0 {
+				limited++
+			}
 		}
 		for _, k := range v.Store {
 			oldest, era = max(oldest, k.Age), max(era, k.Era)
 		}
-		fmt.Fprintf(t, "%s\t%s\t%t\t%d\t%d\t%d of %d\t%d\t%d\t%d\t%v ago\n", v.Instance, v.Zone, v.Ready, v.Version, v.Running,
-			len(v.Entries), v.Known, len(v.Servers), usable, era, oldest.Round(time.Millisecond))
+		fmt.Fprintf(t, "%s\t%s\t%t\t%d\t%d\t%d of %d\t%d\t%d\t%d\t%d\t%v ago\n", v.Instance, v.Zone, v.Ready, v.Version, v.Running,
+			len(v.Entries), v.Known, len(v.Servers), usable, limited, era, oldest.Round(time.Millisecond))
 	}
 	for _, line := range s.Unreachable {
 		fmt.Fprintf(t, "did not answer: %s\n", line)
@@ -160,9 +165,17 @@
 	t := tabwriter.NewWriter(w, 0, 0, tabPadding, ' ', 0)
 	fmt.Fprintf(t, "route %s, service %s: %s %s\n", e.Route, e.Service, e.Reason, e.Server)
 	fmt.Fprintf(t, "servers as of change %s, confirmed %v ago in era %d of the store\n", e.Servers.Change, e.Servers.Age.Round(time.Millisecond), e.Servers.Era)
-	fmt.Fprintln(t, "\nBACKEND SERVER\tZONE\tSTATE\tSLOTS\tBUSY\tBUSY HERE")
+	fmt.Fprintln(t, "\nBACKEND SERVER\tZONE\tSTATE\tSLOTS\tBUSY\tBUSY HERE\tLIMIT")
 	for _, s := range e.Ranking {
-		fmt.Fprintf(t, "%s\t%s\t%s\t%d\t%.1f\t%d\n", s.Name, s.Zone, s.State, s.Slots, s.Busy, s.Own)
+		fmt.Fprintf(t, "%s\t%s\t%s\t%d\t%.1f\t%d\t%s\n", s.Name, s.Zone, s.State, s.Slots, s.Busy, s.Own, limitText(s.Limit))
 	}
 	return t.Flush()
 }
+
+// limitText formats a limit in requests a second, or a dash if there is none.
+func limitText(limit unit.Rate) string {
+	if limit == 0 {
+		return "-"
+	}
+	return strconv.FormatFloat(float64(limit), 'g', -1, 64) + "/s"
+}
--- a/internal/entryview/view.go
+++ b/internal/entryview/view.go
@@ -27,6 +27,7 @@
 
 	"github.com/shallotpier/shallotpier/internal/store"
 	"github.com/shallotpier/shallotpier/pkg/id"
+	"github.com/shallotpier/shallotpier/pkg/unit"
 )
 
 // URL paths at the address of an entry's metrics.
@@ -98,6 +99,9 @@
 		Busy float64 `json:"busy"`
 		// Own is the number of them that this entry sent.
 		Own int `json:"own"`
+		// Limit is the rate that the server takes from all entries together, 0 if it
+		// has named none.
+		Limit unit.Rate `json:"limit,omitempty"`
 	}
 
 	// State is the state of a backend server, which determines whether it
--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -250,6 +250,7 @@
 	if c.sends++; c.sends == 1 {
 		c.h.budget(c.service).CountFirst(time.Now())
 	}
+	c.observeLimit(m, ans)
 	rep := &reply{Answer: ans, member: m}
 	if code := c.check(rep); code != 0 {
 		ans.Close()
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -41,6 +41,7 @@
 	"github.com/shallotpier/shallotpier/internal/upstream"
 	"github.com/shallotpier/shallotpier/pkg/id"
 	"github.com/shallotpier/shallotpier/pkg/result"
+	"github.com/shallotpier/shallotpier/pkg/unit"
 )
 
 type (
@@ -103,6 +104,9 @@
 		// Load extracts the server's load report from the header of an answer; it
 		// returns nil if there is none.
 		Load func(http.Header) *roster.Load
+		// Limit extracts the limit that the server names in the header of an answer, 0
+		// if it names none; nil if servers name no limits.
+		Limit func(http.Header) (unit.Rate, error)
 		// StoreAge returns the staleness of the list of servers: the time since the
 		// platform's store last confirmed it.
 		StoreAge func() time.Duration
@@ -114,6 +118,8 @@
 		budgets   sync.Map // id.Service to *retry.Budget
 		baselines sync.Map // baselineKey to *outlier.Baseline
 		running   atomic.Int64
+		// invalidLimit is the time of the latest log line about an invalid limit.
+		invalidLimit atomic.Int64
 	}
 )
 
--- a/internal/forward/handler_test.go
+++ b/internal/forward/handler_test.go
@@ -28,6 +28,7 @@
 	"github.com/shallotpier/shallotpier/pkg/id"
 	"github.com/shallotpier/shallotpier/pkg/result"
 	"github.com/shallotpier/shallotpier/pkg/service"
+	"github.com/shallotpier/shallotpier/pkg/unit"
 )
 
 const svc = id.Service("registry")
@@ -81,6 +82,21 @@
 	case "long, cut":
 		_, _ = io.WriteString(c, ok+"Content-Length: 1000000\r\n\r\n"+strings.Repeat("x", 500000))
 		return false
+	case "limited":
+		_, _ = io.WriteString(c, ok+"X-Limit: 2.5\r\nContent-Length: 3\r\n\r\none")
+	case "error, limited":
+		_, _ = io.WriteString(c, "HTTP/1.1 500 Internal Server Error\r\nX-Signed: s\r\nX-Limit: 2.5\r\n"+header+"Content-Length: 0\r\n\r\n")
+	case "shed, limited":
+		_, _ = io.WriteString(c, "HTTP/1.1 503 Service Unavailable\r\nX-Not-Run: 1\r\nX-Limit: 2.5\r\n"+header+"Content-Length: 0\r\n\r\n")
+	case "other, limited":
+		_, _ = io.WriteString(c, "HTTP/1.1 421 Misdirected Request\r\nX-Limit: 2.5\r\nContent-Length: 0\r\n\r\n")
+	case "unsigned, limited":
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nX-Limit: 2.5\r\n"+header+"Content-Length: 3\r\n\r\none")
+	case "limit invalid":
+		_, _ = io.WriteString(c, ok+"X-Limit: x\r\nContent-Length: 3\r\n\r\none")
+	case "limited, cut":
+		_, _ = io.WriteString(c, ok+"X-Limit: 2.5\r\nContent-Length: 3\r\n\r\no")
+		return false
 	case "chunked":
 		_, _ = io.WriteString(c, ok+"Transfer-Encoding: chunked\r\n\r\n3\r\none\r\n0\r\n\r\n")
 	case "until closed":
@@ -161,6 +177,7 @@
 			RequestID: "X-Id", Deadline: "X-Left", Object: "Object", Expect: "X-Expect", NotRun: "X-Not-Run", Signature: "X-Signed",
 		},
 		Load:     func(http.Header) *roster.Load { return nil },
+		Limit:    decodeLimit,
 		StoreAge: func() time.Duration { return 0 },
 		Log:      slog.New(slog.DiscardHandler), Metrics: metrics.NewSet(),
 	}
@@ -169,6 +186,14 @@
 	return f
 }
 
+func decodeLimit(h http.Header) (unit.Rate, error) {
+	if h.Get("X-Limit") == "" {
+		return 0, nil
+	}
+	rate, err := strconv.ParseFloat(h.Get("X-Limit"), 64)
+	return unit.Rate(rate), err
+}
+
 // addServer starts another server.
 func (f *fixture) addServer(t *testing.T) {
 	t.Helper()
--- /dev/null
+++ b/internal/forward/limit_test.go
@@ -0,0 +1,58 @@
+package forward_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/shallotpier/shallotpier/pkg/service"
+	"github.com/shallotpier/shallotpier/pkg/unit"
+)
+
+func TestAnswersThatNameLimits(t *testing.T) {
+	tests := map[string]struct {
+		line string
+		// first and second are the limits after the answer, to a server without a limit
+		// and to one that has named 7.
+		first, second unit.Rate
+	}{
+		"success":              {"limited", 2.5, 2.5},
+		"success without one":  {"ok", 0, 0},
+		"error":                {"error, limited", 2.5, 2.5},
+		"error without one":    {"error", 0, 0},
+		"refusal":              {"shed, limited", 2.5, 2.5},
+		"refusal without one":  {"shed", 0, 7},
+		"of another server":    {"other, limited", 0, 7},
+		"unsigned":             {"unsigned, limited", 0, 7},
+		"unsigned without one": {"unsigned", 0, 7},
+		"invalid":              {"limit invalid", 0, 7},
+		"cut in its body":      {"limited, cut", 2.5, 2.5},
+		"cut in its head":      {"cut", 0, 7},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := start(t, service.Write, tt.line)
+			limit := func() unit.Rate {
+				highest := unit.Rate(0)
+				for _, m := range f.roster.All() {
+					highest = max(highest, m.Limit(time.Now()))
+				}
+				return highest
+			}
+			f.ask(t.Context(), "/x/1", "body")
+			is.Equal(limit(), tt.first)
+			for _, m := range f.roster.All() {
+				m.ObserveLimit(time.Now(), 7, "before")
+			}
+			f.ask(t.Context(), "/x/1", "body")
+			// The other servers keep theirs.
+			lowest := unit.Rate(7)
+			for _, m := range f.roster.All() {
+				lowest = min(lowest, m.Limit(time.Now()))
+			}
+			is.Equal(lowest, tt.second)
+		})
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -45,6 +45,7 @@
 	"github.com/shallotpier/shallotpier/internal/roster"
 	"github.com/shallotpier/shallotpier/internal/upstream"
 	"github.com/shallotpier/shallotpier/pkg/id"
+	"github.com/shallotpier/shallotpier/pkg/unit"
 )
 
 const (
@@ -133,6 +134,9 @@
 		// Load extracts the server's load report from the header of an answer; it
 		// returns nil if there is none.
 		Load func(http.Header) *roster.Load
+		// Limit extracts the limit that the server names in the header of an answer, 0
+		// if it names none; nil if servers name no limits.
+		Limit func(http.Header) (unit.Rate, error)
 		// Log receives a line per event.
 		Log *slog.Logger
 		// Metrics receives counters, gauges and histograms.
@@ -177,7 +181,7 @@
 	n.dispatcher = &dispatch.Dispatcher{Roster: n.Roster, Region: o.Self.Region}
 	n.handler = &forward.Handler{
 		Config: n.forwardConfig, Dispatcher: n.dispatcher, Upstream: n.upstream,
-		Quarantine: n.Quarantine, RetryLimits: n.retryLimits, Leaving: n.leaving.Load, Headers: o.Headers, Load: o.Load,
+		Quarantine: n.Quarantine, RetryLimits: n.retryLimits, Leaving: n.leaving.Load, Headers: o.Headers, Load: o.Load, Limit: o.Limit,
 		StoreAge: n.storeAge, Log: o.Log, Metrics: o.Metrics,
 	}
 	n.peers.Self = peer.Sender{Instance: o.Self.Instance, Incarnation: o.Self.Incarnation}
@@ -322,6 +326,15 @@
 			}
 			return float64(outliers)
 		})
+		n.options.Metrics.GetOrCreateGauge(fmt.Sprintf(`shallotpier_servers{service=%q,state="limited"}`, name), func() float64 {
+			limited, now := 0, time.Now()
+			for _, m := range n.Roster.View().Members(name) {
+				if m.Limit(now) > 0 {
+					limited++
+				}
+			}
+			return float64(limited)
+		})
 	}
 }
 
--- a/internal/roster/member.go
+++ b/internal/roster/member.go
@@ -10,6 +10,8 @@
 	"github.com/shallotpier/shallotpier/internal/measured"
 	"github.com/shallotpier/shallotpier/internal/outlier"
 	"github.com/shallotpier/shallotpier/internal/owner"
+	"github.com/shallotpier/shallotpier/internal/serverlimit"
+	"github.com/shallotpier/shallotpier/pkg/unit"
 )
 
 // minLoadHalfLife is the minimum half-life of the reported number of other entries'
@@ -37,6 +39,7 @@
 		state    *state
 		zone     *reachability
 		baseline *baseline
+		limits   *serverlimit.Table
 	}
 
 	// Load is the number of requests that a server reports for all entries together.
@@ -88,8 +91,21 @@
 	}
 )
 
-func newMember(s Server, zone *reachability, base *baseline) *Member {
-	return &Member{Server: s, Seed: owner.Seed(s.Name), state: &state{}, zone: zone, baseline: base}
+func newMember(s Server, zone *reachability, base *baseline, limits *serverlimit.Table) *Member {
+	return &Member{Server: s, Seed: owner.Seed(s.Name), state: &state{}, zone: zone, baseline: base, limits: limits}
+}
+
+// ObserveLimit applies the limit that an answer of the server to a request has named, 0
+// for none.
+func (m *Member) ObserveLimit(now time.Time, rate unit.Rate, request string) {
+	m.limits.Observe(now, m.limitKey(), rate, request)
+}
+
+// Limit returns the limit that the server has named, 0 if it has none.
+func (m *Member) Limit(now time.Time) unit.Rate { return m.limits.Rate(now, m.limitKey()) }
+
+func (m *Member) limitKey() serverlimit.Key {
+	return serverlimit.Key{Server: m.Name, StartedAt: m.StartedAt}
 }
 
 // coldLimit returns how many requests per second this entry may send while the server
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -38,6 +38,7 @@
 
 	"github.com/shallotpier/shallotpier/internal/outlier"
 	"github.com/shallotpier/shallotpier/internal/owner"
+	"github.com/shallotpier/shallotpier/internal/serverlimit"
 	"github.com/shallotpier/shallotpier/pkg/id"
 )
 
@@ -108,6 +109,7 @@
 		ended          map[id.Server]*ended
 		zones          map[id.Zone]*reachability
 		baselines      map[id.Service]*baseline
+		limits         *serverlimit.Table
 		services       map[id.Service]ServiceConfig
 		evacuated      map[id.Zone]bool
 		listedZones    map[id.Zone]bool // evacuated zones according to the store
@@ -377,7 +379,7 @@
 		old.restores, old.ignores = r.restores, false
 		return false
 	}
-	m := newMember(s, r.zone(s.Zone), r.baseline(s.Service))
+	m := newMember(s, r.zone(s.Zone), r.baseline(s.Service), r.limitTable())
 	m.restores = r.restores
 	if old != nil && old.StartedAt == s.StartedAt && old.Service == s.Service && old.Address == s.Address {
 		m.state = old.state
@@ -413,6 +415,20 @@
 	return r.baselines[svc]
 }
 
+// Limits returns the limits that the servers have named.
+func (r *Roster) Limits() *serverlimit.Table {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.limitTable()
+}
+
+func (r *Roster) limitTable() *serverlimit.Table {
+	if r.limits == nil {
+		r.limits = &serverlimit.Table{Log: r.Log}
+	}
+	return r.limits
+}
+
 // remove reports whether a server was removed. The registration is lost if it isn't
 // known to be removed, but is missing since a restore of the store.
 func (r *Roster) remove(now time.Time, name id.Server, lost bool) bool {
