serverlimit, sharedrate, dispatch: entries together keep to the limits that servers name

Cause: no entry read the limit, and no entry alone could keep it: it is a rate of all entries together. The only such rate with a mechanism was that of cold servers.

Change: the limiter of cold servers becomes sharedrate, for any quota of a server that all entries share, in whole requests by rank over a sliding window, so that the sum holds in each window. serverlimit keeps what answers name, newest first, and how much of it this entry may send; heartbeats carry reports, so that entries that get no answers know limits and their ends. A server without requests left is passed over at once; when all are, the request is refused with code 2024.

Ruled out: a token bucket for each entry (no bound on the sum for many entries), a window of 1.5 s and 3 requests (uses less of the limit, docs/design/server-limits.md).

--- a/internal/cli/platform.go
+++ b/internal/cli/platform.go
@@ -22,8 +22,12 @@
 	"github.com/shallotpier/shallotpier/pkg/unit"
 )
 
-// entryTimeout bounds a query to an entry on the platform.
-const entryTimeout = 5 * time.Second
+const (
+	// entryTimeout bounds a query to an entry on the platform.
+	entryTimeout = 5 * time.Second
+	// limitDigits is the number of significant digits of a limit.
+	limitDigits = 3
+)
 
 type (
 	// platformStatus is the state of several entries and the differences between
@@ -165,9 +169,9 @@
 	t := tabwriter.NewWriter(w, 0, 0, tabPadding, ' ', 0)
 	fmt.Fprintf(t, "route %s, service %s: %s %s\n", e.Route, e.Service, e.Reason, e.Server)
 	fmt.Fprintf(t, "servers as of change %s, confirmed %v ago in era %d of the store\n", e.Servers.Change, e.Servers.Age.Round(time.Millisecond), e.Servers.Era)
-	fmt.Fprintln(t, "\nBACKEND SERVER\tZONE\tSTATE\tSLOTS\tBUSY\tBUSY HERE\tLIMIT")
+	fmt.Fprintln(t, "\nBACKEND SERVER\tZONE\tSTATE\tSLOTS\tBUSY\tBUSY HERE\tLIMIT\tLIMIT HERE")
 	for _, s := range e.Ranking {
-		fmt.Fprintf(t, "%s\t%s\t%s\t%d\t%.1f\t%d\t%s\n", s.Name, s.Zone, s.State, s.Slots, s.Busy, s.Own, limitText(s.Limit))
+		fmt.Fprintf(t, "%s\t%s\t%s\t%d\t%.1f\t%d\t%s\t%s\n", s.Name, s.Zone, s.State, s.Slots, s.Busy, s.Own, limitText(s.Limit), limitText(s.LimitShare))
 	}
 	return t.Flush()
 }
@@ -177,5 +181,5 @@
 	if limit == 0 {
 		return "-"
 	}
-	return strconv.FormatFloat(float64(limit), 'g', -1, 64) + "/s"
+	return strconv.FormatFloat(float64(limit), 'g', limitDigits, 64) + "/s"
 }
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -9,7 +9,8 @@
 // between regions.
 //
 // The next server in the object's ranking takes over as owner if the first one
-// failed, is an outlier in its service, or is cold and has used up its rate. It also
+// failed, is an outlier in its service, or this entry has used up its share of the
+// owner's slow start rate or of the limit that it has named. It also
 // gets the request if the owner has a long queue and it has spare capacity itself.
 // The ranking is the same at all entries, so an object that is too hot for one server
 // gets a second one that all entries use. A server that recently handled the object
@@ -93,6 +94,9 @@
 	Full Reason = "full"
 	// NoServer means that no server is eligible for the request.
 	NoServer Reason = "noServer"
+	// Limited means that only limits that servers have named keep them from being
+	// eligible.
+	Limited Reason = "limited"
 )
 
 type (
@@ -109,6 +113,12 @@
 		Owner *roster.Member
 		// OwnerRequests is the estimated number of requests of all entries at the owner.
 		OwnerRequests float64
+		// Limited is the server that would be the owner if this entry had not used up
+		// its share of the server's limit, nil if there is none.
+		Limited *roster.Member
+		// Next is the earliest time at which a server may get the request. It is set
+		// if Reason is Limited.
+		Next time.Time
 	}
 
 	// Request holds what the choice depends on.
@@ -177,6 +187,16 @@
 		near    bool // in the preferred region
 		score   uint64
 	}
+
+	// search is the result of a search for the highest ranked eligible server.
+	search struct {
+		// found is the server, nil if there is none.
+		found *roster.Member
+		// limited is the highest ranked server above it that only its limit keeps from
+		// being eligible, and next the earliest time at which such a server is.
+		limited *roster.Member
+		next    time.Time
+	}
 )
 
 // withDefaults replaces limits of 0 by their defaults.
@@ -233,11 +253,15 @@
 func (d *Dispatcher) pick(now time.Time, view *roster.View, req *Request, skipped []*roster.Member) Choice {
 	members := view.Members(req.Service)
 	limits := d.Limits.withDefaults()
-	first := d.best(now, members, req, anyLoad, skipped)
-	if first == nil {
+	s := d.best(now, members, req, anyLoad, skipped)
+	first := s.found
+	switch {
+	case first == nil && s.limited != nil:
+		return Choice{Reason: Limited, Limited: s.limited, Next: s.next}
+	case first == nil:
 		return Choice{Reason: NoServer}
 	}
-	c := Choice{Server: first, Reason: Owner, Owner: first, OwnerRequests: first.EstimatedRequests(now)}
+	c := Choice{Server: first, Reason: Owner, Owner: first, OwnerRequests: first.EstimatedRequests(now), Limited: s.limited}
 	load := c.OwnerRequests / float64(first.Slots)
 	if load < 1 {
 		return c
@@ -250,7 +274,7 @@
 	if load < limits.FullQueue && timely {
 		return c
 	}
-	if m := d.best(now, members, req, limits.SpareLoad, skipped); m != nil {
+	if m := d.best(now, members, req, limits.SpareLoad, skipped).found; m != nil {
 		c.Server, c.Reason = m, Spill
 		return c
 	}
@@ -290,33 +314,51 @@
 			continue
 		}
 		load := m.EstimatedRequests(now) / float64(m.Slots)
-		if load < least && !m.Outlier() && d.isNear(m, req) && eligible(now, m, req, skipped) {
+		if load < least && !m.Outlier() && d.isNear(m, req) && allowed(m, req, skipped) && m.Ready(now) {
 			found, least = m, load
 		}
 	}
 	return found
 }
 
-// eligible reports whether a server may get the request, regardless of its load.
-func eligible(now time.Time, m *roster.Member, req *Request, skipped []*roster.Member) bool {
-	return req.Route.Allows(m.Region) && !slices.Contains(req.Tried, m.Name) && !slices.Contains(skipped, m) && m.Ready(now)
+// allowed reports whether the request itself permits a server.
+func allowed(m *roster.Member, req *Request, skipped []*roster.Member) bool {
+	return req.Route.Allows(m.Region) && !slices.Contains(req.Tried, m.Name) && !slices.Contains(skipped, m)
 }
 
-// best returns the highest ranked eligible server with fewer requests than limit
+// best searches for the highest ranked eligible server with fewer requests than limit
 // times its slots.
-func (d *Dispatcher) best(now time.Time, members []*roster.Member, req *Request, limit float64, skipped []*roster.Member) *roster.Member {
-	var top candidate
+func (d *Dispatcher) best(now time.Time, members []*roster.Member, req *Request, limit float64, skipped []*roster.Member) search {
+	var (
+		top, limited candidate
+		earliest     time.Time
+	)
 	for _, m := range members {
 		c := d.candidate(m, req)
 		if top.member != nil && !c.before(&top) {
 			continue
 		}
-		if m.EstimatedRequests(now) >= limit*float64(m.Slots) || !eligible(now, m, req, skipped) {
+		if m.EstimatedRequests(now) >= limit*float64(m.Slots) || !allowed(m, req, skipped) {
 			continue
 		}
-		top = c
+		ready, next := m.Readiness(now)
+		switch {
+		case ready:
+			top = c
+		case next.IsZero():
+		default:
+			if limited.member == nil || c.before(&limited) {
+				limited = c
+			}
+			if earliest.IsZero() || next.Before(earliest) {
+				earliest = next
+			}
+		}
+	}
+	if limited.member != nil && top.member != nil && top.before(&limited) {
+		limited = candidate{}
 	}
-	return top.member
+	return search{found: top.member, limited: limited.member, next: earliest}
 }
 
 func (d *Dispatcher) candidate(m *roster.Member, req *Request) candidate {
--- a/internal/dispatch/limit_test.go
+++ b/internal/dispatch/limit_test.go
@@ -8,6 +8,8 @@
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
+
 	"github.com/shallotpier/shallotpier/internal/dispatch"
 	"github.com/shallotpier/shallotpier/internal/health"
 	"github.com/shallotpier/shallotpier/internal/roster"
@@ -24,6 +26,10 @@
 	settling = 3 * time.Second
 	// simObjects is the number of objects that requests concern.
 	simObjects = 500
+	// exchangeInterval is the time between two reports of an entry to the others, with
+	// at most maxReports limits each.
+	exchangeInterval = 500 * time.Millisecond
+	maxReports       = 6
 	// limitStart is when the servers of a simulation first name limits.
 	limitStart = 2 * time.Second
 )
@@ -39,6 +45,8 @@
 		pending map[int64][]func(now time.Time)
 		// refused counts the requests for which no server was chosen.
 		refused, requests int
+		// exchange makes the entries report limits to each other.
+		exchange bool
 	}
 )
 
@@ -79,6 +87,9 @@
 			end(now)
 		}
 		delete(s.pending, int64(at/simStep))
+		if s.exchange && at%exchangeInterval == 0 {
+			s.report(now)
+		}
 		for i, d := range s.entries {
 			if s.rng.Float64() < rate*weight(i)/total*simStep.Seconds() {
 				s.send(at, i, d)
@@ -87,6 +98,19 @@
 	}
 }
 
+// report applies the reports of all entries at all others.
+func (s *limitSim) report(now time.Time) {
+	for _, from := range s.entries {
+		for _, r := range from.Roster.Limits().Reports(now, maxReports) {
+			for _, to := range s.entries {
+				if err := to.Roster.Limits().Apply(now, &r, "entry"); err != nil {
+					panic(err)
+				}
+			}
+		}
+	}
+}
+
 func (s *limitSim) send(at time.Duration, entry int, d *dispatch.Dispatcher) {
 	now, name := start.Add(at), id.Instance(fmt.Sprintf("entry-%d", entry))
 	s.requests++
@@ -164,3 +188,90 @@
 		})
 	}
 }
+
+// Entries must use most of what a server takes, although their shares are fixed.
+func TestEntriesUseServerLimits(t *testing.T) {
+	for _, entries := range []int{1, 7, 31, 100} {
+		for _, rate := range []unit.Rate{0.4, 2.5, 5.7, 20} {
+			t.Run(fmt.Sprintf("%d entries, %g a second", entries, float64(rate)), func(t *testing.T) {
+				t.Parallel()
+				const length = 40 * time.Second
+				s := newLimitSim(uint64(entries), entries, 12)
+				s.exchange = true
+				s.run(0, limitStart, 800, even)
+				s.setLimit("i-3", limitStart, rate)
+				s.run(limitStart, length, 800, even)
+				got := s.record.Count("i-3", start.Add(limitStart+settling), start.Add(limitStart+length))
+				used := float64(got) / (length - settling).Seconds() / float64(rate)
+				t.Logf("%.0f%% of the limit used, %d of %d requests refused", 100*used, s.refused, s.requests)
+				if used < 0.5 {
+					t.Errorf("%.0f%% of the limit used, want half or more", 100*used)
+				}
+				for _, v := range s.record.Violations(settling) {
+					t.Error(v)
+				}
+			})
+		}
+	}
+}
+
+// Entries without a share of a limit must learn that it has ended.
+func TestAllEntriesLearnEndOfServerLimit(t *testing.T) {
+	for _, rate := range []unit.Rate{0.1, 2.5} {
+		t.Run(fmt.Sprint(float64(rate)), func(t *testing.T) {
+			is := is.New(t)
+			s := newLimitSim(1, 31, 12)
+			s.exchange = true
+			s.setLimit("i-3", 0, rate)
+			s.run(0, 20*time.Second, 200, even)
+			s.setLimit("i-3", 20*time.Second, 0)
+			const learned = 20*time.Second + 15*time.Second
+			s.run(20*time.Second, learned-20*time.Second, 200, even)
+			for _, d := range s.entries {
+				is.Equal(d.Roster.View().Member(svc, "i-3").Limit(start.Add(learned)), unit.Rate(0))
+			}
+		})
+	}
+}
+
+// A request whose owner gets no more of it goes to the next server in the ranking, at all
+// entries to the same one, and not into a queue.
+func TestNextServerTakesOverFromLimitedOwner(t *testing.T) {
+	is := is.New(t)
+	d := newDispatcher()
+	d.Roster.SetEntries(simEntry(0), []netip.AddrPort{simEntry(1)})
+	owner := choose(d, request(service.Read, 1))
+	owner.ObserveLimit(start, 2.5, "r")
+	for d.Choose(start, request(service.Read, 1)).Limited == nil {
+	}
+	c := d.Choose(start, request(service.Read, 1))
+	is.Equal(c.Limited.Name, owner.Name)
+	is.Equal(c.Reason, dispatch.Owner)
+	other := newDispatcher()
+	other.Roster.SetEntries(simEntry(1), []netip.AddrPort{simEntry(0)})
+	tried := request(service.Read, 1)
+	tried.Tried = []id.Server{owner.Name}
+	is.Equal(c.Server.Name, choose(other, tried).Name)
+}
+
+// If limits keep all servers from being eligible, the request is refused at once, with the
+// time at which the first of them may get a request.
+func TestAllServersLimited(t *testing.T) {
+	is := is.New(t)
+	d := newDispatcher()
+	d.Roster.SetEntries(simEntry(0), nil)
+	for _, m := range d.Roster.All() {
+		m.ObserveLimit(start, 2.5, "r")
+	}
+	sent := 0
+	for ; sent < 1000; sent++ {
+		if d.Choose(start, request(service.Read, uint64(sent))).Server == nil {
+			break
+		}
+	}
+	is.Equal(sent, 20*9) // each of 20 servers gets three seconds' requests and two more at once
+	c := d.Choose(start, request(service.Read, 1))
+	is.Equal(c.Reason, dispatch.Limited)
+	is.Equal(c.Next, start.Add(3600*time.Millisecond))
+	is.True(d.Choose(c.Next, request(service.Read, 1)).Server != nil)
+}
--- a/internal/entryview/view.go
+++ b/internal/entryview/view.go
@@ -102,6 +102,8 @@
 		// Limit is the rate that the server takes from all entries together, 0 if it
 		// has named none.
 		Limit unit.Rate `json:"limit,omitempty"`
+		// LimitShare is the part of it that this entry may use.
+		LimitShare unit.Rate `json:"limitShare,omitempty"`
 	}
 
 	// State is the state of a backend server, which determines whether it
--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -40,7 +40,7 @@
 	// forwarded, so that a request whose answer is truncated can be retried.
 	maxBufferedAnswer = 256 << 10
 	// maxLogAttrs is the greatest number of attributes of a request's log line.
-	maxLogAttrs = 20
+	maxLogAttrs = 21
 	// maxConnectFailures is how many servers may fail to accept a connection
 	// before a request is refused.
 	maxConnectFailures = 3
@@ -162,6 +162,9 @@
 		}
 		req.Tried, req.Left = c.tried, time.Until(c.deadline)
 		c.choice = c.h.Dispatcher.Choose(time.Now(), req)
+		if c.choice.Limited != nil {
+			c.h.Metrics.GetOrCreateCounter(`shallotpier_limited_total`).Inc()
+		}
 		m := c.choice.Server
 		if m == nil {
 			if failed == 0 {
@@ -195,10 +198,14 @@
 
 // noServerCode returns the result code of a request for which no server was chosen.
 func noServerCode(reason dispatch.Reason) result.Code {
-	if reason == dispatch.Full {
+	switch reason {
+	case dispatch.Full:
 		return result.NoCapacity
+	case dispatch.Limited:
+		return result.ServersLimited
+	default:
+		return result.NoServer
 	}
-	return result.NoServer
 }
 
 // expired reports whether the deadline has passed or the caller has disconnected,
@@ -490,13 +497,18 @@
 
 // retryAfter returns a Retry-After time with jitter, between 1/8 and 1/4 of the
 // time left, so that the retries of refused callers are distributed over time and come
-// before their deadline.
+// before their deadline. If a server's limit allows a request only later than that, it is
+// up to 1/8 of the time left longer.
 func (c *call) retryAfter() time.Duration {
 	if c.deadline.IsZero() {
 		return time.Second
 	}
 	left := max(time.Until(c.deadline), 0)
-	return left/8 + time.Duration(rand.Float64()*float64(left/8))
+	earliest := left / 8
+	if !c.choice.Next.IsZero() {
+		earliest = min(max(earliest, time.Until(c.choice.Next)), left/4)
+	}
+	return earliest + time.Duration(rand.Float64()*float64(left/8))
 }
 
 // finish writes the request's log line and updates the metrics, once.
@@ -520,6 +532,9 @@
 	if owner := c.choice.Owner; owner != nil {
 		attrs = append(attrs, slog.String("owner", string(owner.Name)), slog.Float64("ownerBusy", math.Round(10*c.choice.OwnerRequests)/10))
 	}
+	if limited := c.choice.Limited; limited != nil {
+		attrs = append(attrs, slog.String("limited", string(limited.Name)))
+	}
 	if c.choice.Reason != "" {
 		attrs = append(attrs, slog.String("service", string(c.service)), slog.String("object", strconv.FormatUint(c.key, 16)),
 			slog.String("choice", string(c.choice.Reason)), slog.String("server", string(c.server)),
--- a/internal/forward/handler_test.go
+++ b/internal/forward/handler_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"net/netip"
 	"strconv"
 	"strings"
 	"sync"
@@ -161,6 +162,7 @@
 	for range 3 {
 		f.addServer(t)
 	}
+	r.SetEntries(netip.MustParseAddrPort("10.0.0.1:90"), nil)
 	rt := &route.Route{
 		Name: "r", Host: "a.example", Prefix: "/x/", Kind: kind, Parts: []route.Part{{Service: svc, Weight: 1}},
 		Attempts: 2, Timeout: 400 * time.Millisecond,
--- a/internal/forward/limit_test.go
+++ b/internal/forward/limit_test.go
@@ -1,11 +1,14 @@
 package forward_test
 
 import (
+	"net/http"
+	"strconv"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
+	"github.com/shallotpier/shallotpier/pkg/result"
 	"github.com/shallotpier/shallotpier/pkg/service"
 	"github.com/shallotpier/shallotpier/pkg/unit"
 )
@@ -56,3 +59,24 @@
 		})
 	}
 }
+
+// While all servers get as much as they take, a request is refused without a send, and its
+// caller is told a time to come back within a third of its deadline.
+func TestRequestIsRefusedWhenAllServersAreLimited(t *testing.T) {
+	is := is.New(t)
+	f := start(t, service.Write, "limited")
+	for sent := 0; ; sent++ {
+		status, header, _ := f.ask(t.Context(), "/x/1", "body")
+		if status == http.StatusOK {
+			is.True(sent < 100)
+			continue
+		}
+		is.Equal(status, http.StatusServiceUnavailable)
+		is.Equal(header.Get(result.HeaderCode), result.ServersLimited.String())
+		wait, err := strconv.ParseFloat(header.Get("Retry-After"), 64)
+		is.NoErr(err)
+		is.True(wait > 0 && wait < f.route.Timeout.Seconds()*3/8)
+		is.Equal(int(f.backend.requests.Load()), sent)
+		return
+	}
+}
--- a/internal/heartbeat/detector.go
+++ b/internal/heartbeat/detector.go
@@ -40,6 +40,7 @@
 
 	"github.com/shallotpier/shallotpier/internal/follow"
 	"github.com/shallotpier/shallotpier/internal/quarantine"
+	"github.com/shallotpier/shallotpier/internal/serverlimit"
 	"github.com/shallotpier/shallotpier/internal/store"
 	"github.com/shallotpier/shallotpier/pkg/id"
 )
@@ -48,6 +49,8 @@
 	// MaxCrashReports is the maximum number of crash reports in a heartbeat, so that
 	// it fits into one packet.
 	MaxCrashReports = 3
+	// MaxLimits is the maximum number of reports of servers' limits in a heartbeat.
+	MaxLimits = 6
 	// leadersPerZone is the number of leaders per zone: with two, one may fail without
 	// interrupting the exchange.
 	leadersPerZone = 2
@@ -93,6 +96,8 @@
 		Crashes []quarantine.CrashReport `cbor:"12,keyasint,omitempty"`
 		// CrashDigest is the digest of all such reports; 0 if the entry sends none.
 		CrashDigest quarantine.Digest `cbor:"13,keyasint,omitempty"`
+		// Limits holds reports of limits that servers have named.
+		Limits []serverlimit.Report `cbor:"14,keyasint,omitempty"`
 	}
 
 	// Update is the content of a heartbeat beside the liveness of entries.
@@ -107,6 +112,8 @@
 		// CrashDigest is the digest of all such reports that the sender has; 0 if it
 		// sends none.
 		CrashDigest quarantine.Digest
+		// Limits holds reports of limits that servers have named.
+		Limits []serverlimit.Report
 	}
 
 	// Detector sends and receives heartbeats and keeps the set of live entries.
@@ -352,7 +359,7 @@
 	}
 	d.mu.Unlock()
 	if d.OnUpdate != nil {
-		d.OnUpdate(now, Update{From: m.From.Instance, Changes: m.Invalidations, Crashes: m.From.Crashes, CrashDigest: m.From.CrashDigest})
+		d.OnUpdate(now, Update{From: m.From.Instance, Changes: m.Invalidations, Crashes: m.From.Crashes, CrashDigest: m.From.CrashDigest, Limits: m.From.Limits})
 	}
 	return true
 }
--- a/internal/heartbeat/zone.go
+++ b/internal/heartbeat/zone.go
@@ -221,7 +221,7 @@
 	d.mu.Unlock()
 	for _, list := range lists {
 		reply := d.compose(now)
-		reply.Zones, reply.Entries = nil, list
+		reply.Zones, reply.Entries, reply.From.Limits = nil, list, nil // the list needs the space
 		d.write(conn, reply, []netip.AddrPort{m.From.Peers})
 	}
 }
@@ -230,15 +230,18 @@
 func (d *Detector) relayedNodes(now time.Time, self *Node, zone id.Zone) [][]relayedNode {
 	var all []relayedNode
 	for _, p := range d.zone(now, self, zone).others {
-		n := p.node
-		n.Changes, n.StoreAvailableFor, n.Crashes, n.CrashDigest = nil, 0, nil, 0
-		all = append(all, relayedNode{Node: n, Age: now.Sub(p.lastSeen)})
+		all = append(all, relayedNode{Node: relayed(p.node), Age: now.Sub(p.lastSeen)})
 	}
 	if zone == self.Zone {
-		n := *self
-		n.Changes, n.StoreAvailableFor, n.Crashes, n.CrashDigest = nil, 0, nil, 0
+		n := relayed(*self)
 		n.Count = d.count
 		all = append(all, relayedNode{Node: n})
 	}
 	return slices.Collect(slices.Chunk(all, maxListed))
 }
+
+// relayed returns the state of an entry without the fields that are not relayed.
+func relayed(n Node) Node {
+	n.Changes, n.StoreAvailableFor, n.Crashes, n.CrashDigest, n.Limits = nil, 0, nil, 0, nil
+	return n
+}
--- a/internal/logread/logread.go
+++ b/internal/logread/logread.go
@@ -91,6 +91,8 @@
 		return "no server had free capacity; queued at the owner"
 	case "full":
 		return "the owner's queue was too long, or too slow for the request's deadline, and no server had free capacity"
+	case "limited":
+		return "this entry had used up its share of the limits that the servers have named"
 	case "noServer":
 		return "no server was eligible: none is known, all are unhealthy, over their slow start rate, or in regions that the route doesn't allow"
 	default:
@@ -190,6 +192,9 @@
 	if text := explainChoice(f["choice"]); text != "" {
 		t.Meaning = append(t.Meaning, text)
 	}
+	if f["limited"] != "" {
+		t.Meaning = append(t.Meaning, "passed over, as this entry had used up its share of the server's limit: "+f["limited"])
+	}
 	if f["sends"] == "0" && f["status"] != "200" {
 		t.Meaning = append(t.Meaning, "it reached no server")
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -31,7 +31,6 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/rotisserie/eris"
 
-	"github.com/shallotpier/shallotpier/internal/coldrate"
 	"github.com/shallotpier/shallotpier/internal/crashreports"
 	"github.com/shallotpier/shallotpier/internal/directory"
 	"github.com/shallotpier/shallotpier/internal/dispatch"
@@ -43,6 +42,7 @@
 	"github.com/shallotpier/shallotpier/internal/quarantine"
 	"github.com/shallotpier/shallotpier/internal/retry"
 	"github.com/shallotpier/shallotpier/internal/roster"
+	"github.com/shallotpier/shallotpier/internal/serverlimit"
 	"github.com/shallotpier/shallotpier/internal/upstream"
 	"github.com/shallotpier/shallotpier/pkg/id"
 	"github.com/shallotpier/shallotpier/pkg/unit"
@@ -168,6 +168,7 @@
 		heartbeatConn net.PacketConn
 		peers         rpc.Node
 		crashReports  crashreports.Exchange
+		limits        *serverlimit.Table
 		wg            sync.WaitGroup
 	}
 )
@@ -175,6 +176,8 @@
 // New returns a Node without configuration and servers.
 func New(o Options) *Node {
 	n := &Node{options: o, started: time.Now(), Roster: &roster.Roster{Grace: o.MissingServerGrace, Log: o.Log}}
+	n.limits = n.Roster.Limits()
+	n.limits.Started = n.started
 	n.upstream = &upstream.Client{ConnectTimeout: connectTimeout, IdleTimeout: idleTimeout, NonIdempotentIdleTimeout: nonIdempotentIdleTimeout, RequestIDHeader: o.Headers.RequestID}
 	n.Quarantine = &quarantine.List{Instance: o.Self.Instance, Tolerated: toleratedCrashes}
 	n.Heartbeats = &heartbeat.Detector{Self: n.Self, Interval: o.HeartbeatInterval, Timeout: o.HeartbeatTimeout, OnUpdate: n.onUpdate, Log: o.Log}
@@ -240,6 +243,7 @@
 	self.Changes = n.options.Store.Changes()
 	self.StoreAvailableFor = n.options.Store.AvailableFor(follow.Servers, time.Now())
 	self.CrashDigest = n.Quarantine.Digest(time.Now())
+	self.Limits = n.limits.Reports(time.Now(), heartbeat.MaxLimits)
 	if n.Quarantine.Active() {
 		self.Crashes = n.Quarantine.Reports(time.Now(), heartbeat.MaxCrashReports)
 	}
@@ -254,6 +258,11 @@
 			n.recordCrashReport(now, &update.Crashes[i])
 		}
 	}
+	for i := range update.Limits {
+		if err := n.limits.Apply(now, &update.Limits[i], update.From); err != nil {
+			n.options.Log.Warn("report of a server limit dropped", "instance", update.From, "err", err)
+		}
+	}
 	n.crashReports.Compare(update.From, update.CrashDigest)
 }
 
@@ -441,9 +450,9 @@
 
 // mayUseColdRates reports whether the entry may use its share of cold servers'
 // rates. It must know the other entries, which determine the share, and a previous
-// process of this entry may have used the share of the last coldrate.Span.
+// process of this entry may have used the share of the last roster.ColdSpan.
 func (n *Node) mayUseColdRates(now time.Time) bool {
-	return n.entriesListed.Load() && now.Sub(n.started) >= coldrate.Span
+	return n.entriesListed.Load() && now.Sub(n.started) >= roster.ColdSpan
 }
 
 // checkConnections starts the active connection checks that are due.
--- a/internal/node/state.go
+++ b/internal/node/state.go
@@ -49,7 +49,7 @@
 }
 
 func (n *Node) serverState(now time.Time, m *roster.Member, evacuated []id.Zone) entryview.Server {
-	s := entryview.Server{Name: m.Name, Service: m.Service, Zone: m.Zone, Slots: m.Slots, Busy: m.EstimatedRequests(now), Own: m.InFlight(), Limit: m.Limit(now)}
+	s := entryview.Server{Name: m.Name, Service: m.Service, Zone: m.Zone, Slots: m.Slots, Busy: m.EstimatedRequests(now), Own: m.InFlight(), Limit: m.Limit(now), LimitShare: m.LimitShare(now)}
 	switch {
 	case m.Leaving:
 		s.State = entryview.Leaving
--- a/internal/roster/member.go
+++ b/internal/roster/member.go
@@ -5,18 +5,26 @@
 	"sync"
 	"time"
 
-	"github.com/shallotpier/shallotpier/internal/coldrate"
 	"github.com/shallotpier/shallotpier/internal/health"
 	"github.com/shallotpier/shallotpier/internal/measured"
 	"github.com/shallotpier/shallotpier/internal/outlier"
 	"github.com/shallotpier/shallotpier/internal/owner"
 	"github.com/shallotpier/shallotpier/internal/serverlimit"
+	"github.com/shallotpier/shallotpier/internal/sharedrate"
 	"github.com/shallotpier/shallotpier/pkg/unit"
 )
 
-// minLoadHalfLife is the minimum half-life of the reported number of other entries'
-// requests, a few times the duration of a short request.
-const minLoadHalfLife = 300 * time.Millisecond
+const (
+	// ColdSpan is the length of the windows in which requests to a cold server are
+	// counted.
+	ColdSpan = time.Second
+	// coldMargin is the fraction of a cold server's rate that stays unused. It covers
+	// requests that are delayed on the way and arrive in the same second as later ones.
+	coldMargin = 0.1
+	// minLoadHalfLife is the minimum half-life of the reported number of other entries'
+	// requests, a few times the duration of a short request.
+	minLoadHalfLife = 300 * time.Millisecond
+)
 
 type (
 	// Member is a backend server in a view.
@@ -78,7 +86,7 @@
 		record    outlier.Record
 		outlier   bool
 		coldUntil time.Time
-		limiter   coldrate.Limiter
+		limiter   sharedrate.Limiter
 		// connectFailed is the time of the last failed connection attempt, zero if
 		// the server was reached since. While it is set, a trial request waits for a
 		// connection check.
@@ -88,6 +96,9 @@
 		// last report.
 		others   float64
 		reported time.Time
+		// rank is the entry's rank among the entries that share the server's rates.
+		rank   int
+		rankOf *sharing
 	}
 )
 
@@ -108,14 +119,32 @@
 	return serverlimit.Key{Server: m.Name, StartedAt: m.StartedAt}
 }
 
-// coldLimit returns how many requests per second this entry may send while the server
-// is cold: 0 until the other entries are known.
-func (m *Member) coldLimit() int {
+// coldShare returns this entry's share of the rate of the server while it is cold: none
+// until the other entries are known.
+func (m *Member) coldShare() sharedrate.Quota {
 	if !m.sharing.known {
-		return 0
+		return sharedrate.Quota{Span: ColdSpan}
 	}
 	bound := m.config.ColdRate*m.sharing.bound.Overshoot + m.sharing.bound.Allowance
-	return coldrate.Share(bound, len(m.sharing.others)+1, m.sharing.rank(m.Seed))
+	quota := sharedrate.Quota{Requests: int(bound * (1 - coldMargin)), Span: ColdSpan}
+	return quota.Share(len(m.sharing.others)+1, m.rank())
+}
+
+// limitShare returns how this entry shares the server's limit with the others.
+func (m *Member) limitShare() serverlimit.Share {
+	if !m.sharing.known {
+		return serverlimit.Share{}
+	}
+	return serverlimit.Share{Entries: len(m.sharing.others) + 1, Rank: m.rank()}
+}
+
+// rank returns the number of other entries that rank above this one for the server. The
+// caller holds the state's lock.
+func (m *Member) rank() int {
+	if s := m.state; s.rankOf != m.sharing {
+		s.rankOf, s.rank = m.sharing, m.sharing.rank(m.Seed)
+	}
+	return m.state.rank
 }
 
 // InFlight returns the number of this entry's requests at the server.
@@ -167,11 +196,33 @@
 	return m.state.outlier
 }
 
-// Ready reports whether the server's health and its cold rate allow a request now.
+// Ready reports whether the server's health, its cold rate and its limit allow a request
+// now.
 func (m *Member) Ready(now time.Time) bool {
+	ready, _ := m.Readiness(now)
+	return ready
+}
+
+// Readiness is like Ready. If only the server's limit doesn't allow a request, it also
+// returns when it may; otherwise the time is zero.
+func (m *Member) Readiness(now time.Time) (ready bool, next time.Time) {
 	m.state.mu.Lock()
 	defer m.state.mu.Unlock()
-	return m.state.ready(now, m)
+	if !m.state.ready(now, m) {
+		return false, time.Time{}
+	}
+	if next = m.limits.Next(now, m.limitKey(), m.limitShare); next.After(now) {
+		return false, next
+	}
+	return true, time.Time{}
+}
+
+// LimitShare returns the part of the server's limit that this entry may use, 0 if it has
+// no part or the server no limit.
+func (m *Member) LimitShare(now time.Time) unit.Rate {
+	m.state.mu.Lock()
+	defer m.state.mu.Unlock()
+	return m.limits.ShareRate(now, m.limitKey(), m.limitShare)
 }
 
 // Begin counts a request and returns true, if the server may get one now.
@@ -182,7 +233,10 @@
 	if !s.ready(now, m) {
 		return false
 	}
-	if now.Before(s.coldUntil) && !s.limiter.Take(now, m.coldLimit()) {
+	if !m.limits.Take(now, m.limitKey(), m.limitShare) {
+		return false
+	}
+	if now.Before(s.coldUntil) && !s.limiter.Take(now, m.coldShare()) {
 		return false
 	}
 	if v, _ := s.verdict(now); v == health.Trial {
@@ -261,12 +315,13 @@
 	s.outlier = s.record.Outlier(now, mean)
 }
 
+// ready reports whether the server's health and its cold rate allow a request.
 func (s *state) ready(now time.Time, m *Member) bool {
 	v, _ := s.verdict(now)
 	if v == health.No || v == health.Trial && !s.connectFailed.IsZero() || !m.zone.ok() {
 		return false
 	}
-	return !now.Before(s.coldUntil) || s.limiter.Available(now, m.coldLimit())
+	return !now.Before(s.coldUntil) || s.limiter.Available(now, m.coldShare())
 }
 
 // verdict returns the health verdict, but allows requests to a server of which
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -123,8 +123,8 @@
 		published      *sharing // copy used by the current view
 	}
 
-	// sharing determines how the entries divide a cold server's rate. The seeds
-	// identify the entries in rendezvous hashing.
+	// sharing determines how the entries divide the rates of cold and of limited servers.
+	// The seeds identify the entries in rendezvous hashing.
 	sharing struct {
 		known  bool // set once the other entries are known
 		self   uint64
@@ -332,8 +332,8 @@
 	r.publish()
 }
 
-// SetEntries sets the entries that share a cold server's rate, each identified by an
-// address. Before the first call, cold servers get no requests.
+// SetEntries sets the entries that share the rates of servers, each identified by an
+// address. Before the first call, cold servers and those with a limit get no requests.
 func (r *Roster) SetEntries(self netip.AddrPort, others []netip.AddrPort) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -17,6 +17,7 @@
 	"github.com/shallotpier/shallotpier/internal/health"
 	"github.com/shallotpier/shallotpier/internal/roster"
 	"github.com/shallotpier/shallotpier/pkg/id"
+	"github.com/shallotpier/shallotpier/pkg/unit"
 )
 
 const (
@@ -429,3 +430,30 @@
 		is.New(t).Equal(names(r), names(whole))
 	})
 }
+
+// A server that is cold and has named a limit gets the lower of the two rates.
+func TestColdServerWithLimit(t *testing.T) {
+	tests := map[string]struct {
+		coldRate float64
+		limit    unit.Rate
+		want     int // at once
+	}{
+		"cold rate is lower": {10, 40, 9},
+		"limit is lower":     {40, 2.5, 9},
+		"no limit":           {40, 0, 36},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			r := &roster.Roster{Log: slog.New(slog.DiscardHandler)}
+			r.Configure(map[id.Service]roster.ServiceConfig{svc: {ColdTime: 3 * time.Second, ColdRate: tt.coldRate}})
+			r.SetColdBound(roster.ColdBound{Overshoot: 1})
+			r.SetEntries(entry(1), nil)
+			s := server("i-1")
+			s.Cold = time.Second
+			r.Put(start, s)
+			r.View().Members(svc)[0].ObserveLimit(start, tt.limit, "r")
+			is.Equal(begun(r, start), tt.want)
+		})
+	}
+}
--- a/internal/serverlimit/table.go
+++ b/internal/serverlimit/table.go
@@ -18,6 +18,8 @@
 	MaxRate unit.Rate = 1e6
 	// retention is how long a limit, or its end, is kept without a further answer.
 	retention = time.Minute
+	// maxServers bounds the number of limits.
+	maxServers = 20_000
 )
 
 type (
@@ -29,23 +31,29 @@
 		StartedAt int64
 	}
 
+	// Share is how an entry shares a server's limit with the others. With the zero
+	// Share, as long as the others aren't known, it may not send anything.
+	Share struct {
+		// Entries is the number of entries, this one included.
+		Entries int
+		// Rank is the position of this entry among them for the server, from 0.
+		Rank int
+	}
+
 	// Table holds the limits of all servers. Its fields must not change after the first
 	// call. It is safe for concurrent use.
 	Table struct {
 		// Log receives a line for each limit that is named, changes or ends.
 		Log *slog.Logger
+		// Started is the time at which the entry started. An earlier process of it may
+		// have used its shares until then.
+		Started time.Time
 
 		mu     sync.Mutex
 		limits map[Key]*limit
 		// size is the number of limits. Requests take no lock while it is 0.
 		size atomic.Int64
 	}
-
-	// limit is what is known of a server that names a limit, or did recently.
-	limit struct {
-		rate unit.Rate // 0 if the limit has ended
-		at   time.Time // arrival of the newest answer
-	}
 )
 
 // Observe applies an answer of a server that arrived now, to the given request. The rate
@@ -66,33 +74,84 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	l := t.limits[key]
-	if l == nil || now.Sub(l.at) >= retention {
+	if l := t.current(now, key); l != nil {
+		return l.rate
+	}
+	return 0
+}
+
+// ShareRate returns the part of a server's limit that the entry may use, 0 if it has no
+// part or the server no limit.
+func (t *Table) ShareRate(now time.Time, key Key, share func() Share) unit.Rate {
+	if t.size.Load() == 0 {
 		return 0
 	}
-	return l.rate
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	l := t.current(now, key)
+	if l == nil {
+		return 0
+	}
+	s := share()
+	own := quota(l.rate).Share(s.Entries, s.Rank)
+	return unit.Rate(float64(own.Requests) / own.Span.Seconds())
+}
+
+// Next returns the earliest time at which Take returns true, as far as is known now. It
+// calls share only for a server with a limit.
+func (t *Table) Next(now time.Time, key Key, share func() Share) time.Time {
+	if t.size.Load() == 0 {
+		return now
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if l := t.current(now, key); l != nil {
+		return l.next(now, t.Started, share())
+	}
+	return now
+}
+
+// Take counts a request to a server and returns true, if the entry may send it one.
+func (t *Table) Take(now time.Time, key Key, share func() Share) bool {
+	if t.size.Load() == 0 {
+		return true
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	l := t.current(now, key)
+	if l == nil {
+		return true
+	}
+	s := share()
+	if l.next(now, t.Started, s).After(now) {
+		return false
+	}
+	l.count(now, s)
+	return true
+}
+
+// current returns what is known of a server that has a limit, else nil.
+func (t *Table) current(now time.Time, key Key) *limit {
+	l := t.limits[key]
+	if l == nil || l.rate == 0 || now.Sub(l.at) >= retention {
+		return nil
+	}
+	return l
 }
 
 // apply applies what an answer that arrived at a time names.
 func (t *Table) apply(now, at time.Time, key Key, rate unit.Rate, source slog.Attr) {
-	if rate > 0 {
-		rate = max(rate, MinRate)
-	}
-	if rate > MaxRate {
+	switch {
+	case rate > MaxRate:
 		rate = 0
+	case rate > 0:
+		rate = max(rate, MinRate)
 	}
 	l := t.limits[key]
 	if l == nil {
-		if rate == 0 {
+		if l = t.add(now, key, rate); l == nil {
 			return
 		}
-		t.expire(now)
-		l = &limit{}
-		if t.limits == nil {
-			t.limits = make(map[Key]*limit)
-		}
-		t.limits[key] = l
-		t.size.Store(int64(len(t.limits)))
 	}
 	if at.Before(l.at) {
 		return
@@ -102,6 +161,7 @@
 	if rate == before {
 		return
 	}
+	l.changed = now
 	message := "server limit changed"
 	switch {
 	case before == 0:
@@ -112,6 +172,26 @@
 	t.Log.Info(message, "server", key.Server, "limit", float64(rate), "before", float64(before), "age", now.Sub(at), source)
 }
 
+// add adds a server that names a limit; it returns nil if it names none, or if there are
+// too many.
+func (t *Table) add(now time.Time, key Key, rate unit.Rate) *limit {
+	if rate == 0 {
+		return nil
+	}
+	t.expire(now)
+	if len(t.limits) >= maxServers {
+		t.Log.Warn("server limit not kept", "server", key.Server, "limit", float64(rate), "limits", len(t.limits))
+		return nil
+	}
+	if t.limits == nil {
+		t.limits = make(map[Key]*limit)
+	}
+	l := &limit{}
+	t.limits[key] = l
+	t.size.Store(int64(len(t.limits)))
+	return l
+}
+
 // expire removes the limits without a recent answer.
 func (t *Table) expire(now time.Time) {
 	for key, l := range t.limits {
--- a/internal/standin/ratecheck/record_test.go
+++ b/internal/standin/ratecheck/record_test.go
@@ -32,6 +32,8 @@
 		"limit fell long ago":           {[]change{{0, 10}, {time.Second, 2.5}}, 0, 9 * time.Second, 21, 1},
 		"limit has ended":               {[]change{{0, 2.5}, {7 * time.Second, 0}}, 0, 8 * time.Second, 21, 0},
 		"limit ended and was renewed":   {[]change{{0, 2.5}, {time.Second, 0}, {2 * time.Second, 2.5}}, 0, 8 * time.Second, 21, 1},
+		"before it was renewed":         {[]change{{0, 2.5}, {time.Second, 0}, {5500 * time.Millisecond, 2.5}}, 0, 5 * time.Second, 400, 1},
+		"some before it was renewed":    {[]change{{0, 2.5}, {time.Second, 0}, {5500 * time.Millisecond, 2.5}}, 0, 5400 * time.Millisecond, 30, 0},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/pkg/result/codes.go
+++ b/pkg/result/codes.go
@@ -63,6 +63,9 @@
 	TicketMismatch Code = 2022
 	// CallerLeft means that the caller disconnected before any byte was sent.
 	CallerLeft Code = 2023
+	// ServersLimited means that the limits that backend servers have named keep all of
+	// them from being eligible.
+	ServersLimited Code = 2024
 
 	// AnswerCut means that the connection closed before the answer was complete.
 	AnswerCut Code = 3000
@@ -158,6 +161,7 @@
 		{TicketInvalid, "ticketInvalid", http.StatusPreconditionFailed, No, "the ticket is malformed, forged, or expired unused", "get a new ticket", "nothing"},
 		{TicketMismatch, "ticketMismatch", http.StatusConflict, No, "the ticket was used for a request with another method, path or body", "get a new ticket", "nothing"},
 		{CallerLeft, "callerLeft", http.StatusServiceUnavailable, No, "the caller went away before any byte was sent", "send again", "nothing"},
+		{ServersLimited, "serversLimited", http.StatusServiceUnavailable, No, "all backend servers that may be used get as much as they have said they take", "send again after Retry-After", "look at the limits in status and explain"},
 	}
 }
 
