soak, standin: servers name limits, checked as the rule words it

In most runs without a request that crashes servers, two servers at a time name limits of 0.4 to 20 a second that rise, fall and end, beside the other faults. The stand-in reports each request that arrives, whether it runs or not.

--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -47,6 +47,7 @@
 		status         int // 0 without a complete answer
 		body           string
 		signature      string
+		limited        bool // the answer names a limit of the server
 		duringShutdown bool // a graceful shutdown of the entry was in progress
 		interrupted    bool // by the end of the run, so that there is no result
 	}
@@ -171,5 +172,6 @@
 		return
 	}
 	a.status, a.body, a.signature = resp.StatusCode, string(data), resp.Header.Get(h.Signature)
+	a.limited = resp.Header.Get(standin.LimitHeader) != ""
 	a.done = time.Now()
 }
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -63,6 +63,7 @@
 	c.checkVersions()
 	c.checkRefused(recovery)
 	r.Crashes = c.checkCrashing()
+	r.Limited = c.checkLimits()
 	r.Violations = c.violations
 	return r
 }
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -8,7 +8,8 @@
 // fails, stalls watches, discards its history or is restored from an older copy;
 // servers crash, slow down, reject requests, lose responses, drain, and restart under
 // other names; configurations change and zones are evacuated. In some runs one caller
-// repeats a request that crashes every server that runs it.
+// repeats a request that crashes every server that runs it; in others servers name
+// limits, which rise, fall and end.
 //
 // A run terminates only processes that it started. [Run] returns an error if the run
 // itself failed; violated guarantees are listed in the [Report].
@@ -64,6 +65,8 @@
 	crashingStream
 	// firstCallerStream is the stream of caller 0; the others follow.
 	firstCallerStream
+	// limitStream leaves the streams of the callers as they are.
+	limitStream uint64 = 1 << 32
 )
 
 type (
@@ -99,6 +102,9 @@
 		Recovered float64
 		// Crashes is the number of servers that a request crashed.
 		Crashes int
+		// Limited is the number of servers that named a limit long enough for the
+		// check.
+		Limited int
 		// Faults lists the injected faults, in order.
 		Faults []string
 		// Violations lists the violations of guarantees.
@@ -133,6 +139,8 @@
 		faultRNG *rand.Rand
 		// crashing is the request that crashes servers; nil if the run has none.
 		crashing *crashingRequest
+		// limits are the servers' limits; nil if the run has none.
+		limits   *serverLimits
 		restarts sync.WaitGroup
 	}
 
@@ -166,6 +174,7 @@
 	defer s.tearDown()
 	defer cancel()
 	s.crashing = s.newCrashingRequest()
+	s.limits = s.newServerLimits()
 	if err := s.setUp(ctx); err != nil {
 		return nil, err
 	}
@@ -176,7 +185,13 @@
 	if s.crashing != nil {
 		wg.Go(func() { s.crashing.run(ctx, s) })
 	}
+	limited, endLimits := context.WithCancel(ctx)
+	defer endLimits()
+	if s.limits != nil {
+		wg.Go(func() { s.limits.run(limited, s) })
+	}
 	s.inject(ctx)
+	endLimits()
 	recoveryEnd := time.Now().Add(recoveryTime)
 	sleep(ctx, recoveryTime+2*time.Second)
 	cancel()
@@ -212,6 +227,9 @@
 		b.Server = &standin.Server{
 			Store: s.store, Ledger: &s.ledger, IP: s.ip, Service: serviceName, Zone: b.zone, Slots: slots, ProcessingTime: processingTime,
 		}
+		if s.limits != nil {
+			b.OnArrival = s.limits.recordArrival
+		}
 		if s.crashing != nil {
 			s.crashing.prepare(ctx, s, b, i)
 		}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -21,6 +21,10 @@
 	return map[string]uint64{
 		// A restore of the store undoes that a server is leaving.
 		"leaving_undone_by_a_restore": 6008,
+		// Entries send servers more than the limits that these name.
+		"server_limits":                8020,
+		"server_limits_of_two_servers": 8012,
+		"server_limits_that_change":    8013,
 		// Entries that were started know no crashes.
 		"crashing_read_after_kills":     1019,
 		"crashing_read_after_shutdowns": 1044,
@@ -59,7 +63,7 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			t.Logf("seed %d: %d of %d requests served, %.3f after the last fault, %d servers crashed by a request", seed, r.Served, r.Requests, r.Recovered, r.Crashes)
+			t.Logf("seed %d: %d of %d requests served, %.3f after the last fault, %d servers crashed by a request, %d with limits", seed, r.Served, r.Requests, r.Recovered, r.Crashes, r.Limited)
 			for _, v := range r.Violations {
 				t.Errorf("seed %d: %s", seed, v)
 			}
