upstream: an answer's head is given up after 64 KiB

Callers would see: an entry killed for its memory while a server sends bytes without end in a head, with all its requests.

Cause: heads were read by http.ReadResponse from a bare reader, which has no bound; net/http's transport has one, this client is none.

The connection now counts what it reads: 64 KiB up to the end of an answer's head, interim responses included, and 1 MiB of the body of an answer to another request, as sent. Beyond, the send ends at once as an answer that was cut.

--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -26,6 +26,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"sync"
@@ -42,8 +43,12 @@
 	// maxStrayAnswers is how many answers to other requests are skipped before
 	// the send fails.
 	maxStrayAnswers = 4
-	// maxStrayBody bounds the body of a skipped answer in bytes.
+	// maxStrayBody bounds the body of a skipped answer in bytes, as sent.
 	maxStrayBody = 1 << 20
+	// maxHeadBytes bounds what is read on a connection until the end of an answer's
+	// head, interim responses included, in bytes. It is the limit for the heads of
+	// callers' requests.
+	maxHeadBytes = 64 << 10
 	// bufferSize is the size of a connection's read and write buffers in bytes,
 	// about one answer.
 	bufferSize = 4 << 10
@@ -151,6 +156,7 @@
 		net.Conn
 		address     string
 		read        *bufio.Reader
+		readLimit   int64 // number of bytes that may still be read
 		write       *bufio.Writer
 		wrote       atomic.Int64
 		lastUsed    time.Time
@@ -163,7 +169,10 @@
 	}
 )
 
-var errInvalidAnswer = errors.New("invalid answer")
+var (
+	errInvalidAnswer = errors.New("invalid answer")
+	errTooLong       = errors.New("answer without end")
+)
 
 // Error returns the code and the cause.
 func (e *SendError) Error() string {
@@ -173,6 +182,19 @@
 // Unwrap returns the cause.
 func (e *SendError) Unwrap() error { return e.Err }
 
+// Read reads from the connection, as many bytes as limitReads allows.
+func (c *conn) Read(p []byte) (int, error) {
+	if c.readLimit <= 0 {
+		return 0, errTooLong
+	}
+	n, err := c.Conn.Read(p[:min(int64(len(p)), c.readLimit)])
+	c.readLimit -= int64(n)
+	return n, err
+}
+
+// limitReads sets the number of bytes that may be read beyond those in the buffer.
+func (c *conn) limitReads(n int64) { c.readLimit = n }
+
 // Write writes to the connection and counts the bytes written.
 func (c *conn) Write(p []byte) (int, error) {
 	n, err := c.Conn.Write(p)
@@ -273,7 +295,7 @@
 		return nil, err
 	}
 	cn := &conn{Conn: raw, address: address, idleTimeout: c.IdleTimeout}
-	cn.read, cn.write = bufio.NewReaderSize(raw, bufferSize), bufio.NewWriterSize(cn, bufferSize)
+	cn.read, cn.write = bufio.NewReaderSize(cn, bufferSize), bufio.NewWriterSize(cn, bufferSize)
 	return cn, nil
 }
 
@@ -376,9 +398,13 @@
 // readAnswer reads up to and including the header of the request's answer. It skips
 // interim responses and answers to other requests.
 func (x *exchange) readAnswer() error {
+	x.conn.limitReads(maxHeadBytes)
 	for {
 		resp, err := http.ReadResponse(x.conn.read, x.request.HTTP)
-		if err != nil {
+		switch {
+		case errors.Is(err, errTooLong):
+			return fmt.Errorf("%w: got %d bytes of heads without the end of one", err, maxHeadBytes)
+		case err != nil:
 			return err
 		}
 		got := resp.Header.Get(x.client.RequestIDHeader)
@@ -389,6 +415,7 @@
 			continue
 		case got == x.request.ID, got == "" && resp.StatusCode >= http.StatusMultipleChoices:
 			x.resp = resp
+			x.conn.limitReads(math.MaxInt64)
 			x.answered.Store(true)
 			return nil
 		case got == "":
@@ -397,13 +424,14 @@
 		if x.strays++; x.strays > maxStrayAnswers {
 			return fmt.Errorf("%w: belongs to request %q", errInvalidAnswer, got)
 		}
-		n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxStrayBody))
-		if err != nil {
+		x.conn.limitReads(maxStrayBody)
+		switch _, err := io.Copy(io.Discard, resp.Body); {
+		case errors.Is(err, errTooLong):
+			return fmt.Errorf("%w: got %d bytes of the answer to request %q without its end", err, maxStrayBody, got)
+		case err != nil:
 			return err
 		}
-		if n == maxStrayBody {
-			return fmt.Errorf("%w: belongs to request %q", errInvalidAnswer, got)
-		}
+		x.conn.limitReads(maxHeadBytes)
 	}
 }
 
