upstream: idle connections are checked for unread bytes once a second

Bytes that a server sends on an idle connection are only seen when it is taken for the next request, up to 8 s later; until then they fill the kernel's buffers, which count toward the entry's memory. Closed connections stayed in the pool as long.

CloseIdle, called ten times a second, now checks each idle connection once a second without reading it. Test: TestIdleConnectionWithUnreadBytesIsClosed, failed before (open after 3 s).

--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -63,6 +63,8 @@
 	// keepaliveInterval is the time before and between TCP keepalive probes on an
 	// idle connection, the shortest that kernels accept.
 	keepaliveInterval = time.Second
+	// idleCheckInterval is how often an idle connection is checked for unread bytes.
+	idleCheckInterval = time.Second
 	// idleMargin is how long before the idle timeout announced by the server a
 	// connection is closed.
 	idleMargin = time.Second
@@ -160,6 +162,7 @@
 		write       *bufio.Writer
 		wrote       atomic.Int64
 		lastUsed    time.Time
+		lastCheck   time.Time // while idle
 		idleTimeout time.Duration
 	}
 
@@ -240,14 +243,15 @@
 // servers.
 func (a *Answer) Close() { a.exchange.close() }
 
-// CloseIdle closes the pooled connections whose idle timeout has passed.
+// CloseIdle closes the pooled connections whose idle timeout has passed, and those that the
+// server has closed or has sent bytes on.
 func (c *Client) CloseIdle(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for address, list := range c.idle {
 		kept := list[:0]
 		for _, cn := range list {
-			if now.Sub(cn.lastUsed) < cn.idleTimeout {
+			if cn.staysIdle(now) {
 				kept = append(kept, cn)
 				continue
 			}
@@ -344,6 +348,7 @@
 func (c *Client) put(cn *conn) {
 	_ = cn.SetDeadline(time.Time{})
 	cn.lastUsed = time.Now()
+	cn.lastCheck = cn.lastUsed
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.idle == nil {
@@ -352,6 +357,18 @@
 	c.idle[cn.address] = append(c.idle[cn.address], cn)
 }
 
+// staysIdle reports whether an idle connection may be kept.
+func (c *conn) staysIdle(now time.Time) bool {
+	if now.Sub(c.lastUsed) >= c.idleTimeout {
+		return false
+	}
+	if now.Sub(c.lastCheck) < idleCheckInterval {
+		return true
+	}
+	c.lastCheck = now
+	return c.usable()
+}
+
 // usable reports whether the connection is open and has no unread bytes.
 func (c *conn) usable() bool {
 	if c.read.Buffered() > 0 {
--- a/internal/upstream/endless_test.go
+++ b/internal/upstream/endless_test.go
@@ -88,3 +88,40 @@
 		}
 	}
 }
+
+// A server that sends bytes on an idle connection must not keep it until its timeout: what
+// isn't read fills the kernel's buffers.
+func TestIdleConnectionWithUnreadBytesIsClosed(t *testing.T) {
+	is := is.New(t)
+	more, closed := make(chan struct{}), make(chan struct{})
+	addr := serve(t, func(_ int, c net.Conn) {
+		defer close(closed)
+		defer c.Close()
+		r, err := http.ReadRequest(bufio.NewReader(c))
+		if err != nil {
+			return
+		}
+		_, _ = io.WriteString(c, ok(r.Header.Get(idHeader), "one"))
+		<-more
+		for {
+			if _, err := io.WriteString(c, strings.Repeat("x", 1000)); err != nil {
+				return
+			}
+		}
+	})
+	c := newClient()
+	_, err := send(t.Context(), c, addr, "a", "")
+	is.NoErr(err)
+	c.CloseIdle(time.Now()) // nothing to read yet
+	close(more)
+	start := time.Now()
+	for i := range 4 { // the idle timeout is 5 s
+		c.CloseIdle(start.Add(time.Duration(i) * time.Second))
+		select {
+		case <-closed:
+			return
+		case <-time.After(100 * time.Millisecond):
+		}
+	}
+	t.Error("the connection is still open after 3 s")
+}
