--- a/internal/probe/prober.go
+++ b/internal/probe/prober.go
@@ -23,6 +23,7 @@
 	defaultPeriod = 10 * time.Second
 	timeout       = 2 * time.Second
 	maxConcurrent = 16
+	maxHeadBytes  = 64 << 10
 	maxBodyBytes  = 4 << 10
 	roundInterval = time.Second
 )
@@ -64,7 +65,7 @@
 
 // Run probes the servers until ctx ends.
 func (p *Prober) Run(ctx context.Context) error {
-	p.client = &http.Client{Timeout: timeout, Transport: &http.Transport{DisableKeepAlives: true, DialContext: p.dial}}
+	p.client = &http.Client{Timeout: timeout, Transport: &http.Transport{DisableKeepAlives: true, DialContext: p.dial, MaxResponseHeaderBytes: maxHeadBytes}}
 	tick := time.NewTicker(roundInterval)
 	defer tick.Stop()
 	for {
--- a/internal/probe/prober_test.go
+++ b/internal/probe/prober_test.go
@@ -1,10 +1,15 @@
 package probe_test
 
 import (
+	"bufio"
 	"context"
+	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"net/netip"
+	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -44,7 +49,7 @@
 			is.NoErr(err)
 			defer s.Close()
 			tt.prepare(s)
-			got := probeOnce(t, address)
+			got := probeOnce(t, address, nil)
 			healthy, state := got.probe.Read(time.Now(), time.Minute)
 			is.Equal(state, measured.Fresh)
 			is.Equal(healthy, tt.healthy)
@@ -58,8 +63,39 @@
 	}
 }
 
+// A server that answers a probe with a head without end must not fill the memory.
+func TestHeadWithoutEndIsNotRead(t *testing.T) {
+	is := is.New(t)
+	const maxRead = 256 << 10
+	var read atomic.Int64
+	got := probeOnce(t, netip.MustParseAddrPort("10.0.0.1:80"), func(context.Context, netip.AddrPort) (net.Conn, error) {
+		server, client := net.Pipe()
+		go func() {
+			defer server.Close()
+			if _, err := http.ReadRequest(bufio.NewReader(server)); err != nil {
+				return
+			}
+			_, _ = io.WriteString(server, "HTTP/1.1 200 OK\r\nX-Long: ")
+			for read.Load() < 8<<20 {
+				n, err := io.WriteString(server, strings.Repeat("x", 1000))
+				read.Add(int64(n))
+				if err != nil {
+					return
+				}
+			}
+		}()
+		return client, nil
+	})
+	healthy, state := got.probe.Read(time.Now(), time.Minute)
+	is.Equal(state, measured.Fresh)
+	is.True(!healthy)
+	if n := read.Load(); n > maxRead {
+		t.Errorf("read %d bytes, want at most %d", n, maxRead)
+	}
+}
+
 // probeOnce runs a prober of one server for a single round.
-func probeOnce(t *testing.T, address netip.AddrPort) results {
+func probeOnce(t *testing.T, address netip.AddrPort, dial func(context.Context, netip.AddrPort) (net.Conn, error)) results {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	var got results
@@ -74,6 +110,7 @@
 		},
 		Probed:   func(_ id.Service, _ id.Server, v measured.Value[bool]) { got.probe = v },
 		Reported: func(_ id.Service, _ id.Server, v measured.Value[health.Report]) { got.report = v },
+		Dial:     dial,
 		Rand:     rand.New(rand.NewPCG(1, 1)), Period: time.Hour,
 	}
 	_ = p.Run(ctx)
