--- a/internal/forward/truncated_test.go
+++ b/internal/forward/truncated_test.go
@@ -231,3 +231,31 @@
 		is.Fail() // the server still sends to a caller that doesn't read
 	}
 }
+
+// A body without end is forwarded until the deadline. It must not look complete then, and
+// the server's connection must be closed.
+func TestBodyWithoutEndEndsAtTheDeadline(t *testing.T) {
+	chunk := strings.Repeat("a", 4096)
+	tests := map[string]struct{ head, repeated string }{
+		"without a length": {"\r\n", chunk},
+		"in chunks":        {"Transfer-Encoding: chunked\r\n\r\n", "1000\r\n" + chunk + "\r\n"},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := start(t, service.Write, "ok")
+			closed := make(chan struct{})
+			f.serve(t, func(c net.Conn, _ *bufio.Reader, r *http.Request) {
+				defer close(closed)
+				_, _ = io.Copy(io.Discard, r.Body)
+				_, err := io.WriteString(c, okHeader+tt.head)
+				for ; err == nil; time.Sleep(time.Millisecond) {
+					_, err = io.WriteString(c, tt.repeated)
+				}
+			})
+			status, _, _ := f.ask(t.Context(), "/x/1", "body")
+			is.Equal(status, 0)
+			<-closed
+		})
+	}
+}
