serverlimit: old news of a limit doesn't replace newer news

A report that waits in the socket of a paused entry, and what an entry knew whose steady clock stood still, looked new to all others. One paused entry could so raise a limit that had fallen for all entries, of which it alone is excused.

Reports now carry a stamp (hybrid logical clock: Unix time, or one more than the highest stamp known), so that an answer counts as newer than all that its entry knew. An answer that is read late still gets a late stamp: a higher limit, or an end, in a report counts after 2 s without a newer answer; it is passed on at once.

Tests, failing before: TestDelayedReportDoesNotReplaceNewerLimit (20 a second instead of 2 at the other entry), TestLateAnswerDoesNotRaiseLimitElsewhere.

--- a/internal/serverlimit/doc.go
+++ b/internal/serverlimit/doc.go
@@ -5,7 +5,9 @@
 // What is known of a server is that of its newest answer, by the time at which the
 // answer arrived at an entry. An answer without a limit ends the limit. Entries report
 // to each other what they know, so that one that gets no answers of a server keeps to its
-// limit too, and learns when it ends.
+// limit too, and learns when it ends. Reports may be delayed, and the entries' clocks
+// differ: an answer counts as newer than all that its entry knew before, and a report of
+// a higher limit is held back for a short time in which a newer answer may become known.
 //
 // Each entry has a fixed share of a limit, in whole requests over a window of some
 // seconds. An entry whose share is 0, as there are more entries than requests, may send
--- a/internal/serverlimit/report.go
+++ b/internal/serverlimit/report.go
@@ -20,6 +20,8 @@
 	// reportInterval is the time after which the next limits are reported, if there are
 	// more than fit into a heartbeat.
 	reportInterval = 500 * time.Millisecond
+	// maxSkew is the greatest difference between the clocks of two entries.
+	maxSkew = time.Minute
 )
 
 // Report is what an entry knows of a server's limit.
@@ -29,31 +31,35 @@
 	StartedAt int64     `cbor:"2,keyasint,omitempty"`
 	// Rate is the limit, 0 if it has ended.
 	Rate unit.Rate `cbor:"3,keyasint,omitempty"`
-	// Age is the time since the answer that says so arrived.
-	Age time.Duration `cbor:"4,keyasint,omitempty"`
+	// At orders the reports of a server: the Unix time in milliseconds at which the
+	// answer that says so arrived, or later if clocks differ.
+	At int64 `cbor:"4,keyasint"`
 }
 
-// Check returns an error if the report is invalid.
-func (r *Report) Check() error {
+// Check returns an error if the report is invalid, or too old or new at the given time.
+func (r *Report) Check(now time.Time) error {
+	age := now.Sub(time.UnixMilli(r.At))
 	switch {
 	case r.Server == "":
 		return eris.New("report of a limit without a server")
 	case !(r.Rate >= 0) || math.IsInf(float64(r.Rate), 0):
 		return eris.Errorf("limit %g of server %s: want a finite number from 0", float64(r.Rate), r.Server)
-	case r.Age < 0 || r.Age >= retention:
-		return eris.Errorf("limit of server %s is %v old, want 0 to %v", r.Server, r.Age, retention)
+	case age < -maxSkew || age >= retention:
+		return eris.Errorf("limit of server %s is %v old, want %v to %v", r.Server, age, -maxSkew, retention)
 	}
 	return nil
 }
 
 // Apply applies the report of another entry that arrived now.
 func (t *Table) Apply(now time.Time, r *Report, from id.Instance) error {
-	if err := r.Check(); err != nil {
+	if err := r.Check(now); err != nil {
 		return err
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.apply(now, now.Add(-r.Age), Key{r.Server, r.StartedAt}, r.Rate, slog.String("instance", string(from)))
+	t.apply(Key{r.Server, r.StartedAt}, now, r.Rate, slog.String("instance", string(from)), func(l *limit, rate unit.Rate) {
+		l.report(now, stamp(r.At), rate)
+	})
 	return nil
 }
 
@@ -77,8 +83,8 @@
 	keys := append(turn(now, fresh, n), turn(now, settled, n)...)
 	out := make([]Report, 0, n)
 	for _, key := range keys[:min(n, len(keys))] {
-		l := t.limits[key]
-		out = append(out, Report{Server: key.Server, StartedAt: key.StartedAt, Rate: l.rate, Age: now.Sub(l.at)})
+		rate, at := t.limits[key].newest()
+		out = append(out, Report{Server: key.Server, StartedAt: key.StartedAt, Rate: rate, At: int64(at)})
 	}
 	return out
 }
--- a/internal/serverlimit/table.go
+++ b/internal/serverlimit/table.go
@@ -64,7 +64,7 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.apply(now, now, key, rate, slog.String("answerTo", request))
+	t.apply(key, now, rate, slog.String("answerTo", request), func(l *limit, rate unit.Rate) { l.observe(now, rate) })
 }
 
 // Rate returns the limit of a server, 0 if it has none.
@@ -133,14 +133,19 @@
 // current returns what is known of a server that has a limit, else nil.
 func (t *Table) current(now time.Time, key Key) *limit {
 	l := t.limits[key]
-	if l == nil || l.rate == 0 || now.Sub(l.at) >= retention {
+	if l == nil {
+		return nil
+	}
+	t.change(key, l, now, slog.Duration("heldBack", raiseDelay), func() { l.settle(now) })
+	if l.rate == 0 || now.Sub(l.heard) >= retention {
 		return nil
 	}
 	return l
 }
 
-// apply applies what an answer that arrived at a time names.
-func (t *Table) apply(now, at time.Time, key Key, rate unit.Rate, source slog.Attr) {
+// apply changes what is known of a server by an answer, or a report of one, with the rate,
+// and logs the change with its source.
+func (t *Table) apply(key Key, now time.Time, rate unit.Rate, source slog.Attr, change func(*limit, unit.Rate)) {
 	switch {
 	case rate > MaxRate:
 		rate = 0
@@ -153,23 +158,32 @@
 			return
 		}
 	}
-	if at.Before(l.at) {
-		return
-	}
-	before := l.rate
-	l.rate, l.at = rate, at
-	if rate == before {
+	t.change(key, l, now, source, func() { change(l, rate) })
+}
+
+// change changes what is known of a server, and logs the difference with its source.
+func (t *Table) change(key Key, l *limit, now time.Time, source slog.Attr, do func()) {
+	before, heard := l.rate, l.heard
+	do()
+	if l.rate == before {
 		return
 	}
-	l.changed = now
 	message := "server limit changed"
 	switch {
 	case before == 0:
 		message = "server limit named"
-	case rate == 0:
+	case l.rate == 0:
 		message = "server limit ended"
 	}
-	t.Log.Info(message, "server", key.Server, "limit", float64(rate), "before", float64(before), "age", now.Sub(at), source)
+	t.Log.Info(message, "server", key.Server, "limit", float64(l.rate), "before", float64(before), "ageBefore", age(now, heard), source)
+}
+
+// age returns the time since a limit was heard of, 0 if it never was.
+func age(now, heard time.Time) time.Duration {
+	if heard.IsZero() {
+		return 0
+	}
+	return now.Sub(heard)
 }
 
 // add adds a server that names a limit; it returns nil if it names none, or if there are
@@ -195,11 +209,11 @@
 // expire removes the limits without a recent answer.
 func (t *Table) expire(now time.Time) {
 	for key, l := range t.limits {
-		if now.Sub(l.at) < retention {
+		if now.Sub(l.heard) < retention {
 			continue
 		}
 		if l.rate > 0 {
-			t.Log.Info("server limit forgotten", "server", key.Server, "limit", float64(l.rate), "age", now.Sub(l.at))
+			t.Log.Info("server limit forgotten", "server", key.Server, "limit", float64(l.rate), "age", now.Sub(l.heard))
 		}
 		delete(t.limits, key)
 	}
--- a/internal/serverlimit/table_test.go
+++ b/internal/serverlimit/table_test.go
@@ -56,27 +56,36 @@
 	is := is.New(t)
 	table, key := newTable(), serverlimit.Key{Server: "i-1", StartedAt: 7}
 	table.Observe(start, key, 2.5, "r")
-	apply := func(rate unit.Rate, age time.Duration) unit.Rate {
-		now := start.Add(2 * time.Second)
-		is.NoErr(table.Apply(now, &serverlimit.Report{Server: "i-1", StartedAt: 7, Rate: rate, Age: age}, "entry-2"))
+	apply := func(at time.Duration, rate unit.Rate, answered time.Duration) unit.Rate {
+		now := start.Add(at)
+		is.NoErr(table.Apply(now, &serverlimit.Report{Server: "i-1", StartedAt: 7, Rate: rate, At: start.Add(answered).UnixMilli()}, "entry-2"))
 		return table.Rate(now, key)
 	}
-	is.Equal(apply(9, 3*time.Second), unit.Rate(2.5))
-	is.Equal(apply(4, time.Second), unit.Rate(4))
-	is.Equal(apply(0, 500*time.Millisecond), unit.Rate(0))
-	is.Equal(apply(4, time.Second), unit.Rate(0))
-	table.Observe(start.Add(3*time.Second), key, 1, "r")
-	is.Equal(table.Rate(start.Add(3*time.Second), key), unit.Rate(1))
+	is.Equal(apply(2*time.Second, 9, -time.Second), unit.Rate(2.5))
+	is.Equal(apply(2*time.Second, 1, time.Second), unit.Rate(1)) // lower
+	is.Equal(apply(2*time.Second, 4, 1500*time.Millisecond), unit.Rate(1))
+	is.Equal(apply(4*time.Second, 4, 1500*time.Millisecond), unit.Rate(4)) // higher, 2 s later
+	is.Equal(apply(4*time.Second, 0, 3*time.Second), unit.Rate(4))
+	is.Equal(apply(5*time.Second, 4, 3500*time.Millisecond), unit.Rate(4)) // newer than the end
+	is.Equal(apply(7*time.Second, 0, 3*time.Second), unit.Rate(4))
+	is.Equal(apply(7*time.Second, 0, 6*time.Second), unit.Rate(4))
+	is.Equal(apply(9*time.Second, 0, 6*time.Second), unit.Rate(0))
+	is.Equal(apply(9*time.Second, 4, 5*time.Second), unit.Rate(0))
+	is.Equal(apply(9*time.Second, 4, 30*time.Second), unit.Rate(4)) // from a clock that is fast
+	table.Observe(start.Add(10*time.Second), key, 1, "r")
+	is.Equal(table.Rate(start.Add(10*time.Second), key), unit.Rate(1))
+	is.Equal(apply(13*time.Second, 4, 30*time.Second), unit.Rate(1)) // known before the answer
 }
 
 func TestInvalidReportsAreDropped(t *testing.T) {
 	tests := map[string]serverlimit.Report{
-		"no server":     {Rate: 1},
-		"negative":      {Server: "i-1", Rate: -1},
-		"not a number":  {Server: "i-1", Rate: unit.Rate(math.NaN())},
-		"infinite":      {Server: "i-1", Rate: unit.Rate(math.Inf(1))},
-		"of the future": {Server: "i-1", Rate: 1, Age: -1},
-		"outdated":      {Server: "i-1", Rate: 1, Age: time.Minute},
+		"no server":     {Rate: 1, At: start.UnixMilli()},
+		"negative":      {Server: "i-1", Rate: -1, At: start.UnixMilli()},
+		"not a number":  {Server: "i-1", Rate: unit.Rate(math.NaN()), At: start.UnixMilli()},
+		"infinite":      {Server: "i-1", Rate: unit.Rate(math.Inf(1)), At: start.UnixMilli()},
+		"of the future": {Server: "i-1", Rate: 1, At: start.Add(time.Minute + time.Millisecond).UnixMilli()},
+		"outdated":      {Server: "i-1", Rate: 1, At: start.Add(-time.Minute).UnixMilli()},
+		"no time":       {Server: "i-1", Rate: 1},
 	}
 	for name, r := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -130,3 +139,48 @@
 	is.True(!table.Take(start.Add(time.Minute-1), key, unknown))
 	is.True(table.Take(start.Add(3600*time.Millisecond), key, alone))
 }
+
+// A report that was delayed, as in the socket of an entry that was paused, must not replace
+// what a newer answer has said, here or at other entries.
+func TestDelayedReportDoesNotReplaceNewerLimit(t *testing.T) {
+	is := is.New(t)
+	key := serverlimit.Key{Server: "i-1"}
+	paused, other := newTable(), newTable()
+	other.Observe(start, key, 20, "r")
+	delayed := other.Reports(start.Add(100*time.Millisecond), 1)
+	other.Observe(start.Add(time.Second), key, 2, "r")
+	resumed := start.Add(5 * time.Second)
+	for i := range 5 {
+		now := resumed.Add(time.Duration(i) * 500 * time.Millisecond)
+		is.NoErr(paused.Apply(now, &delayed[0], "entry-2"))
+		for _, r := range paused.Reports(now, 1) {
+			is.NoErr(other.Apply(now, &r, "entry-1"))
+		}
+		is.Equal(other.Rate(now, key), unit.Rate(2))
+	}
+}
+
+// An entry that was paused reads answers late. A higher limit that it reports must not
+// replace a lower one that the others keep hearing of.
+func TestLateAnswerDoesNotRaiseLimitElsewhere(t *testing.T) {
+	is := is.New(t)
+	key := serverlimit.Key{Server: "i-1"}
+	paused, other := newTable(), newTable()
+	other.Observe(start, key, 2, "r")
+	now := start.Add(500 * time.Millisecond)
+	paused.Observe(now, key, 20, "r") // was sent before the limit fell
+	for i := range 10 {
+		now = now.Add(200 * time.Millisecond)
+		for _, r := range paused.Reports(now, 1) {
+			is.NoErr(other.Apply(now, &r, "entry-1"))
+		}
+		is.Equal(other.Rate(now, key), unit.Rate(2))
+		if i == 5 {
+			other.Observe(now, key, 2, "r")
+		}
+		for _, r := range other.Reports(now, 1) {
+			is.NoErr(paused.Apply(now, &r, "entry-2"))
+		}
+	}
+	is.Equal(paused.Rate(now, key), unit.Rate(2))
+}
