linger: early answers without a length reach callers that send a long body

Cause: net/http writes the end of a chunked answer only after the handler has returned, and closes the connection 500 ms later without reading what the caller still sends, which resets it.

After such an answer the handler stops reads of the body, takes the connection over, writes the end of the answer, closes its sending side and reads the rest, within the limits there were. Ruled out: reading first (delays the end of the answer), reading the body after the take-over (net/http forbids it).

--- a/internal/linger/linger.go
+++ b/internal/linger/linger.go
@@ -7,6 +7,9 @@
 // of the body before net/http closes the connection. How much it reads, and for how
 // long, is limited.
 //
+// net/http ends an answer without a length only after the handler has returned, and closes
+// the connection then. Handler takes such a connection over and ends the answer itself.
+//
 // The connection is not reused even if the whole body was read: net/http would
 // otherwise read from the body before it writes the answer's header, which delays the
 // answer and takes bytes from a body that is still being forwarded.
@@ -17,9 +20,11 @@
 package linger
 
 import (
+	"cmp"
 	"errors"
 	"io"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -43,10 +48,13 @@
 		Timeout time.Duration
 	}
 
-	// body is a request body that records whether it was read completely.
+	// body is a request body that records whether it was read completely. Its reads can
+	// be stopped.
 	body struct {
 		io.ReadCloser
 		complete atomic.Bool
+		stopped  atomic.Bool
+		reading  sync.Mutex
 	}
 
 	// answer is the answer to a request with a body.
@@ -54,6 +62,7 @@
 		http.ResponseWriter
 		body          *body
 		headerWritten bool
+		status        int
 	}
 )
 
@@ -76,33 +85,78 @@
 	if !a.headerWritten {
 		a.WriteHeader(http.StatusOK)
 	}
-	// net/http ends a chunked answer after the handler has returned; reading first
-	// would delay that. For a request with "Connection: close" net/http reads
-	// nothing by itself.
-	if a.Header().Get("Content-Length") != "" || r.Close {
+	switch {
+	case a.Header().Get("Content-Length") != "" || !hasBody(r, a.status):
 		h.drain(w, b)
+	default:
+		h.takeOver(w, b, r.ProtoAtLeast(1, 1))
 	}
 }
 
+// hasBody reports whether the answer to a request has a body.
+func hasBody(r *http.Request, status int) bool {
+	return r.Method != http.MethodHead && status != http.StatusNoContent && status != http.StatusNotModified
+}
+
 // drain sends what was written of the answer and reads the rest of the body.
 func (h *Handler) drain(w http.ResponseWriter, b *body) {
-	limit, timeout := h.MaxBytes, h.Timeout
-	if limit == 0 {
-		limit = defaultMaxBytes
-	}
-	if timeout == 0 {
-		timeout = defaultTimeout
-	}
 	control := http.NewResponseController(w)
-	if control.Flush() != nil || control.SetReadDeadline(time.Now().Add(timeout)) != nil {
+	if control.Flush() != nil || control.SetReadDeadline(time.Now().Add(h.timeout())) != nil {
 		return
 	}
 	// The deadline stays set, since net/http may read on when it closes the body.
-	_, _ = io.CopyN(io.Discard, b, int64(limit))
+	_, _ = io.CopyN(io.Discard, b, h.maxBytes())
+}
+
+// takeOver sends what was written of an answer without a length, takes the connection over
+// from net/http, ends the answer and reads the rest of the body.
+func (h *Handler) takeOver(w http.ResponseWriter, b *body, chunked bool) {
+	control := http.NewResponseController(w)
+	if control.Flush() != nil || !b.stop(control) {
+		return
+	}
+	conn, buffered, err := control.Hijack()
+	if err != nil {
+		return // net/http ends the answer
+	}
+	defer conn.Close()
+	if conn.SetDeadline(time.Now().Add(h.timeout())) != nil {
+		return
+	}
+	if chunked {
+		if _, err := io.WriteString(conn, "0\r\n\r\n"); err != nil {
+			return
+		}
+	}
+	if c, ok := conn.(interface{ CloseWrite() error }); ok {
+		_ = c.CloseWrite()
+	}
+	_, _ = io.CopyN(io.Discard, buffered, h.maxBytes())
+}
+
+func (h *Handler) timeout() time.Duration { return cmp.Or(h.Timeout, defaultTimeout) }
+
+func (h *Handler) maxBytes() int64 { return int64(cmp.Or(h.MaxBytes, defaultMaxBytes)) }
+
+// stop ends reads of the body, also one that waits for the caller. It reports whether no
+// read is in progress any more.
+func (b *body) stop(control *http.ResponseController) bool {
+	b.stopped.Store(true)
+	if control.SetReadDeadline(time.Unix(1, 0)) != nil {
+		return false
+	}
+	b.reading.Lock()
+	defer b.reading.Unlock()
+	return true
 }
 
 // Read reads from the body.
 func (b *body) Read(p []byte) (int, error) {
+	b.reading.Lock()
+	defer b.reading.Unlock()
+	if b.stopped.Load() {
+		return 0, http.ErrBodyReadAfterClose
+	}
 	n, err := b.ReadCloser.Read(p)
 	if errors.Is(err, io.EOF) {
 		b.complete.Store(true)
@@ -113,7 +167,7 @@
 // WriteHeader writes the answer's status and header.
 func (a *answer) WriteHeader(status int) {
 	if status >= http.StatusOK && !a.headerWritten {
-		a.headerWritten = true
+		a.headerWritten, a.status = true, status
 		if !a.body.complete.Load() {
 			a.Header().Set("Connection", "close")
 		}
--- a/internal/linger/linger_test.go
+++ b/internal/linger/linger_test.go
@@ -187,3 +187,38 @@
 	is.NoErr(err)
 	is.Equal(string(data), "onetwo")
 }
+
+// The same holds for callers that close, that speak HTTP/1.0, that stop within their body,
+// and while another goroutine still reads the body.
+func TestAnswerWithoutLengthIsEnded(t *testing.T) {
+	tests := map[string]struct {
+		head   string
+		sent   int // of the body
+		reader bool
+	}{
+		"closing":                         {head: head(12<<20, "Connection: close"), sent: 12 << 20},
+		"HTTP/1.0":                        {head: strings.Replace(head(12<<20), "HTTP/1.1", "HTTP/1.0", 1), sent: 12 << 20},
+		"chunked body":                    {head: head(-1)},
+		"stops within its body":           {head: head(12 << 20), sent: 1000},
+		"body is being read":              {head: head(12 << 20), sent: 12 << 20, reader: true},
+		"body is being read, stops early": {head: head(12 << 20), sent: 1000, reader: true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			c := serve(t, &linger.Handler{Timeout: 500 * time.Millisecond, Next: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				if tt.reader {
+					go func() { _, _ = io.Copy(io.Discard, r.Body) }()
+				}
+				_, _ = io.WriteString(w, "one")
+			})})
+			_, err := io.WriteString(c, tt.head+strings.Repeat("x", tt.sent))
+			is.NoErr(err)
+			resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+			is.NoErr(err)
+			data, err := io.ReadAll(resp.Body)
+			is.NoErr(err)
+			is.Equal(string(data), "one")
+		})
+	}
+}
