serverlimit, heartbeat: all limits are reported in turn

Cause: whose turn it was followed the wall clock and two lists whose lengths change, so that a late heartbeat skipped a turn and a list that shrank shifted the others.

Rounds now count heartbeats and go over one list of all limits; half of a heartbeat is for those that have changed.

--- a/internal/heartbeat/detector.go
+++ b/internal/heartbeat/detector.go
@@ -130,6 +130,9 @@
 		// OnUpdate, if not nil, is called with the content of each accepted
 		// heartbeat.
 		OnUpdate func(now time.Time, update Update)
+		// Limits, if not nil, returns at most n reports of servers' limits for a
+		// heartbeat; the round counts the heartbeats.
+		Limits func(now time.Time, round uint64, n int) []serverlimit.Report
 		// Log receives a line for each entry that becomes alive, changes or falls
 		// silent.
 		Log *slog.Logger
@@ -140,6 +143,7 @@
 		invalidations map[follow.Kind]store.Version
 		view          *view         // live entries by zone; nil if outdated
 		round         int           // counts the rounds, to probe silent entries in rotation
+		limitRound    uint64        // counts the heartbeats with reports of limits
 		urgent        chan struct{} // requests a heartbeat outside the interval
 	}
 
@@ -253,7 +257,18 @@
 // Announce sends a heartbeat to all of this entry's targets immediately.
 func (d *Detector) Announce(conn net.PacketConn) {
 	now := time.Now()
-	d.write(conn, d.compose(now), d.targets(now))
+	m := d.compose(now)
+	if d.Limits != nil {
+		m.From.Limits = d.Limits(now, d.nextLimitRound(), MaxLimits)
+	}
+	d.write(conn, m, d.targets(now))
+}
+
+func (d *Detector) nextLimitRound() uint64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.limitRound++
+	return d.limitRound
 }
 
 func (d *Detector) send(ctx context.Context, conn net.PacketConn) {
--- a/internal/heartbeat/zone.go
+++ b/internal/heartbeat/zone.go
@@ -221,7 +221,7 @@
 	d.mu.Unlock()
 	for _, list := range lists {
 		reply := d.compose(now)
-		reply.Zones, reply.Entries, reply.From.Limits = nil, list, nil // the list needs the space
+		reply.Zones, reply.Entries = nil, list
 		d.write(conn, reply, []netip.AddrPort{m.From.Peers})
 	}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -180,7 +180,7 @@
 	n.limits.Started = n.started
 	n.upstream = &upstream.Client{ConnectTimeout: connectTimeout, IdleTimeout: idleTimeout, NonIdempotentIdleTimeout: nonIdempotentIdleTimeout, RequestIDHeader: o.Headers.RequestID}
 	n.Quarantine = &quarantine.List{Instance: o.Self.Instance, Tolerated: toleratedCrashes}
-	n.Heartbeats = &heartbeat.Detector{Self: n.Self, Interval: o.HeartbeatInterval, Timeout: o.HeartbeatTimeout, OnUpdate: n.onUpdate, Log: o.Log}
+	n.Heartbeats = &heartbeat.Detector{Self: n.Self, Interval: o.HeartbeatInterval, Timeout: o.HeartbeatTimeout, OnUpdate: n.onUpdate, Limits: n.limits.Reports, Log: o.Log}
 	n.dispatcher = &dispatch.Dispatcher{Roster: n.Roster, Region: o.Self.Region}
 	n.handler = &forward.Handler{
 		Config: n.forwardConfig, Dispatcher: n.dispatcher, Upstream: n.upstream,
@@ -243,7 +243,6 @@
 	self.Changes = n.options.Store.Changes()
 	self.StoreAvailableFor = n.options.Store.AvailableFor(follow.Servers, time.Now())
 	self.CrashDigest = n.Quarantine.Digest(time.Now())
-	self.Limits = n.limits.Reports(time.Now(), heartbeat.MaxLimits)
 	if n.Quarantine.Active() {
 		self.Crashes = n.Quarantine.Reports(time.Now(), heartbeat.MaxCrashReports)
 	}
--- a/internal/serverlimit/doc.go
+++ b/internal/serverlimit/doc.go
@@ -23,7 +23,7 @@
 //	if t.Take(now, key, func() serverlimit.Share { return serverlimit.Share{Entries: 7, Rank: 2} }) {
 //		send()
 //	}
-//	for _, r := range t.Reports(now, 6) {
+//	for _, r := range t.Reports(now, round, 6) {
 //		other.Apply(now, &r, "entry-1")
 //	}
 package serverlimit
--- a/internal/serverlimit/report.go
+++ b/internal/serverlimit/report.go
@@ -14,12 +14,9 @@
 )
 
 const (
-	// freshTime is how long a limit that was named, changed or ended is reported before
-	// the others.
+	// freshTime is how long a limit that was named, changed or ended is reported beside
+	// those whose turn it is.
 	freshTime = 2 * time.Second
-	// reportInterval is the time after which the next limits are reported, if there are
-	// more than fit into a heartbeat.
-	reportInterval = 500 * time.Millisecond
 	// maxSkew is the greatest difference between the clocks of two entries.
 	maxSkew = time.Minute
 )
@@ -63,40 +60,44 @@
 	return nil
 }
 
-// Reports returns at most n reports for the other entries: first of the limits that have
-// changed recently, then of the others in turn.
-func (t *Table) Reports(now time.Time, n int) []Report {
+// Reports returns at most n reports for the other entries, of which up to half are of limits
+// that have changed recently. Successive rounds report all limits in turn.
+func (t *Table) Reports(now time.Time, round uint64, n int) []Report {
 	if t.size.Load() == 0 {
 		return nil
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.expire(now)
-	var fresh, settled []Key
+	var all, fresh []Key
 	for key, l := range t.limits {
+		all = append(all, key)
 		if now.Sub(l.changed) < freshTime {
 			fresh = append(fresh, key)
-		} else {
-			settled = append(settled, key)
 		}
 	}
-	keys := append(turn(now, fresh, n), turn(now, settled, n)...)
-	out := make([]Report, 0, n)
-	for _, key := range keys[:min(n, len(keys))] {
+	keys := turn(fresh, round, n/2)
+	for _, key := range turn(all, round, n-n/2) {
+		if !slices.Contains(keys, key) {
+			keys = append(keys, key)
+		}
+	}
+	out := make([]Report, 0, len(keys))
+	for _, key := range keys {
 		rate, at := t.limits[key].newest()
 		out = append(out, Report{Server: key.Server, StartedAt: key.StartedAt, Rate: rate, At: int64(at)})
 	}
 	return out
 }
 
-// turn returns n of the keys. It is the turn of other ones after each reportInterval.
-func turn(now time.Time, keys []Key, n int) []Key {
+// turn returns n of the keys, other ones in the next round.
+func turn(keys []Key, round uint64, n int) []Key {
 	slices.SortFunc(keys, func(a, b Key) int {
 		return cmp.Or(cmp.Compare(a.Server, b.Server), cmp.Compare(a.StartedAt, b.StartedAt))
 	})
 	if len(keys) <= n {
 		return keys
 	}
-	first := int(now.UnixNano()/int64(reportInterval)) * n % len(keys)
+	first := int(round % uint64(len(keys)) * uint64(n) % uint64(len(keys)))
 	return slices.Concat(keys[first:], keys[:first])[:n]
 }
