node, entryview: limited servers have a state of their own

A server without requests left for this entry was shown as "out", which stands for failures. Servers with a limit are "limited" in status and explain now. Dropped reports of limits make one log line a heartbeat.

--- a/internal/cli/platform.go
+++ b/internal/cli/platform.go
@@ -146,7 +146,7 @@
 			if server.State == entryview.Usable {
 				usable++
 			}
-			if server.Limit > 0 {
+			if server.State == entryview.Limited {
 				limited++
 			}
 		}
--- a/internal/entryview/view.go
+++ b/internal/entryview/view.go
@@ -90,7 +90,7 @@
 		Service id.Service `json:"service"`
 		// Zone is its availability zone.
 		Zone id.Zone `json:"zone"`
-		// State is usable, cold, outlier, out, unreachable, leaving or evacuated.
+		// State is usable, cold, limited, outlier, out, unreachable, leaving or evacuated.
 		State State `json:"state"`
 		// Slots is its concurrency limit in requests.
 		Slots int `json:"slots"`
@@ -134,6 +134,8 @@
 	Usable State = "usable"
 	// Cold servers are in slow start and receive requests at a limited rate.
 	Cold State = "cold"
+	// Limited servers have named a limit and receive requests up to this entry's share.
+	Limited State = "limited"
 	// Outlier servers fail more often or answer more slowly than others, and are
 	// used last.
 	Outlier State = "outlier"
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -257,12 +257,21 @@
 			n.recordCrashReport(now, &update.Crashes[i])
 		}
 	}
+	n.applyLimits(now, &update)
+	n.crashReports.Compare(update.From, update.CrashDigest)
+}
+
+// applyLimits applies the reports of servers' limits in a heartbeat.
+func (n *Node) applyLimits(now time.Time, update *heartbeat.Update) {
+	dropped, last := 0, error(nil)
 	for i := range update.Limits {
 		if err := n.limits.Apply(now, &update.Limits[i], update.From); err != nil {
-			n.options.Log.Warn("report of a server limit dropped", "instance", update.From, "err", err)
+			dropped, last = dropped+1, err
 		}
 	}
-	n.crashReports.Compare(update.From, update.CrashDigest)
+	if dropped > 0 {
+		n.options.Log.Warn("reports of server limits dropped", "instance", update.From, "dropped", dropped, "of", len(update.Limits), "err", last)
+	}
 }
 
 // recordCrashReport logs and counts a crash report of another entry.
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -26,6 +26,7 @@
 	"github.com/shallotpier/shallotpier/internal/store"
 	"github.com/shallotpier/shallotpier/pkg/id"
 	"github.com/shallotpier/shallotpier/pkg/service"
+	"github.com/shallotpier/shallotpier/pkg/unit"
 )
 
 const (
@@ -200,7 +201,10 @@
 	n.Roster.Put(now, roster.Server{Name: "i-1", Service: svc, Address: "127.0.0.1:1", Zone: "a-1", Slots: 6})
 	n.Roster.Put(now, roster.Server{Name: "i-2", Service: svc, Address: "127.0.0.1:2", Zone: "b-1", Slots: 6})
 	n.Roster.Put(now, roster.Server{Name: "i-3", Service: svc, Address: "127.0.0.1:3", Zone: "a-1", Slots: 6, Leaving: true})
+	n.Roster.Put(now, roster.Server{Name: "i-4", Service: svc, Address: "127.0.0.1:4", Zone: "a-1", Slots: 6})
 	n.Roster.SetEvacuated(now, map[id.Zone]bool{"b-1": true})
+	n.Roster.SetEntries(n.Self().Peers, nil)
+	n.Roster.View().Member(svc, "i-4").ObserveLimit(now, 2.5, "r")
 	n.MarkServersListed()
 	mux := http.NewServeMux()
 	n.ServeOperators(mux)
@@ -216,13 +220,19 @@
 	states := map[id.Server]entryview.State{}
 	for _, s := range v.Servers {
 		states[s.Name] = s.State
+		if s.Name == "i-4" {
+			is.Equal(s.Limit, unit.Rate(2.5))
+			is.Equal(s.LimitShare, unit.Rate(2.5)) // of one entry
+		}
 	}
-	is.Equal(states, map[id.Server]entryview.State{"i-1": entryview.Usable, "i-2": entryview.Evacuated, "i-3": entryview.Leaving})
+	is.Equal(states, map[id.Server]entryview.State{
+		"i-1": entryview.Usable, "i-2": entryview.Evacuated, "i-3": entryview.Leaving, "i-4": entryview.Limited,
+	})
 	e, err := entryview.Explain(t.Context(), server.Client(), address, "a.example", "/x/1", "17")
 	is.NoErr(err)
 	is.Equal(e.Server, id.Server("i-1"))
 	is.Equal(e.Reason, "owner")
-	is.Equal(len(e.Ranking), 1)
+	is.Equal(len(e.Ranking), 2)
 	is.Equal(e.Servers.Change, store.Version{Era: 2, Revision: 40})
 	is.Equal(e.Servers.Era, store.Era(2))
 	e, err = entryview.Explain(t.Context(), server.Client(), address, "a.example", "/y/1", "17")
--- a/internal/node/state.go
+++ b/internal/node/state.go
@@ -50,6 +50,7 @@
 
 func (n *Node) serverState(now time.Time, m *roster.Member, evacuated []id.Zone) entryview.Server {
 	s := entryview.Server{Name: m.Name, Service: m.Service, Zone: m.Zone, Slots: m.Slots, Busy: m.EstimatedRequests(now), Own: m.InFlight(), Limit: m.Limit(now), LimitShare: m.LimitShare(now)}
+	ready, next := m.Readiness(now)
 	switch {
 	case m.Leaving:
 		s.State = entryview.Leaving
@@ -59,8 +60,10 @@
 		s.State = entryview.Unreachable
 	case m.Cold(now):
 		s.State = entryview.Cold
-	case !m.Ready(now):
+	case !ready && next.IsZero():
 		s.State = entryview.Out
+	case s.Limit > 0:
+		s.State = entryview.Limited
 	case m.Outlier():
 		s.State = entryview.Outlier
 	default:
