serverlimit: an ended limit is forgotten after a minute

Found in reading: each answer without a limit renewed the knowledge that there is none, so that a server that once named a limit was reported in heartbeats for good, and requests took the table's lock. Test: TestEndedLimitIsForgotten, failed before.

--- a/internal/serverlimit/limit.go
+++ b/internal/serverlimit/limit.go
@@ -37,7 +37,7 @@
 		rate unit.Rate // 0 if the limit has ended
 		// stamp is that of the newest answer, and latest the highest one in any report.
 		stamp, latest stamp
-		heard         time.Time // when the newest answer became known
+		heard         time.Time // when the newest answer with a limit, or its end, became known
 		changed       time.Time
 		raise         raise
 		limiter       sharedrate.Limiter
@@ -106,11 +106,14 @@
 	if at >= l.raise.stamp {
 		l.raise = raise{}
 	}
-	l.rate, l.stamp, l.heard = rate, at, now
+	if rate > 0 || l.rate > 0 { // an ended limit is forgotten some time after its end
+		l.heard = now
+	}
+	l.rate, l.stamp = rate, at
 }
 
-// quota returns what all entries together may send to a server. Requests of one window
-// may come at its end and those of the next at its beginning, so the window is short.
+// quota returns what all entries together may send to a server. The requests of one window
+// may come at its end and those of the next at its beginning.
 func quota(rate unit.Rate) sharedrate.Quota {
 	r := float64(rate)
 	requests := max(math.Floor(min(r*burstSpan.Seconds()+burstRequests, r*maxSpan.Seconds())), 1)
--- a/internal/serverlimit/table_test.go
+++ b/internal/serverlimit/table_test.go
@@ -51,6 +51,18 @@
 	is.Equal(table.Rate(start.Add(time.Minute), key), unit.Rate(0))
 }
 
+// An ended limit must not be reported for good while the server's answers go on.
+func TestEndedLimitIsForgotten(t *testing.T) {
+	is := is.New(t)
+	table, key := newTable(), serverlimit.Key{Server: "i-1"}
+	table.Observe(start, key, 2.5, "r")
+	for i := range 61 {
+		table.Observe(start.Add(time.Duration(1+i)*time.Second), key, 0, "r")
+	}
+	is.Equal(len(table.Reports(start.Add(59*time.Second), 0, 6)), 1)
+	is.Equal(len(table.Reports(start.Add(62*time.Second), 0, 6)), 0)
+}
+
 // What is known of a server is that of its newest answer, at whichever entry it arrived.
 func TestNewestAnswerCounts(t *testing.T) {
 	is := is.New(t)
