model: patterns in which servers name limits

Two patterns: ten of 30 servers name limits of about half of their load, and 40 of 204 servers limits below one request a second an entry, with 31 entries. Entries exchange reports in the model as in heartbeats.

--- a/internal/model/entry.go
+++ b/internal/model/entry.go
@@ -1,11 +1,14 @@
 package model
 
 import (
+	"fmt"
+	"net/netip"
 	"slices"
 	"time"
 
 	"github.com/shallotpier/shallotpier/internal/dispatch"
 	"github.com/shallotpier/shallotpier/internal/health"
+	"github.com/shallotpier/shallotpier/internal/heartbeat"
 	"github.com/shallotpier/shallotpier/internal/outlier"
 	"github.com/shallotpier/shallotpier/internal/owner"
 	"github.com/shallotpier/shallotpier/internal/retry"
@@ -13,6 +16,7 @@
 	"github.com/shallotpier/shallotpier/internal/route"
 	"github.com/shallotpier/shallotpier/pkg/id"
 	"github.com/shallotpier/shallotpier/pkg/service"
+	"github.com/shallotpier/shallotpier/pkg/unit"
 )
 
 // Retry budget, over all entries.
@@ -25,6 +29,7 @@
 	// entry is a simulated entry instance.
 	entry struct {
 		model     *Model
+		name      id.Instance
 		region    int
 		roster    *roster.Roster
 		policy    Chooser
@@ -48,8 +53,15 @@
 )
 
 func newEntry(m *Model, i int) *entry {
-	e := &entry{model: m, region: i % len(m.Service.Regions), baselines: make(map[service.Kind]*outlier.Baseline)}
+	e := &entry{model: m, name: id.Instance(fmt.Sprintf("entry-%d", i)), region: i % len(m.Service.Regions), baselines: make(map[service.Kind]*outlier.Baseline)}
 	e.roster = &roster.Roster{Log: discard()}
+	var others []netip.AddrPort
+	for k := range m.Entries {
+		if k != i {
+			others = append(others, entryAddress(k))
+		}
+	}
+	e.roster.SetEntries(entryAddress(i), others)
 	e.roster.Replace(m.now, m.servers.registrations())
 	e.policy = &dispatch.Dispatcher{Roster: e.roster, Region: region(e.region)}
 	if m.Policy != nil {
@@ -58,6 +70,11 @@
 	return e
 }
 
+// entryAddress returns an address that identifies an entry.
+func entryAddress(i int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 1)
+}
+
 func (r *request) deadline() time.Time { return r.arrived.Add(r.class.Deadline) }
 
 // timeoutAt returns the time at which the entry cancels the caller's current
@@ -96,10 +113,13 @@
 	sent, ended := now, false
 	var cancel func()
 	e.model.after(delay, func() {
+		e.model.report.limits.Arrive(s.name, e.name, e.model.now)
 		cancel = s.accept(r, func(rejected bool) {
+			limit := s.limit
 			e.model.after(delay, func() {
 				if !ended {
 					ended = true
+					e.observeLimit(m, limit)
 					e.handleResponse(r, m, s.load(), rejected, sent)
 				}
 			})
@@ -119,6 +139,29 @@
 	})
 }
 
+// observeLimit applies the limit that a response names.
+func (e *entry) observeLimit(m *roster.Member, limit unit.Rate) {
+	m.ObserveLimit(e.model.now, limit, "")
+	if limit > 0 {
+		e.model.report.limits.PassOn(m.Name, e.name, e.model.now)
+	}
+}
+
+// reportLimits reports the limits that the entry knows to the others.
+func (e *entry) reportLimits(round uint64) error {
+	for _, r := range e.roster.Limits().Reports(e.model.now, round, heartbeat.MaxLimits) {
+		for _, other := range e.model.entries {
+			if other == e {
+				continue
+			}
+			if err := other.roster.Limits().Apply(e.model.now, &r, e.name); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
 // timedOut ends an attempt at the timeout of the route. The caller of a safe
 // request retries once.
 func (e *entry) timedOut(r *request) {
--- a/internal/model/model.go
+++ b/internal/model/model.go
@@ -5,7 +5,7 @@
 // Each simulated entry runs the production code for server selection: a roster,
 // a dispatcher and a retry budget. Servers have slots and a queue, process
 // requests for recently served objects faster, reject requests when the queue is
-// full, and report their load. Requests arrive as a Poisson process. A caller
+// full, report their load, and may name limits. Requests arrive as a Poisson process. A caller
 // abandons a request at its deadline and retries once after a rejection.
 //
 // # Usage
@@ -29,6 +29,7 @@
 
 	"github.com/shallotpier/shallotpier/internal/dispatch"
 	"github.com/shallotpier/shallotpier/internal/route"
+	"github.com/shallotpier/shallotpier/internal/standin/ratecheck"
 	"github.com/shallotpier/shallotpier/pkg/id"
 	"github.com/shallotpier/shallotpier/pkg/service"
 )
@@ -36,6 +37,8 @@
 const (
 	serviceName  = id.Service("service")
 	stepInterval = 100 * time.Millisecond
+	// heartbeatInterval is the time between two reports of an entry to the others.
+	heartbeatInterval = 500 * time.Millisecond
 	// intraRegionDelay is the one-way network delay within a region.
 	intraRegionDelay = time.Millisecond
 	// lateCredit is the credit for a response after the latency objective but
@@ -141,6 +144,8 @@
 		start    time.Time
 		length   time.Duration
 		outcomes []outcome
+		limits   ratecheck.Record
+		err      error
 	}
 
 	outcome struct {
@@ -160,7 +165,7 @@
 	m.rng, m.policyRNG = rand.New(rand.NewPCG(m.Seed, 0)), rand.New(rand.NewPCG(m.Seed, 1))
 	m.start = time.Unix(1_000_000, 0)
 	m.now = m.start
-	m.report = Report{start: m.start, length: m.Length}
+	m.report.start, m.report.length = m.start, m.Length
 	m.servers = newServers(m)
 	for i := range m.Entries {
 		m.entries = append(m.entries, newEntry(m, i))
@@ -174,6 +179,7 @@
 		})
 	}
 	m.after(stepInterval, m.step)
+	m.after(heartbeatInterval, func() { m.heartbeat(0) })
 	end := m.start.Add(m.Length)
 	for len(m.events) > 0 {
 		e, _ := heap.Pop(&m.events).(event)
@@ -186,6 +192,13 @@
 	return &m.report
 }
 
+// LimitViolations returns the windows in which servers got more requests than their limits
+// allow, later than the given time after they named them. The error is that of a report
+// between entries.
+func (r *Report) LimitViolations(settling time.Duration) ([]ratecheck.Violation, error) {
+	return r.limits.Violations(settling), r.err
+}
+
 // Credit returns the mean credit of the requests that arrived in a period, 0 to
 // 1.
 func (r *Report) Credit(from, to time.Duration) float64 {
@@ -248,6 +261,17 @@
 	m.after(stepInterval, m.step)
 }
 
+// heartbeat exchanges reports between the entries.
+func (m *Model) heartbeat(round uint64) {
+	for _, e := range m.entries {
+		if err := e.reportLimits(round); err != nil {
+			m.report.err = err
+			return
+		}
+	}
+	m.after(heartbeatInterval, func() { m.heartbeat(round + 1) })
+}
+
 func (m *Model) after(d time.Duration, run func()) {
 	m.order++
 	heap.Push(&m.events, event{m.now.Add(d), m.order, run})
--- a/internal/model/model_test.go
+++ b/internal/model/model_test.go
@@ -1,7 +1,10 @@
 package model_test
 
 import (
+	"fmt"
+	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -26,6 +29,9 @@
 		"many entries start over servers that know nothing":         {0.85, "untimed"},
 		"two fifths of many servers leave while the others warm up": {0.6, "untimed"},
 		"few servers are left for many objects":                     {0.9, "freeFamiliar"},
+		// Two thirds of the servers, or four fifths, could serve all of it.
+		"a third of the servers names limits":                             {0.75, "random"},
+		"a fifth of many servers names limits below one request an entry": {0.75, "untimed"},
 	}
 	is.New(t).Equal(len(tests), len(model.Patterns()))
 	for _, p := range model.Patterns() {
@@ -55,3 +61,26 @@
 	_, err := model.Compare(&p, [2]string{"owners", "unknown"}, seeds)
 	is.New(t).True(err != nil)
 }
+
+// Servers that name limits under load get no more than these allow, whatever else the
+// entries decide on.
+func TestLimitsAreKeptUnderLoad(t *testing.T) {
+	limited := 0
+	for _, p := range model.Patterns() {
+		if !strings.Contains(p.Name, "limits") {
+			continue
+		}
+		limited++
+		for _, seed := range seeds {
+			t.Run(fmt.Sprintf("%s, seed %d", p.Name, seed), func(t *testing.T) {
+				t.Parallel()
+				violations, err := p.Model(seed).Run().LimitViolations(3 * time.Second)
+				is.New(t).NoErr(err)
+				for _, v := range violations {
+					t.Error(v)
+				}
+			})
+		}
+	}
+	is.New(t).Equal(limited, 2)
+}
--- a/internal/model/pattern.go
+++ b/internal/model/pattern.go
@@ -34,6 +34,8 @@
 		{"servers turn slow", 13 * s, 24 * s, disturbed(registry, 10*s, func(all *Servers) { all.Slow(5, 8) })},
 		{"many entries start over servers that know nothing", 3 * s, 14 * s, manyServers},
 		{"two fifths of many servers leave while the others warm up", 6 * s, 14 * s, disturbed(manyServers, s, func(all *Servers) { all.Remove(88) })},
+		{"a third of the servers names limits", 14 * s, 24 * s, disturbed(registry, 10*s, func(all *Servers) { all.Limit(10, 20) })},
+		{"a fifth of many servers names limits below one request an entry", 6 * s, 14 * s, disturbed(manyServers, s, func(all *Servers) { all.Limit(40, 2.5) })},
 		{"few servers are left for many objects", 15 * s, 24 * s, disturbed(fewServers, 10*s, (*Servers).ClearWarm)},
 	}
 }
--- a/internal/model/servers.go
+++ b/internal/model/servers.go
@@ -7,6 +7,7 @@
 
 	"github.com/shallotpier/shallotpier/internal/roster"
 	"github.com/shallotpier/shallotpier/pkg/id"
+	"github.com/shallotpier/shallotpier/pkg/unit"
 )
 
 // serviceTimeSpread is the standard deviation of the service time of a class, as a
@@ -27,6 +28,7 @@
 		name     id.Server
 		region   int
 		slowdown float64
+		limit    unit.Rate // named in responses, 0 for none
 		running  int
 		waiting  []*job
 		warm     []string // most recently served first
@@ -62,6 +64,14 @@
 	}
 }
 
+// Limit makes the first n servers name a limit in their responses, 0 for none.
+func (s *Servers) Limit(n int, rate unit.Rate) {
+	for _, sv := range s.all[:n] {
+		sv.limit = rate
+		s.model.report.limits.Name(sv.name, s.model.now, rate)
+	}
+}
+
 // ClearWarm makes all servers cold for all objects.
 func (s *Servers) ClearWarm() {
 	for _, sv := range s.all {
