upstream: errors have a text of bounded length

Found in reading: an error of a parser quotes the line that the server sent, up to 64 KiB now and without a bound before, and "send failed" logs it. Texts over 100 bytes are cut, with their length. Test: TestBytesWithoutEndAreNotRead also bounds the text, failed before for bytes that are no HTTP.

--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -63,6 +63,8 @@
 	// keepaliveInterval is the time before and between TCP keepalive probes on an
 	// idle connection, the shortest that kernels accept.
 	keepaliveInterval = time.Second
+	// maxErrorText is the length of the longest text of an error in bytes.
+	maxErrorText = 100
 	// idleCheckInterval is how often an idle connection is checked for unread bytes.
 	idleCheckInterval = time.Second
 	// idleMargin is how long before the idle timeout announced by the server a
@@ -170,6 +172,9 @@
 		exchange *exchange
 		src      io.Reader
 	}
+
+	// longError is an error whose text is too long for a log line.
+	longError struct{ error }
 )
 
 var (
@@ -466,9 +471,27 @@
 		x.written <- <-x.written
 		sent = x.conn.wrote.Load() > x.startOffset
 	}
-	return &SendError{Code: failCode(err, cause, sent), Sent: sent, Err: err}
+	return &SendError{Code: failCode(err, cause, sent), Sent: sent, Err: shorten(err)}
+}
+
+// shorten returns an error with a text of bounded length. That of a parser may quote a
+// long line of the server's.
+func shorten(err error) error {
+	if len(err.Error()) <= maxErrorText {
+		return err
+	}
+	return longError{err}
+}
+
+// Error returns the start of the error's text.
+func (e longError) Error() string {
+	text := e.error.Error()
+	return fmt.Sprintf("%.*q, %d bytes in all", maxErrorText, text, len(text))
 }
 
+// Unwrap returns the whole error.
+func (e longError) Unwrap() error { return e.error }
+
 func failCode(err, cause error, sent bool) result.Code {
 	switch {
 	case cause == nil && sent && errors.Is(err, syscall.ETIMEDOUT):
--- a/internal/upstream/endless_test.go
+++ b/internal/upstream/endless_test.go
@@ -62,6 +62,7 @@
 			is.True(errors.As(err, &failed))
 			is.Equal(failed.Code, result.AnswerCut)
 			is.True(failed.Sent)
+			is.True(len(failed.Error()) < 500) // errors are logged
 			limit := int64(maxRead)
 			if strings.HasPrefix(tt.first+tt.repeated, "HTTP/1.1 200 OK\r\nX-Id: other") {
 				limit = maxSkipped
