--- a/internal/node/crashes_test.go
+++ b/internal/node/crashes_test.go
@@ -10,7 +10,6 @@
 
 	"github.com/shallotpier/shallotpier/internal/node"
 	"github.com/shallotpier/shallotpier/internal/quarantine"
-	"github.com/shallotpier/shallotpier/pkg/id"
 )
 
 const (
@@ -49,14 +48,7 @@
 			var all []*node.Node
 			run := func(count int) {
 				for range count {
-					n := newNode(t, func(o *node.Options) {
-						o.Self.Instance, o.Self.Zone = id.Instance(fmt.Sprintf("entry-%d", len(all)+1)), id.Zone(fmt.Sprintf("z-%d", len(all)%tt.zones))
-					})
-					for _, other := range all {
-						n.Heartbeats.AddPeer("", other.Self().Peers)
-					}
-					all = append(all, n)
-					go func() { ended <- n.Run(ctx) }()
+					all = append(all, runNext(ctx, t, all, tt.zones, ended))
 				}
 			}
 			run(tt.entries)
--- a/internal/node/limits_test.go
+++ b/internal/node/limits_test.go
@@ -34,17 +34,11 @@
 			var all []*node.Node
 			run := func(count int) {
 				for range count {
-					n := newNode(t, func(o *node.Options) {
-						o.Self.Instance, o.Self.Zone = id.Instance(fmt.Sprintf("entry-%d", len(all)+1)), id.Zone(fmt.Sprintf("z-%d", len(all)%tt.zones))
-					})
+					n := runNext(ctx, t, all, tt.zones, ended)
 					for i := range servers {
 						n.Roster.Put(time.Now(), roster.Server{Name: id.Server(fmt.Sprintf("i-%d", i)), Service: svc, Address: "10.0.0.1:80", Slots: 6, StartedAt: 7})
 					}
-					for _, other := range all {
-						n.Heartbeats.AddPeer("", other.Self().Peers)
-					}
 					all = append(all, n)
-					go func() { ended <- n.Run(ctx) }()
 				}
 			}
 			// known waits until all entries know a limit of all servers.
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -65,6 +65,21 @@
 	return n
 }
 
+// runNext starts an entry that knows others, in one of a number of zones in turn. The end
+// of its run is sent to ended.
+func runNext(ctx context.Context, t *testing.T, others []*node.Node, zones int, ended chan<- error) *node.Node {
+	t.Helper()
+	n := newNode(t, func(o *node.Options) {
+		o.Self.Instance = id.Instance(fmt.Sprintf("entry-%d", len(others)+1))
+		o.Self.Zone = id.Zone(fmt.Sprintf("z-%d", len(others)%zones))
+	})
+	for _, other := range others {
+		n.Heartbeats.AddPeer("", other.Self().Peers)
+	}
+	go func() { ended <- n.Run(ctx) }()
+	return n
+}
+
 func TestReady(t *testing.T) {
 	is := is.New(t)
 	n := newNode(t)
