--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -10,8 +10,8 @@
 //
 // The next server in the object's ranking takes over as owner if the first one
 // failed, is an outlier in its service, or this entry has used up its share of the
-// owner's slow start rate or of the limit that it has named. It also
-// gets the request if the owner has a long queue and it has spare capacity itself.
+// owner's slow start rate or of the limit that it has named. It also gets the request if
+// the owner has a long queue and it has spare capacity itself.
 // The ranking is the same at all entries, so an object that is too hot for one server
 // gets a second one that all entries use. A server that recently handled the object
 // and is less busy gets requests on it as soon as the owner has no free slot. While
--- a/internal/forward/limit_test.go
+++ b/internal/forward/limit_test.go
@@ -69,7 +69,7 @@
 	for refused := 0; refused < 50; refused++ {
 		status, header, _ := f.ask(t.Context(), "/x/1", "body")
 		if status == http.StatusOK {
-			sent, refused = sent+1, -1
+			sent, refused = sent+1, -1 // only refusals in a row count
 			is.True(sent < 100)
 			continue
 		}
--- a/internal/sharedrate/limiter.go
+++ b/internal/sharedrate/limiter.go
@@ -74,12 +74,3 @@
 	}
 	return l.sent[len(l.sent)-quota.Requests].Add(quota.Span)
 }
-
-// Last returns the time of the latest request that is still counted, zero if there is
-// none.
-func (l *Limiter) Last() time.Time {
-	if len(l.sent) == 0 {
-		return time.Time{}
-	}
-	return l.sent[len(l.sent)-1]
-}
