forward: log lines tell one request from many addresses

A send that broke off and isn't counted, as the server takes connections, has a line of its own; it had none. No decision changes.

--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -40,7 +40,7 @@
 	// forwarded, so that a request whose answer is truncated can be retried.
 	maxBufferedAnswer = 256 << 10
 	// maxLogAttrs is the greatest number of attributes of a request's log line.
-	maxLogAttrs = 21
+	maxLogAttrs = 23
 	// maxConnectFailures is how many servers may fail to accept a connection
 	// before a request is refused.
 	maxConnectFailures = 3
@@ -527,7 +527,8 @@
 		attrs = append(attrs, slog.String("route", c.route.Name), slog.Duration("left", time.Until(c.deadline)))
 	}
 	if c.suspected {
-		attrs = append(attrs, slog.String("fingerprint", c.fingerprint().String()), slog.Int("crashes", c.crashes))
+		attrs = append(attrs, slog.String("fingerprint", c.fingerprint().String()), slog.Int("crashes", c.crashes),
+			slog.String("target", strconv.FormatUint(c.targetKey(), 16)), slog.String("caller", c.callerAddress()))
 	}
 	if owner := c.choice.Owner; owner != nil {
 		attrs = append(attrs, slog.String("owner", string(owner.Name)), slog.Float64("ownerBusy", math.Round(10*c.choice.OwnerRequests)/10))
--- a/internal/forward/crash.go
+++ b/internal/forward/crash.go
@@ -7,6 +7,8 @@
 	"net"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/shallotpier/shallotpier/internal/quarantine"
 	"github.com/shallotpier/shallotpier/internal/roster"
 	"github.com/shallotpier/shallotpier/pkg/unit"
@@ -53,6 +55,7 @@
 		defer close(checked)
 		time.Sleep(crashCheckDelay)
 		if c.h.Upstream.CanConnect(context.Background(), m.Address) {
+			c.h.Log.Info("backend server accepts connections after it broke off", "request", c.id, "server", m.Name, "fingerprint", fingerprint, "after", time.Since(start))
 			return
 		}
 		c.h.Quarantine.RecordCrash(time.Now(), fingerprint, origin)
@@ -74,6 +77,19 @@
 	}
 }
 
+// callerAddress returns the caller's IP address.
+func (c *call) callerAddress() string {
+	caller, _, err := net.SplitHostPort(c.r.RemoteAddr)
+	if err != nil {
+		return c.r.RemoteAddr
+	}
+	return caller
+}
+
+// targetKey returns a hash of the host and the request target, which log lines have in
+// place of the target, as that may name persons.
+func (c *call) targetKey() uint64 { return xxhash.Sum64String(c.r.Host + c.r.RequestURI) }
+
 // fingerprint identifies requests that are equal in method, host, path, caller and body.
 // What may differ between repeats is left out: the route's service, the object's cookie
 // and the framing of the body. Only the start of a body that isn't buffered whole counts.
@@ -81,13 +97,9 @@
 	if c.fp != nil {
 		return *c.fp
 	}
-	caller, _, err := net.SplitHostPort(c.r.RemoteAddr)
-	if err != nil {
-		caller = c.r.RemoteAddr
-	}
 	sum := sha256.Sum256(c.body)
 	t := quarantine.Traits{
-		Method: c.r.Method, Path: c.r.Host + c.r.RequestURI, Key: caller, Length: unit.Bytes(len(c.body)), Digest: hex.EncodeToString(sum[:]),
+		Method: c.r.Method, Path: c.r.Host + c.r.RequestURI, Key: c.callerAddress(), Length: unit.Bytes(len(c.body)), Digest: hex.EncodeToString(sum[:]),
 	}
 	fingerprint := t.Fingerprint()
 	c.fp = &fingerprint
