forward, quarantine: crashes count across a caller's addresses

Cause: the fingerprint of a request held the address of its connection as the caller.

Each crash is now recorded for the request with its caller and for the request from any caller. The latter is refused after three crashes of at least two callers, so that a caller whose requests alone crash servers doesn't turn away others; a success clears the request of its own caller and the one of any.

The tests' count of crashes is divided by the two reports of each; it waits for both as before.

--- a/internal/forward/address_test.go
+++ b/internal/forward/address_test.go
@@ -82,3 +82,23 @@
 		})
 	}
 }
+
+// Crashes by the requests of one caller must not turn away equal requests of others, and
+// the success of another caller must not clear those crashes.
+func TestCrashesOfOneCallerConcernThatCallerOnly(t *testing.T) {
+	is := is.New(t)
+	f := start(t, service.Read, "crash", "crash", "crash", "ok")
+	f.route.Attempts = 1
+	for n := range 3 {
+		f.askFrom(t, 0, "/x/8", "")
+		f.waitForCrashes(n + 1)
+		f.freshServers(t)
+	}
+	status, _ := f.askFrom(t, 1, "/x/8", "")
+	is.Equal(status, http.StatusOK)
+	_, code := f.askFrom(t, 0, "/x/8", "")
+	is.Equal(code, result.Quarantined.String())
+	status, _ = f.askFrom(t, 2, "/x/8", "")
+	is.Equal(status, http.StatusOK)
+	is.Equal(f.backend.requests.Load(), int64(5))
+}
--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -40,7 +40,7 @@
 	// forwarded, so that a request whose answer is truncated can be retried.
 	maxBufferedAnswer = 256 << 10
 	// maxLogAttrs is the greatest number of attributes of a request's log line.
-	maxLogAttrs = 23
+	maxLogAttrs = 25
 	// maxConnectFailures is how many servers may fail to accept a connection
 	// before a request is refused.
 	maxConnectFailures = 3
@@ -72,16 +72,24 @@
 		sends        int
 		unconnected  int
 		tried        []id.Server
-		retryGranted bool                    // the retry budget was charged for the next send
-		retryDelay   time.Duration           // Retry-After of a quarantined request, 0 to derive it from the deadline
-		fp           *quarantine.Fingerprint // once computed
-		suspected    bool                    // the fingerprint was looked up in a list that isn't empty
-		crashes      int                     // crash reports of the fingerprint at that time
-		crashChecked chan struct{}           // closed after the check of the last server that broke off
-		key          uint64
-		choice       dispatch.Choice
-		busy         float64
-		slots        int
+		retryGranted bool          // the retry budget was charged for the next send
+		retryDelay   time.Duration // Retry-After of a quarantined request, 0 to derive it from the deadline
+		fingerprints *fingerprints // once computed
+		suspected    bool          // the fingerprints were looked up in a list that isn't empty
+		crashes      int           // crash reports of the caller's fingerprint at that time
+		// sharedCrashes is the number of those of the fingerprint for any caller.
+		sharedCrashes int
+		crashChecked  chan struct{} // closed after the check of the last server that broke off
+		key           uint64
+		choice        dispatch.Choice
+		busy          float64
+		slots         int
+	}
+
+	// fingerprints identify a request in the quarantine list.
+	fingerprints struct {
+		own    quarantine.Fingerprint // of requests of the same caller
+		shared quarantine.Fingerprint // of requests of any caller
 	}
 
 	// reply is a server's answer with the buffered start of its body.
@@ -528,6 +536,7 @@
 	}
 	if c.suspected {
 		attrs = append(attrs, slog.String("fingerprint", c.fingerprint().String()), slog.Int("crashes", c.crashes),
+			slog.String("shared", c.sharedFingerprint().String()), slog.Int("sharedCrashes", c.sharedCrashes),
 			slog.String("target", strconv.FormatUint(c.targetKey(), 16)), slog.String("caller", c.callerAddress()))
 	}
 	if owner := c.choice.Owner; owner != nil {
--- a/internal/forward/crash.go
+++ b/internal/forward/crash.go
@@ -21,12 +21,16 @@
 // quarantined reports whether the request must not be sent because equal ones have
 // crashed servers.
 func (c *call) quarantined() bool {
-	if !c.h.Quarantine.Active() {
+	list := c.h.Quarantine
+	if !list.Active() {
 		return false
 	}
-	now, fingerprint := time.Now(), c.fingerprint()
-	c.suspected, c.crashes = true, c.h.Quarantine.Crashes(now, fingerprint)
-	v := c.h.Quarantine.Check(now, fingerprint)
+	now, own, shared := time.Now(), c.fingerprint(), c.sharedFingerprint()
+	c.suspected, c.crashes, c.sharedCrashes = true, list.Crashes(now, own), list.Crashes(now, shared)
+	v := list.Check(now, own)
+	if !v.Refused {
+		v = list.Check(now, shared)
+	}
 	c.retryDelay = v.RetryAfter
 	return v.Refused
 }
@@ -34,7 +38,7 @@
 // quarantinedMeanwhile reports whether the request must not be sent again. It waits for
 // the check of the server that broke off, if its crash may be the one that is too many.
 func (c *call) quarantinedMeanwhile() bool {
-	if c.crashChecked != nil && c.h.Quarantine.Active() && c.h.Quarantine.Crashes(time.Now(), c.fingerprint()) > 0 {
+	if c.crashChecked != nil && c.crashedBefore() {
 		select {
 		case <-c.crashChecked:
 		case <-c.ctx.Done():
@@ -43,12 +47,18 @@
 	return c.quarantined()
 }
 
+// crashedBefore reports whether there is a crash report of an equal request.
+func (c *call) crashedBefore() bool {
+	list, now := c.h.Quarantine, time.Now()
+	return list.Active() && (list.Crashes(now, c.fingerprint()) > 0 || list.Crashes(now, c.sharedFingerprint()) > 0)
+}
+
 // detectCrash checks in the background whether a server that truncated an answer
 // has crashed, and if so records the request as a possible cause.
 func (c *call) detectCrash(m *roster.Member) {
 	start := time.Now()
 	origin := quarantine.Origin{Service: c.service, Send: c.id + " " + string(m.Name), Server: m.Name, Began: start}
-	fingerprint := c.fingerprint()
+	fingerprint, shared := c.fingerprint(), c.sharedFingerprint()
 	checked := make(chan struct{})
 	c.crashChecked = checked
 	go func() {
@@ -58,10 +68,14 @@
 			c.h.Log.Info("backend server accepts connections after it broke off", "request", c.id, "server", m.Name, "fingerprint", fingerprint, "after", time.Since(start))
 			return
 		}
-		c.h.Quarantine.RecordCrash(time.Now(), fingerprint, origin)
+		list := c.h.Quarantine
+		list.RecordCrash(time.Now(), fingerprint, origin)
+		origin.Of = fingerprint
+		list.RecordCrash(time.Now(), shared, origin)
 		c.h.Metrics.GetOrCreateCounter(`shallotpier_crash_reports_total{from="own"}`).Inc()
 		c.h.Log.Warn("backend server crashed during a request", "request", c.id, "server", m.Name, "fingerprint", fingerprint,
-			"crashes", c.h.Quarantine.Crashes(time.Now(), fingerprint), "quarantined", c.h.Quarantine.Quarantined(time.Now(), fingerprint))
+			"crashes", list.Crashes(time.Now(), fingerprint), "quarantined", list.Quarantined(time.Now(), fingerprint),
+			"shared", shared, "sharedCrashes", list.Crashes(time.Now(), shared), "sharedQuarantined", list.Quarantined(time.Now(), shared))
 	}()
 }
 
@@ -70,10 +84,12 @@
 	if !c.h.Quarantine.Active() {
 		return
 	}
-	now, fingerprint := time.Now(), c.fingerprint()
-	crashes := c.h.Quarantine.Crashes(now, fingerprint)
-	if _, cleared := c.h.Quarantine.Clear(now, fingerprint); cleared {
-		c.h.Log.Info("crash reports cleared by an answer", "request", c.id, "server", c.server, "status", c.status, "fingerprint", fingerprint, "crashes", crashes)
+	for _, fingerprint := range []quarantine.Fingerprint{c.fingerprint(), c.sharedFingerprint()} {
+		now := time.Now()
+		crashes := c.h.Quarantine.Crashes(now, fingerprint)
+		if _, cleared := c.h.Quarantine.Clear(now, fingerprint); cleared {
+			c.h.Log.Info("crash reports cleared by an answer", "request", c.id, "server", c.server, "status", c.status, "fingerprint", fingerprint, "crashes", crashes)
+		}
 	}
 }
 
@@ -94,14 +110,27 @@
 // What may differ between repeats is left out: the route's service, the object's cookie
 // and the framing of the body. Only the start of a body that isn't buffered whole counts.
 func (c *call) fingerprint() quarantine.Fingerprint {
-	if c.fp != nil {
-		return *c.fp
+	c.identify()
+	return c.fingerprints.own
+}
+
+// sharedFingerprint is like fingerprint, but is the same for all callers. The address that
+// stands for a caller is that of one connection: a caller may have several.
+func (c *call) sharedFingerprint() quarantine.Fingerprint {
+	c.identify()
+	return c.fingerprints.shared
+}
+
+// identify computes the fingerprints once.
+func (c *call) identify() {
+	if c.fingerprints != nil {
+		return
 	}
 	sum := sha256.Sum256(c.body)
 	t := quarantine.Traits{
-		Method: c.r.Method, Path: c.r.Host + c.r.RequestURI, Key: c.callerAddress(), Length: unit.Bytes(len(c.body)), Digest: hex.EncodeToString(sum[:]),
+		Method: c.r.Method, Path: c.r.Host + c.r.RequestURI, Length: unit.Bytes(len(c.body)), Digest: hex.EncodeToString(sum[:]),
 	}
-	fingerprint := t.Fingerprint()
-	c.fp = &fingerprint
-	return fingerprint
+	shared := t.Fingerprint()
+	t.Key = c.callerAddress()
+	c.fingerprints = &fingerprints{own: t.Fingerprint(), shared: shared}
 }
--- a/internal/forward/handler_test.go
+++ b/internal/forward/handler_test.go
@@ -32,7 +32,12 @@
 	"github.com/shallotpier/shallotpier/pkg/unit"
 )
 
-const svc = id.Service("registry")
+const (
+	svc = id.Service("registry")
+	// reportsPerCrash is the number of reports of a crash: for the request with its
+	// caller, and for the request from any caller.
+	reportsPerCrash = 2
+)
 
 type (
 	// backend simulates all servers. Each request, to whichever server, takes the
@@ -452,5 +457,5 @@
 	for _, e := range f.handler.Quarantine.Entries(time.Now()) {
 		n += e.Crashes
 	}
-	return n
+	return n / reportsPerCrash
 }
--- a/internal/quarantine/doc.go
+++ b/internal/quarantine/doc.go
@@ -11,6 +11,11 @@
 // crashes ([List.Tolerated]) has no probation: it refuses a fingerprint after one crash
 // more, and a complete answer ends that too.
 //
+// Callers may send equal requests from several addresses, and equal requests of several
+// callers may differ in effect. A crash can therefore be recorded twice: for the request
+// with its caller, and for the request from any caller, with the former as
+// [CrashReport.Of]. The latter is quarantined only after crashes of several callers.
+//
 // Reports may be applied in any order and any number of times: lists with the same
 // reports are equal. An entry finds by [List.Digest] whether another one's list differs,
 // and by [List.ReportIDs] and [List.Missing] what it lacks.
--- a/internal/quarantine/list.go
+++ b/internal/quarantine/list.go
@@ -33,6 +33,9 @@
 		Server id.Server `json:"server,omitempty"`
 		// Instance is the entry that detected the crash.
 		Instance id.Instance `json:"instance"`
+		// Of is the fingerprint of the request with its caller, if Fingerprint is that of
+		// the request from any caller; otherwise it is zero.
+		Of Fingerprint `json:"of,omitzero"`
 		// Service is the request's service.
 		Service id.Service `json:"service,omitempty"`
 		// Class is the request's class.
@@ -58,6 +61,9 @@
 		Server id.Server
 		// Began is the time at which it was begun.
 		Began time.Time
+		// Of is the fingerprint of the request with its caller, if the crash is recorded
+		// for the request from any caller; otherwise it is zero.
+		Of Fingerprint
 	}
 
 	// Verdict is the decision whether a request may be sent.
@@ -208,7 +214,7 @@
 // RecordCrash records that a send crashed a server and returns the report for the
 // other entries.
 func (l *List) RecordCrash(now time.Time, fp Fingerprint, o Origin) CrashReport {
-	report := CrashReport{Fingerprint: fp, Send: o.Send, Server: o.Server, Instance: l.Instance, Service: o.Service, Class: o.Class, Began: o.Began, At: now}
+	report := CrashReport{Fingerprint: fp, Send: o.Send, Server: o.Server, Instance: l.Instance, Of: o.Of, Service: o.Service, Class: o.Class, Began: o.Began, At: now}
 	l.mu.Lock()
 	if s := l.states[fp]; s != nil && !now.After(s.liftedAt) {
 		report.At = s.liftedAt.Add(1) // the lift is of an entry whose clock is ahead
@@ -290,11 +296,18 @@
 
 func (l *List) quarantined(s *state) bool {
 	if l.Tolerated > 0 {
-		return len(s.reports) > l.Tolerated
+		return len(s.reports) > l.Tolerated && !s.ofOneCaller()
 	}
 	return s.quarantined()
 }
 
+// ofOneCaller reports whether the fingerprint is that of requests from any caller, but all
+// of its reports are of one caller. Equal requests of other callers may be harmless.
+func (s *state) ofOneCaller() bool {
+	first := s.reports[0].Of
+	return first != Fingerprint{} && !slices.ContainsFunc(s.reports, func(r CrashReport) bool { return r.Of != first })
+}
+
 // quarantined reports whether a send crashed a server that was begun after another
 // one had crashed a server. Concurrent sends count as one crash: an outage of several
 // servers may have interrupted all of them.
