crashcheck, forward: cut links are no crashes

A request whose send broke off was blamed for the crash of its server if a new connection failed. Since crashes count across addresses, it would refuse the read for all callers.

A crash is now recorded only if another server, of the same zone if possible, takes a connection while this one doesn't; checks of one server at the same time share that comparison. A server known to have ended gets no request until it takes a connection. Without another server that is thought to be reachable the send counts as before, so that a service of one server is protected.

TestCrashDuringUploadIsCountedAtOnce has one server in its roster instead of three names that all stood for one listener, since no other server could be reached there.

--- a/internal/forward/crash.go
+++ b/internal/forward/crash.go
@@ -4,19 +4,26 @@
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
+	"math/rand/v2"
 	"net"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/shallotpier/shallotpier/internal/crashcheck"
 	"github.com/shallotpier/shallotpier/internal/quarantine"
 	"github.com/shallotpier/shallotpier/internal/roster"
 	"github.com/shallotpier/shallotpier/pkg/unit"
 )
 
-// crashCheckDelay is the time between a truncated answer and the connection check
-// of its server: a server that has crashed refuses the connection.
-const crashCheckDelay = 30 * time.Millisecond
+const (
+	// crashCheckDelay is the time between a truncated answer and the connection check
+	// of its server: a server that has crashed refuses the connection.
+	crashCheckDelay = 30 * time.Millisecond
+	// maxCompared is the maximum number of other servers that are checked if the
+	// connection fails. One may have ended unnoticed.
+	maxCompared = 3
+)
 
 // quarantined reports whether the request must not be sent because equal ones have
 // crashed servers.
@@ -64,10 +71,12 @@
 	go func() {
 		defer close(checked)
 		time.Sleep(crashCheckDelay)
-		if c.h.Upstream.CanConnect(context.Background(), m.Address) {
-			c.h.Log.Info("backend server accepts connections after it broke off", "request", c.id, "server", m.Name, "fingerprint", fingerprint, "after", time.Since(start))
+		verdict := c.h.CrashChecks.Check(context.Background(), checkTarget(m), c.h.reachableBeside(m))
+		if verdict != crashcheck.Ended {
+			c.h.Log.Info("backend server broke off, no crash recorded", "request", c.id, "server", m.Name, "fingerprint", fingerprint, "verdict", verdict, "after", time.Since(start))
 			return
 		}
+		c.h.Dispatcher.Roster.RecordEnd(time.Now(), m)
 		list := c.h.Quarantine
 		list.RecordCrash(time.Now(), fingerprint, origin)
 		origin.Of = fingerprint
@@ -79,6 +88,30 @@
 	}()
 }
 
+// reachableBeside returns other servers of a server's service that are thought to be
+// reachable: some of its availability zone, or of others if that has none.
+func (h *Handler) reachableBeside(m *roster.Member) []crashcheck.Target {
+	var near, far []crashcheck.Target
+	members := h.Dispatcher.Roster.View().Members(m.Service)
+	for _, i := range rand.Perm(len(members)) {
+		switch other := members[i]; {
+		case other.Name == m.Name || !other.Reachable():
+		case other.Zone == m.Zone:
+			near = append(near, checkTarget(other))
+		default:
+			far = append(far, checkTarget(other))
+		}
+	}
+	if len(near) == 0 {
+		near = far
+	}
+	return near[:min(len(near), maxCompared)]
+}
+
+func checkTarget(m *roster.Member) crashcheck.Target {
+	return crashcheck.Target{Name: m.Name, Address: m.Address}
+}
+
 // clearCrashes clears the crash reports of a request that a server has completed.
 func (c *call) clearCrashes() {
 	if !c.h.Quarantine.Active() {
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -15,7 +15,7 @@
 //
 //	h := &forward.Handler{
 //		Config: current.Load, Dispatcher: &dispatch.Dispatcher{Roster: r},
-//		Upstream: client, Quarantine: list, RetryLimits: limits, Leaving: leaving,
+//		Upstream: client, Quarantine: list, CrashChecks: checker, RetryLimits: limits, Leaving: leaving,
 //		Headers: names, Load: loadReport, StoreAge: age, Log: log, Metrics: set,
 //	}
 //	http.Serve(listener, h)
@@ -32,6 +32,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"github.com/shallotpier/shallotpier/internal/crashcheck"
 	"github.com/shallotpier/shallotpier/internal/dispatch"
 	"github.com/shallotpier/shallotpier/internal/linger"
 	"github.com/shallotpier/shallotpier/internal/quarantine"
@@ -94,6 +95,8 @@
 		Upstream *upstream.Client
 		// Quarantine blocks requests that crash servers.
 		Quarantine *quarantine.List
+		// CrashChecks tells servers that have ended from servers out of reach.
+		CrashChecks *crashcheck.Checker
 		// RetryLimits returns the current limits on retries.
 		RetryLimits func() RetryLimits
 		// Leaving reports whether the entry is shutting down, so that callers are
--- a/internal/forward/handler_test.go
+++ b/internal/forward/handler_test.go
@@ -20,6 +20,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/matryer/is"
 
+	"github.com/shallotpier/shallotpier/internal/crashcheck"
 	"github.com/shallotpier/shallotpier/internal/dispatch"
 	"github.com/shallotpier/shallotpier/internal/forward"
 	"github.com/shallotpier/shallotpier/internal/quarantine"
@@ -113,6 +114,9 @@
 	case "crash":
 		b.crash(c)
 		return false
+	case "links cut":
+		b.cutLinks()
+		return false
 	case "short, crash":
 		_, _ = io.WriteString(c, ok+"Content-Length: 3\r\n\r\no")
 		b.crash(c)
@@ -140,6 +144,15 @@
 	}
 }
 
+// cutLinks closes the listeners of all servers.
+func (b *backend) cutLinks() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, l := range b.listeners {
+		l.Close()
+	}
+}
+
 func (b *backend) serve(c net.Conn) {
 	defer c.Close()
 	br := bufio.NewReader(c)
@@ -188,6 +201,9 @@
 		StoreAge: func() time.Duration { return 0 },
 		Log:      slog.New(slog.DiscardHandler), Metrics: metrics.NewSet(),
 	}
+	f.handler.CrashChecks = &crashcheck.Checker{Connect: func(ctx context.Context, address string) bool {
+		return f.handler.Upstream.CanConnect(ctx, address)
+	}}
 	f.Server = httptest.NewServer(f.handler)
 	t.Cleanup(f.Close)
 	return f
--- a/internal/forward/stall_test.go
+++ b/internal/forward/stall_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/shallotpier/shallotpier/internal/roster"
 	"github.com/shallotpier/shallotpier/internal/upstream"
 	"github.com/shallotpier/shallotpier/pkg/service"
 )
@@ -26,6 +27,7 @@
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
 	defer l.Close()
+	f.roster.Replace(time.Now(), []roster.Server{{Name: "i-0", Service: svc, Address: l.Addr().String(), Slots: 6}})
 	f.handler.Upstream = &upstream.Client{
 		Dial: func(ctx context.Context, _ string) (net.Conn, error) {
 			return new(net.Dialer).DialContext(ctx, "tcp", l.Addr().String())
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -31,6 +31,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/rotisserie/eris"
 
+	"github.com/shallotpier/shallotpier/internal/crashcheck"
 	"github.com/shallotpier/shallotpier/internal/crashreports"
 	"github.com/shallotpier/shallotpier/internal/directory"
 	"github.com/shallotpier/shallotpier/internal/dispatch"
@@ -184,7 +185,7 @@
 	n.dispatcher = &dispatch.Dispatcher{Roster: n.Roster, Region: o.Self.Region}
 	n.handler = &forward.Handler{
 		Config: n.forwardConfig, Dispatcher: n.dispatcher, Upstream: n.upstream,
-		Quarantine: n.Quarantine, RetryLimits: n.retryLimits, Leaving: n.leaving.Load, Headers: o.Headers, Load: o.Load, Limit: o.Limit,
+		Quarantine: n.Quarantine, CrashChecks: &crashcheck.Checker{Connect: n.upstream.CanConnect}, RetryLimits: n.retryLimits, Leaving: n.leaving.Load, Headers: o.Headers, Load: o.Load, Limit: o.Limit,
 		StoreAge: n.storeAge, Log: o.Log, Metrics: o.Metrics,
 	}
 	n.peers.Self = peer.Sender{Instance: o.Self.Instance, Incarnation: o.Self.Incarnation}
--- a/internal/roster/check.go
+++ b/internal/roster/check.go
@@ -44,6 +44,18 @@
 	m.zone.succeeded(now)
 }
 
+// RecordEnd records that a server has ended. It gets no request until it takes a
+// connection again.
+func (r *Roster) RecordEnd(now time.Time, m *Member) {
+	m.state.mu.Lock()
+	defer m.state.mu.Unlock()
+	if !m.state.connectFailed.IsZero() && m.state.health.Ejected() {
+		return
+	}
+	m.state.connectFailed = now
+	m.state.health.Observe(now, health.ConnectFailed)
+}
+
 // startCheck reports whether the server is due for a check, and marks the check as
 // running.
 func (m *Member) startCheck(now time.Time) bool {
