soak: a crashing request comes from several addresses

In half of the runs with such a request, at random for each send, from up to 12 addresses. The draws have a stream of their own, chosen so that the kept seeds stay as they are.

--- a/internal/soak/crashing.go
+++ b/internal/soak/crashing.go
@@ -27,6 +27,10 @@
 	leastMaxPause       = 500 * time.Millisecond
 	maxCrashingPause    = 2500 * time.Millisecond
 	maxCrashingBodySize = 100_000
+	// severalAddressesProbability is the probability with which such a request comes
+	// from several addresses, at most maxAddresses, in random order.
+	severalAddressesProbability = 0.5
+	maxAddresses                = 12
 	// minDowntime and maxDowntime bound the time until a crashed server is back.
 	minDowntime = time.Second
 	maxDowntime = 3 * time.Second
@@ -49,9 +53,10 @@
 // repeats it unchanged at any entry.
 type crashingRequest struct {
 	attempt
-	source   string // IP address of its caller
-	maxPause time.Duration
-	rng      *rand.Rand
+	sources    []string // IP addresses of its caller
+	maxPause   time.Duration
+	rng        *rand.Rand
+	addressRNG *rand.Rand
 }
 
 // newCrashingRequest returns the crashing request of the run, nil if it has none.
@@ -61,9 +66,14 @@
 		return nil
 	}
 	c := &crashingRequest{
-		rng: rng, source: fmt.Sprintf("127.0.0.%d", 2+rng.IntN(200)),
+		rng: rng, sources: []string{fmt.Sprintf("127.0.0.%d", 2+rng.IntN(200))}, addressRNG: rand.New(rand.NewPCG(s.options.Seed, addressStream)),
 		maxPause: leastMaxPause + time.Duration(rng.Int64N(int64(maxCrashingPause-leastMaxPause))),
 	}
+	if c.addressRNG.Float64() < severalAddressesProbability {
+		for range 1 + c.addressRNG.IntN(maxAddresses-1) {
+			c.sources = append(c.sources, fmt.Sprintf("127.0.1.%d", 1+c.addressRNG.IntN(250)))
+		}
+	}
 	c.method, c.path, c.crashing = http.MethodGet, "/read/crash", true
 	if rng.IntN(2) == 0 {
 		c.method, c.path = http.MethodPost, "/write/crash"
@@ -91,11 +101,15 @@
 
 // run sends the request again and again until ctx ends.
 func (c *crashingRequest) run(ctx context.Context, s *soak) {
-	dialer := &net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(c.source)}}
-	client := &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, DisableCompression: true}, Timeout: requestDeadline}
-	defer client.CloseIdleConnections()
+	var clients []*http.Client
+	for _, source := range c.sources {
+		dialer := &net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(source)}}
+		client := &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, DisableCompression: true}, Timeout: requestDeadline}
+		defer client.CloseIdleConnections()
+		clients = append(clients, client)
+	}
 	for i := 0; ctx.Err() == nil; i++ {
-		a := c.attempt
+		a, client := c.attempt, clients[c.addressRNG.IntN(len(clients))]
 		a.id, a.entry = fmt.Sprintf("crash-%d", i), s.entries[c.rng.IntN(len(s.entries))]
 		a.chunked = a.payload != "" && c.rng.IntN(2) == 0
 		if c.rng.IntN(2) == 0 {
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -8,7 +8,7 @@
 // fails, stalls watches, discards its history or is restored from an older copy;
 // servers crash, slow down, reject requests, lose responses, drain, and restart under
 // other names; configurations change and zones are evacuated. In some runs one caller
-// repeats a request that crashes every server that runs it; in others servers name
+// repeats a request that crashes every server that runs it, from one address or several; in others servers name
 // limits, which rise, fall and end.
 //
 // A run terminates only processes that it started. [Run] returns an error if the run
@@ -67,6 +67,9 @@
 	firstCallerStream
 	// limitStream leaves the streams of the callers as they are.
 	limitStream uint64 = 1 << 32
+	// addressStream leaves the streams of the callers as they are, and the requests of
+	// failed seeds at one address.
+	addressStream uint64 = 2439 << 32
 )
 
 type (
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -36,6 +36,11 @@
 		// Reports of the other requests on a crashed server displace that of the
 		// request that crashes it; these stay refused.
 		"crashing_read_beside_others": 1027,
+		// Crashes under a request from several addresses are counted by address.
+		"crashing_read_from_several_addresses":                11006,
+		"crashing_write_from_several_addresses":               11009,
+		"crashing_read_from_several_addresses_in_a_long_run":  11010,
+		"crashing_write_from_several_addresses_in_a_long_run": 11011,
 		// Copies of a frequent read on one crashed server count as several crashes.
 		"frequent_read_on_a_crashed_server":                    2057,
 		"frequent_read_on_a_server_crashed_by_another_read":    2035,
