heartbeat, node: entries report which share of the servers they can't reach

Log lines say when it changes by a quarter, begins or ends; a gauge shows it; heartbeats of the latest format carry it. It isn't relayed between zones. No decision uses it yet.

--- a/internal/heartbeat/detector.go
+++ b/internal/heartbeat/detector.go
@@ -98,6 +98,9 @@
 		CrashDigest quarantine.Digest `cbor:"13,keyasint,omitempty"`
 		// Limits holds reports of limits that servers have named.
 		Limits []serverlimit.Report `cbor:"14,keyasint,omitempty"`
+		// Unreached is the share of the servers of each service that the entry can't
+		// reach, for services of which it doesn't reach all.
+		Unreached map[id.Service]float64 `cbor:"15,keyasint,omitempty"`
 	}
 
 	// Update is the content of a heartbeat beside the liveness of entries.
@@ -388,7 +391,11 @@
 	if r.Node.Incarnation < p.node.Incarnation {
 		return
 	}
-	d.apply(now, p, &r.Node, now.Add(-r.Age))
+	n := r.Node
+	if n.Incarnation == p.node.Incarnation {
+		n.Unreached = p.node.Unreached // is not relayed
+	}
+	d.apply(now, p, &n, now.Add(-r.Age))
 }
 
 // apply applies an entry's state as of the time at. It reports whether this changes
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -170,7 +170,11 @@
 		peers         rpc.Node
 		crashReports  crashreports.Exchange
 		limits        *serverlimit.Table
-		wg            sync.WaitGroup
+		// unreached is the share of the servers of each service that the entry can't reach.
+		unreached atomic.Pointer[map[id.Service]float64]
+		// loggedUnreached holds the shares in the latest log lines; used by tick only.
+		loggedUnreached map[id.Service]float64
+		wg              sync.WaitGroup
 	}
 )
 
@@ -241,6 +245,7 @@
 func (n *Node) Self() heartbeat.Node {
 	self := n.options.Self
 	self.Ready = n.Ready()
+	self.Unreached = n.unreachedServers()
 	self.Changes = n.options.Store.Changes()
 	self.StoreAvailableFor = n.options.Store.AvailableFor(follow.Servers, time.Now())
 	self.CrashDigest = n.Quarantine.Digest(time.Now())
@@ -332,6 +337,7 @@
 // few enough to be labels, unlike routes.
 func (n *Node) serviceGauges(services map[id.Service]roster.ServiceConfig) {
 	for name := range services {
+		n.reachGauge(name)
 		n.options.Metrics.GetOrCreateGauge(fmt.Sprintf(`shallotpier_servers{service=%q,state="usable"}`, name), func() float64 {
 			return float64(len(n.Roster.View().Members(name)))
 		})
@@ -447,6 +453,7 @@
 			return
 		case now := <-t.C:
 			n.Roster.Step(now)
+			n.updateReach()
 			if n.mayUseColdRates(now) {
 				n.Roster.SetEntries(n.options.Self.Peers, n.Heartbeats.KnownPeers())
 			}
--- /dev/null
+++ b/internal/node/reach.go
@@ -0,0 +1,75 @@
+package node
+
+import (
+	"fmt"
+	"maps"
+	"math"
+	"slices"
+
+	"github.com/shallotpier/shallotpier/pkg/id"
+)
+
+// reachStep is the difference of a share of servers out of reach from which it is logged.
+const reachStep = 0.25
+
+// updateReach determines the share of the servers of each service that the entry can't
+// reach. Services of which it reaches all are left out.
+func (n *Node) updateReach() {
+	unreached := make(map[id.Service]float64)
+	view := n.Roster.View()
+	for _, svc := range view.Services() {
+		members, missed := view.Members(svc), 0
+		for _, m := range members {
+			if !m.Reachable() {
+				missed++
+			}
+		}
+		if missed > 0 {
+			// Rounded, so that a heartbeat stays short.
+			unreached[svc] = math.Round(100*float64(missed)/float64(len(members))) / 100
+		}
+	}
+	n.unreached.Store(&unreached)
+	n.logReach(unreached)
+}
+
+// logReach logs the services whose share has changed much since the last line. It is
+// called by tick only.
+func (n *Node) logReach(unreached map[id.Service]float64) {
+	services := slices.Collect(maps.Keys(unreached))
+	for svc := range n.loggedUnreached {
+		if unreached[svc] == 0 {
+			services = append(services, svc)
+		}
+	}
+	slices.Sort(services)
+	for _, svc := range services {
+		before, now := n.loggedUnreached[svc], unreached[svc]
+		if math.Abs(now-before) < reachStep && (now == 0) == (before == 0) {
+			continue
+		}
+		n.options.Log.Info("servers out of reach", "service", svc, "shareBefore", before, "share", now, "servers", len(n.Roster.View().Members(svc)))
+		if n.loggedUnreached == nil {
+			n.loggedUnreached = make(map[id.Service]float64)
+		}
+		n.loggedUnreached[svc] = now
+		if now == 0 {
+			delete(n.loggedUnreached, svc)
+		}
+	}
+}
+
+// unreachedServers returns the result of the last updateReach.
+func (n *Node) unreachedServers() map[id.Service]float64 {
+	if u := n.unreached.Load(); u != nil {
+		return *u
+	}
+	return nil
+}
+
+// reachGauge registers the gauge of the share of a service's servers out of reach.
+func (n *Node) reachGauge(svc id.Service) {
+	n.options.Metrics.GetOrCreateGauge(fmt.Sprintf(`shallotpier_servers_unreached{service=%q}`, svc), func() float64 {
+		return n.unreachedServers()[svc]
+	})
+}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -145,6 +145,9 @@
 // The caller must not change the slice.
 func (v *View) Members(svc id.Service) []*Member { return v.services[svc] }
 
+// Services returns the services that have eligible servers, by name.
+func (v *View) Services() []id.Service { return slices.Sorted(maps.Keys(v.services)) }
+
 // Servers returns the registrations of all known servers, including those that are
 // leaving, by name.
 func (r *Roster) Servers(now time.Time) []Server {
