relay, forward, node: an entry without links passes requests on

Cause: an entry sent to servers over its own links only, and nothing told loss of links from servers that are down. It knew within 0.2 to 3.6 s that it reached no zone, and refused what others could serve. Ruled out: servers down (all others served), and late notice as the only cause (none served up to 12 s after the cut).

--- a/internal/forward/body.go
+++ b/internal/forward/body.go
@@ -12,11 +12,13 @@
 // streamedBody is a body that is too long to be buffered before it is sent.
 type streamedBody struct {
 	io.Reader
+	begun     atomic.Bool // a part was read
 	overLimit atomic.Bool
 }
 
 // Read reads from the body.
 func (b *streamedBody) Read(p []byte) (int, error) {
+	b.begun.Store(true)
 	n, err := b.Reader.Read(p)
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -10,6 +10,7 @@
 	"math/rand/v2"
 	"net/http"
 	"os"
+	"slices"
 	"strconv"
 	"time"
 
@@ -40,7 +41,7 @@
 	// forwarded, so that a request whose answer is truncated can be retried.
 	maxBufferedAnswer = 256 << 10
 	// maxLogAttrs is the greatest number of attributes of a request's log line.
-	maxLogAttrs = 25
+	maxLogAttrs = 27
 	// maxConnectFailures is how many servers may fail to accept a connection
 	// before a request is refused.
 	maxConnectFailures = 3
@@ -65,9 +66,18 @@
 		stream  *streamedBody
 		length  int64
 
+		// origin is set if another entry has passed the request on, passedOn if this
+		// entry has tried to.
+		origin     *origin
+		passedOn   bool
+		mayHaveRun bool // a send failed of which it isn't known whether it ran
+		// connectTook is how long the last connection that failed took.
+		connectTook time.Duration
+
 		// The outcome, for the answer and the log line.
 		code         result.Code
 		status       int
+		relay        id.Instance // the entry that has answered instead
 		server       id.Server
 		sends        int
 		unconnected  int
@@ -92,10 +102,10 @@
 		shared quarantine.Fingerprint // of requests of any caller
 	}
 
-	// reply is a server's answer with the buffered start of its body.
+	// reply is an answer with the buffered start of its body.
 	reply struct {
 		*upstream.Answer
-		member   *roster.Member
+		member   *roster.Member // nil if another entry has answered
 		buffered []byte
 		complete bool
 	}
@@ -140,6 +150,9 @@
 func (c *call) idempotent() bool { return c.route.Kind == service.Read }
 
 func (c *call) pickService() id.Service {
+	if c.origin != nil && slices.ContainsFunc(c.route.Parts, func(p route.Part) bool { return p.Service == c.origin.service }) {
+		return c.origin.service
+	}
 	if len(c.route.Parts) == 1 {
 		return c.route.Parts[0].Service
 	}
@@ -168,6 +181,9 @@
 			c.refuse(code)
 			return
 		}
+		if c.linksLost() && c.passOn() {
+			return
+		}
 		req.Tried, req.Left = c.tried, time.Until(c.deadline)
 		c.choice = c.h.Dispatcher.Choose(time.Now(), req)
 		if c.choice.Limited != nil {
@@ -175,6 +191,9 @@
 		}
 		m := c.choice.Server
 		if m == nil {
+			if c.choice.Reason == dispatch.NoServer && c.passOn() {
+				return
+			}
 			if failed == 0 {
 				failed = noServerCode(c.choice.Reason)
 			}
@@ -189,7 +208,12 @@
 		}
 		code = c.stream.failureCode(code)
 		failed = code
-		if !c.retryGranted && !c.mayRetry(code) {
+		c.mayHaveRun = c.mayHaveRun || code.Ran() != result.No
+		retry := c.retryGranted || c.mayRetry(code)
+		if code == result.ConnectFailed && (!retry || c.lastConnection()) && c.passOn() {
+			return
+		}
+		if !retry {
 			c.refuse(code)
 			return
 		}
@@ -204,6 +228,17 @@
 	}
 }
 
+// linksLost reports whether the entry itself can't reach most servers of the service.
+func (c *call) linksLost() bool {
+	return c.h.Relays != nil && c.origin == nil && !c.passedOn && c.h.Relays.LinksLost(c.service)
+}
+
+// lastConnection reports whether a connection has hung and too little time is left for
+// another one that hangs and a send after it.
+func (c *call) lastConnection() bool {
+	return c.connectTook >= c.h.Upstream.ConnectTimeout && time.Until(c.deadline) < 2*c.h.Upstream.ConnectTimeout
+}
+
 // noServerCode returns the result code of a request for which no server was chosen.
 func noServerCode(reason dispatch.Reason) result.Code {
 	switch reason {
@@ -257,7 +292,7 @@
 	start := time.Now()
 	c.server, c.tried = m.Name, append(c.tried, m.Name)
 	ans, err := c.h.Upstream.Send(c.sendCtx, &upstream.Request{
-		Server: m.Name, Address: m.Address, HTTP: c.outgoing(m), ID: c.id, Idempotent: c.idempotent(),
+		Server: m.Name, Address: m.Address, HTTP: c.outgoingTo(m), ID: c.id, Idempotent: c.idempotent(),
 	})
 	if err != nil {
 		return nil, c.recordSendError(m, start, asSendError(err))
@@ -283,6 +318,9 @@
 			c.h.budget(c.service).CountFirst(time.Now())
 		}
 	}
+	if failed.Code == result.ConnectFailed {
+		c.connectTook = time.Since(start)
+	}
 	o := roster.Outcome{Event: health.EventOf(failed.Code), Failed: true}
 	if failed.Code == result.AnswerLate {
 		o.Latency = time.Since(start)
@@ -326,6 +364,12 @@
 			return result.AnswerCut
 		}
 	}
+	return c.buffer(rep)
+}
+
+// buffer reads the start of an answer, so that one that breaks off there isn't forwarded.
+// It returns 0, or the code of the failure.
+func (c *call) buffer(rep *reply) result.Code {
 	if rep.Length > maxBufferedAnswer {
 		return 0
 	}
@@ -339,7 +383,7 @@
 
 // brokenOff records an answer that broke off with a code, and returns the code.
 func (c *call) brokenOff(rep *reply, code result.Code) result.Code {
-	if code == result.AnswerCut {
+	if code == result.AnswerCut && rep.member != nil {
 		c.detectCrash(rep.member)
 	}
 	return code
@@ -356,8 +400,15 @@
 	}
 }
 
-// outgoing returns the request to send to a server.
-func (c *call) outgoing(m *roster.Member) *http.Request {
+// outgoingTo returns the request to send to a server.
+func (c *call) outgoingTo(m *roster.Member) *http.Request {
+	out := c.outgoing()
+	out.Header.Set(c.h.Headers.Expect, string(m.Name))
+	return out
+}
+
+// outgoing returns the request to send on.
+func (c *call) outgoing() *http.Request {
 	out := &http.Request{
 		Method: c.r.Method, URL: target(c.r), Host: c.r.Host, Header: make(http.Header, len(c.r.Header)+2),
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
@@ -369,7 +420,6 @@
 	}
 	left := max(time.Until(c.deadline).Milliseconds(), 1)
 	out.Header.Set(c.h.Headers.Deadline, strconv.FormatInt(left, 10))
-	out.Header.Set(c.h.Headers.Expect, string(m.Name))
 	switch {
 	case c.stream != nil:
 		out.Body, out.ContentLength = io.NopCloser(c.stream), c.length
@@ -385,6 +435,9 @@
 func (c *call) writeAnswer(rep *reply) {
 	defer rep.Close()
 	c.code, c.status = result.Served, rep.Status
+	if rep.member == nil {
+		c.code = relayedCode(rep.Header)
+	}
 	success := rep.Status < http.StatusMultipleChoices
 	if success && rep.complete {
 		c.clearCrashes()
@@ -401,7 +454,9 @@
 			c.clearCrashes()
 		}
 	}
-	rep.member.End(time.Now(), c.outcome(rep, c.code))
+	if rep.member != nil {
+		rep.member.End(time.Now(), c.outcome(rep, c.code))
+	}
 	if truncated {
 		// The caller's connection is aborted, so that the answer doesn't look complete.
 		panic(http.ErrAbortHandler)
@@ -545,6 +600,9 @@
 	if limited := c.choice.Limited; limited != nil {
 		attrs = append(attrs, slog.String("limited", string(limited.Name)))
 	}
+	if c.origin != nil || c.relay != "" {
+		attrs = append(attrs, slog.Bool("relayed", c.origin != nil), slog.String("relay", string(c.relay)))
+	}
 	if c.choice.Reason != "" {
 		attrs = append(attrs, slog.String("service", string(c.service)), slog.String("object", strconv.FormatUint(c.key, 16)),
 			slog.String("choice", string(c.choice.Reason)), slog.String("server", string(c.server)),
--- a/internal/forward/crash.go
+++ b/internal/forward/crash.go
@@ -128,6 +128,9 @@
 
 // callerAddress returns the caller's IP address.
 func (c *call) callerAddress() string {
+	if c.origin != nil {
+		return c.origin.caller
+	}
 	caller, _, err := net.SplitHostPort(c.r.RemoteAddr)
 	if err != nil {
 		return c.r.RemoteAddr
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -97,6 +97,11 @@
 		Quarantine *quarantine.List
 		// CrashChecks tells servers that have ended from servers out of reach.
 		CrashChecks *crashcheck.Checker
+		// Relays selects the entries that requests are passed on to if this one can't
+		// reach servers; nil to pass none on.
+		Relays Relays
+		// RelayClient sends requests to other entries.
+		RelayClient *upstream.Client
 		// RetryLimits returns the current limits on retries.
 		RetryLimits func() RetryLimits
 		// Leaving reports whether the entry is shutting down, so that callers are
@@ -128,14 +133,19 @@
 
 // ServeHTTP answers one request.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	l := linger.Handler{Next: http.HandlerFunc(h.serve)}
+	l := linger.Handler{Next: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { h.serve(w, r, nil) })}
 	l.ServeHTTP(w, r)
 }
 
-func (h *Handler) serve(w http.ResponseWriter, r *http.Request) {
+// serve answers one request. The origin is nil if it came from the caller itself.
+func (h *Handler) serve(w http.ResponseWriter, r *http.Request, o *origin) {
 	h.running.Add(1)
 	defer h.running.Add(-1)
-	c := &call{h: h, w: w, r: r, start: time.Now(), id: r.Header.Get(h.Headers.RequestID)}
+	c := &call{h: h, w: w, r: r, start: time.Now(), id: r.Header.Get(h.Headers.RequestID), origin: o}
+	if o != nil {
+		c.sends = o.sends
+		h.Metrics.GetOrCreateCounter(`shallotpier_relayed_total{direction="in"}`).Inc()
+	}
 	defer c.finish()
 	if h.Leaving() {
 		w.Header().Set("Connection", "close")
--- /dev/null
+++ b/internal/forward/relay.go
@@ -0,0 +1,123 @@
+package forward
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/shallotpier/shallotpier/internal/heartbeat"
+	"github.com/shallotpier/shallotpier/internal/linger"
+	"github.com/shallotpier/shallotpier/internal/upstream"
+	"github.com/shallotpier/shallotpier/pkg/id"
+	"github.com/shallotpier/shallotpier/pkg/result"
+)
+
+// Headers of a request that an entry passes on to another one.
+const (
+	// relayCaller holds the address of the caller.
+	relayCaller = "Shallotpier-Relay-Caller"
+	// relayService holds the service that the first entry has picked.
+	relayService = "Shallotpier-Relay-Service"
+	// relaySends holds the number of sends to servers that the first entry has made.
+	relaySends = "Shallotpier-Relay-Sends"
+)
+
+type (
+	// Relays selects the entries to pass a request on to.
+	Relays interface {
+		// LinksLost reports whether the entry can't reach most servers of a service.
+		LinksLost(svc id.Service) bool
+		// Entries returns the entries that can, in order, in allowed regions only.
+		Entries(now time.Time, svc id.Service, allows func(id.Region) bool) []heartbeat.Node
+	}
+
+	// origin describes the request that another entry has passed on.
+	origin struct {
+		caller  string
+		service id.Service
+		sends   int
+	}
+)
+
+// Relayed returns the handler for requests that other entries pass on. It must not be
+// reachable for callers. Requests are not passed on again.
+func (h *Handler) Relayed() http.Handler {
+	return &linger.Handler{Next: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		sends, err := strconv.Atoi(r.Header.Get(relaySends))
+		if err != nil || sends < 0 {
+			w.WriteHeader(http.StatusBadRequest)
+			return
+		}
+		o := &origin{caller: r.Header.Get(relayCaller), service: id.Service(r.Header.Get(relayService)), sends: sends}
+		for _, name := range []string{relayCaller, relayService, relaySends} {
+			r.Header.Del(name)
+		}
+		h.serve(w, r, o)
+	})}
+}
+
+// passOn passes the request on to another entry that reaches more servers, and reports
+// whether that gave the final answer. A failed entry is followed by another one only if
+// nothing was sent to it.
+func (c *call) passOn() bool {
+	if c.origin != nil || c.passedOn || c.h.Relays == nil || c.stream != nil && c.stream.begun.Load() {
+		return false
+	}
+	c.passedOn = true
+	for _, e := range c.h.Relays.Entries(time.Now(), c.service, c.route.Allows) {
+		ans, err := c.h.RelayClient.Send(c.sendCtx, &upstream.Request{
+			Server: id.Server(e.Instance), Address: e.Relay.String(), HTTP: c.relayRequest(), ID: c.id, Idempotent: c.idempotent(),
+		})
+		if err != nil {
+			failed := asSendError(err)
+			c.h.Log.Info("request not passed on", "request", c.id, "instance", e.Instance, "code", failed.Code, "sent", failed.Sent, "err", failed.Err)
+			if failed.Code == result.ConnectFailed && !failed.Sent {
+				continue
+			}
+			if c.mayHaveRun && failed.Code.Ran() == result.No {
+				failed.Code = result.AnswerCut
+			}
+			c.refuse(c.stream.failureCode(failed.Code))
+			return true
+		}
+		c.relay = e.Instance
+		c.h.Metrics.GetOrCreateCounter(`shallotpier_relayed_total{direction="out"}`).Inc()
+		c.writeRelayed(ans)
+		return true
+	}
+	return false
+}
+
+// relayRequest returns the request to send to another entry.
+func (c *call) relayRequest() *http.Request {
+	out := c.outgoing()
+	out.Header.Set(relayCaller, c.callerAddress())
+	out.Header.Set(relayService, string(c.service))
+	out.Header.Set(relaySends, strconv.Itoa(c.sends))
+	return out
+}
+
+// writeRelayed forwards the answer that another entry has given.
+func (c *call) writeRelayed(ans *upstream.Answer) {
+	rep := &reply{Answer: ans}
+	if code := c.buffer(rep); code != 0 {
+		ans.Close()
+		c.refuse(code)
+		return
+	}
+	if c.mayHaveRun && impliesNotRun(rep.Status) {
+		// True for the other entry alone.
+		ans.Close()
+		c.refuse(result.AnswerCut)
+		return
+	}
+	c.writeAnswer(rep)
+}
+
+// relayedCode returns the result code of an answer that another entry has given.
+func relayedCode(h http.Header) result.Code {
+	if n, err := strconv.Atoi(h.Get(result.HeaderCode)); err == nil {
+		return result.Code(n)
+	}
+	return result.Served
+}
--- a/internal/heartbeat/detector.go
+++ b/internal/heartbeat/detector.go
@@ -101,6 +101,9 @@
 		// Unreached is the share of the servers of each service that the entry can't
 		// reach, for services of which it doesn't reach all.
 		Unreached map[id.Service]float64 `cbor:"15,keyasint,omitempty"`
+		// Relay is its address for requests that other entries pass on, invalid if it
+		// takes none. In contrast to the fields before, it is relayed.
+		Relay netip.AddrPort `cbor:"16,keyasint,omitzero"`
 	}
 
 	// Update is the content of a heartbeat beside the liveness of entries.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -41,6 +41,7 @@
 	"github.com/shallotpier/shallotpier/internal/peer"
 	"github.com/shallotpier/shallotpier/internal/peer/rpc"
 	"github.com/shallotpier/shallotpier/internal/quarantine"
+	"github.com/shallotpier/shallotpier/internal/relay"
 	"github.com/shallotpier/shallotpier/internal/retry"
 	"github.com/shallotpier/shallotpier/internal/roster"
 	"github.com/shallotpier/shallotpier/internal/serverlimit"
@@ -162,6 +163,8 @@
 		started       time.Time
 		leaving       atomic.Bool
 		upstream      *upstream.Client
+		// relays sends requests to other entries.
+		relays *upstream.Client
 		// dispatcher is also used by handler.
 		dispatcher    *dispatch.Dispatcher
 		handler       *forward.Handler
@@ -184,13 +187,15 @@
 	n.limits = n.Roster.Limits()
 	n.limits.Started = n.started
 	n.upstream = &upstream.Client{ConnectTimeout: connectTimeout, IdleTimeout: idleTimeout, NonIdempotentIdleTimeout: nonIdempotentIdleTimeout, RequestIDHeader: o.Headers.RequestID}
+	n.relays = &upstream.Client{ConnectTimeout: connectTimeout, IdleTimeout: idleTimeout, NonIdempotentIdleTimeout: nonIdempotentIdleTimeout, RequestIDHeader: o.Headers.RequestID}
 	n.Quarantine = &quarantine.List{Instance: o.Self.Instance, Tolerated: toleratedCrashes}
 	n.Heartbeats = &heartbeat.Detector{Self: n.Self, Interval: o.HeartbeatInterval, Timeout: o.HeartbeatTimeout, OnUpdate: n.onUpdate, Limits: n.limits.Reports, Log: o.Log}
 	n.dispatcher = &dispatch.Dispatcher{Roster: n.Roster, Region: o.Self.Region}
 	n.handler = &forward.Handler{
 		Config: n.forwardConfig, Dispatcher: n.dispatcher, Upstream: n.upstream,
 		Quarantine: n.Quarantine, CrashChecks: &crashcheck.Checker{Connect: n.upstream.CanConnect}, RetryLimits: n.retryLimits, Leaving: n.leaving.Load, Headers: o.Headers, Load: o.Load, Limit: o.Limit,
-		StoreAge: n.storeAge, Log: o.Log, Metrics: o.Metrics,
+		StoreAge: n.storeAge, Log: o.Log, Metrics: o.Metrics, RelayClient: n.relays,
+		Relays: &relay.Selector{Region: o.Self.Region, Unreached: n.unreachedServers, Others: n.Heartbeats.Alive},
 	}
 	n.peers.Self = peer.Sender{Instance: o.Self.Instance, Incarnation: o.Self.Incarnation}
 	n.peers.Dial = n.dialPeer
@@ -397,15 +402,28 @@
 		Handler: n.handler, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: n.idleConns.onStateChange,
 		ErrorLog: slog.NewLogLogger(o.Log.With("library", "net/http").Handler(), slog.LevelWarn),
 	}
-	ended := make(chan error, 1)
+	servers := []*http.Server{server}
+	ended := make(chan error, 2)
 	go func() { ended <- server.Serve(listener) }()
+	if o.Self.Relay.IsValid() {
+		relayed, err := net.Listen("tcp", o.Self.Relay.String())
+		if err != nil {
+			return eris.Wrap(err, "listen for requests that entries pass on")
+		}
+		relayServer := &http.Server{
+			Handler: n.handler.Relayed(), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, IdleTimeout: defaultIdleTimeout,
+			ErrorLog: server.ErrorLog,
+		}
+		servers = append(servers, relayServer)
+		go func() { ended <- relayServer.Serve(relayed) }()
+	}
 	o.Log.Info("started", "instance", o.Self.Instance, "incarnation", o.Self.Incarnation, "callers", o.Self.Callers)
 	select {
 	case err := <-ended:
 		return eris.Wrap(err, "serve callers")
 	case <-ctx.Done():
 	}
-	err = n.stop(server)
+	err = n.stop(servers)
 	cancel()
 	n.wg.Wait()
 	return err
@@ -413,7 +431,7 @@
 
 // stop shuts down gracefully: it announces the shutdown, serves new requests for a
 // while, then stops listening and waits for the running requests and for OnShutdown.
-func (n *Node) stop(server *http.Server) error {
+func (n *Node) stop(servers []*http.Server) error {
 	o := &n.options
 	o.Log.Info("leaving", "running", n.handler.Running())
 	n.leaving.Store(true)
@@ -430,7 +448,14 @@
 			o.OnShutdown()
 		}
 	}()
-	err := server.Shutdown(ctx)
+	errs := make(chan error, len(servers))
+	for _, server := range servers {
+		go func() { errs <- server.Shutdown(ctx) }()
+	}
+	var err error
+	for range servers {
+		err = errors.Join(err, <-errs)
+	}
 	select {
 	case <-closed:
 	case <-ctx.Done():
@@ -459,6 +484,7 @@
 			}
 			n.checkConnections(ctx, now)
 			n.upstream.CloseIdle(now)
+			n.relays.CloseIdle(now)
 			n.idleConns.close(now, n.callerIdleTimeout())
 		}
 	}
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -44,14 +44,14 @@
 
 func newNode(t *testing.T, change ...func(*node.Options)) *node.Node {
 	t.Helper()
-	block, err := ports.Reserve(2)
+	block, err := ports.Reserve(3)
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { block.Close() })
 	o := node.Options{
 		Self: heartbeat.Node{
-			Instance: "entry-1", Incarnation: 1, Zone: "a-1", Region: "a", Callers: block.Address(0), Peers: block.Address(1),
+			Instance: "entry-1", Incarnation: 1, Zone: "a-1", Region: "a", Callers: block.Address(0), Peers: block.Address(1), Relay: block.Address(2),
 		},
 		MissingServerGrace: time.Second, HeartbeatInterval: 100 * time.Millisecond, HeartbeatTimeout: time.Second,
 		Headers: forward.Headers{RequestID: "X-Id", Deadline: "X-Left", Object: "Object", Expect: "X-Expect", NotRun: "X-Not-Run", Signature: "X-Signed"},
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -35,7 +35,7 @@
 	soak         *soak
 	name         string
 	zone         int
-	ports        [5]int // for callers, readiness, directory, peers and metrics
+	ports        [6]int // for callers, readiness, directory, peers, metrics and relay
 	storeProxy   *proxy
 	settingsPath string
 	// disturbance records the faults of the entry and of its path to the store.
@@ -133,6 +133,7 @@
 directory = %q
 peers = %q
 metrics = %q
+relay = %q
 
 [store]
 address = %q
@@ -151,7 +152,7 @@
 [regions]
 z-0 = "r-0"
 z-1 = "r-1"
-`, e.name, zone(e.zone), region(e.zone), e.address(0), e.address(1), e.address(2), e.address(3), e.address(4),
+`, e.name, zone(e.zone), region(e.zone), e.address(0), e.address(1), e.address(2), e.address(3), e.address(4), e.address(5),
 		e.storeProxy.address, int(gracePeriod.Seconds()))
 }
 
