relay, forward: entries out of reach delay no further requests

Requests are passed on at once only from nine tenths of the servers missed on, to entries heard within three heartbeats; after a link that hangs none other is tried, and an entry that took no connection is left out for 2 s.

--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -228,7 +228,7 @@
 	}
 }
 
-// linksLost reports whether the entry itself can't reach most servers of the service.
+// linksLost reports whether the entry itself can't reach nearly all servers of the service.
 func (c *call) linksLost() bool {
 	return c.h.Relays != nil && c.origin == nil && !c.passedOn && c.h.Relays.LinksLost(c.service)
 }
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -25,10 +25,12 @@
 type (
 	// Relays selects the entries to pass a request on to.
 	Relays interface {
-		// LinksLost reports whether the entry can't reach most servers of a service.
+		// LinksLost reports whether the entry can't reach nearly all servers of a service.
 		LinksLost(svc id.Service) bool
 		// Entries returns the entries that can, in order, in allowed regions only.
 		Entries(now time.Time, svc id.Service, allows func(id.Region) bool) []heartbeat.Node
+		// Failed records that an entry took no connection.
+		Failed(now time.Time, entry id.Instance)
 	}
 
 	// origin describes the request that another entry has passed on.
@@ -58,20 +60,26 @@
 
 // passOn passes the request on to another entry that reaches more servers, and reports
 // whether that gave the final answer. A failed entry is followed by another one only if
-// nothing was sent to it.
+// nothing was sent to it and its connection didn't hang, which may take the time of the
+// request.
 func (c *call) passOn() bool {
 	if c.origin != nil || c.passedOn || c.h.Relays == nil || c.stream != nil && c.stream.begun.Load() {
 		return false
 	}
 	c.passedOn = true
 	for _, e := range c.h.Relays.Entries(time.Now(), c.service, c.route.Allows) {
+		start := time.Now()
 		ans, err := c.h.RelayClient.Send(c.sendCtx, &upstream.Request{
 			Server: id.Server(e.Instance), Address: e.Relay.String(), HTTP: c.relayRequest(), ID: c.id, Idempotent: c.idempotent(),
 		})
 		if err != nil {
 			failed := asSendError(err)
 			c.h.Log.Info("request not passed on", "request", c.id, "instance", e.Instance, "code", failed.Code, "sent", failed.Sent, "err", failed.Err)
-			if failed.Code == result.ConnectFailed && !failed.Sent {
+			if failed.Code == result.ConnectFailed {
+				c.h.Relays.Failed(time.Now(), e.Instance)
+				if time.Since(start) >= c.h.RelayClient.ConnectTimeout {
+					return false
+				}
 				continue
 			}
 			if c.mayHaveRun && failed.Code.Ran() == result.No {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -195,7 +195,7 @@
 		Config: n.forwardConfig, Dispatcher: n.dispatcher, Upstream: n.upstream,
 		Quarantine: n.Quarantine, CrashChecks: &crashcheck.Checker{Connect: n.upstream.CanConnect}, RetryLimits: n.retryLimits, Leaving: n.leaving.Load, Headers: o.Headers, Load: o.Load, Limit: o.Limit,
 		StoreAge: n.storeAge, Log: o.Log, Metrics: o.Metrics, RelayClient: n.relays,
-		Relays: &relay.Selector{Region: o.Self.Region, Unreached: n.unreachedServers, Others: n.Heartbeats.Alive},
+		Relays: &relay.Selector{Region: o.Self.Region, Unreached: n.unreachedServers, Others: n.recentlyHeard},
 	}
 	n.peers.Self = peer.Sender{Instance: o.Self.Instance, Incarnation: o.Self.Incarnation}
 	n.peers.Dial = n.dialPeer
--- a/internal/node/reach.go
+++ b/internal/node/reach.go
@@ -5,12 +5,20 @@
 	"maps"
 	"math"
 	"slices"
+	"time"
 
+	"github.com/shallotpier/shallotpier/internal/heartbeat"
 	"github.com/shallotpier/shallotpier/pkg/id"
 )
 
-// reachStep is the difference of a share of servers out of reach from which it is logged.
-const reachStep = 0.25
+const (
+	// reachStep is the difference of a share of servers out of reach from which it is
+	// logged.
+	reachStep = 0.25
+	// maxMissedHeartbeats is the number of heartbeats that an entry to pass requests on
+	// to may have missed: heartbeats that leaders relay take up to two intervals more.
+	maxMissedHeartbeats = 3
+)
 
 // updateReach determines the share of the servers of each service that the entry can't
 // reach. Services of which it reaches all are left out.
@@ -67,6 +75,16 @@
 	return nil
 }
 
+// recentlyHeard returns the live entries without those that have missed heartbeats, to which
+// the path may be cut.
+func (n *Node) recentlyHeard(now time.Time) []heartbeat.Node {
+	limit := maxMissedHeartbeats * n.options.HeartbeatInterval
+	return slices.DeleteFunc(n.Heartbeats.Alive(now), func(other heartbeat.Node) bool {
+		silent, heard := n.Heartbeats.SilentFor(now, other.Peers)
+		return !heard || silent > limit
+	})
+}
+
 // reachGauge registers the gauge of the share of a service's servers out of reach.
 func (n *Node) reachGauge(svc id.Service) {
 	n.options.Metrics.GetOrCreateGauge(fmt.Sprintf(`shallotpier_servers_unreached{service=%q}`, svc), func() float64 {
--- a/internal/relay/selector.go
+++ b/internal/relay/selector.go
@@ -4,8 +4,9 @@
 // Entries report, for each service, the share of its servers that they can't reach. Where
 // servers are down, the reports of all entries agree, and passing a request on is of no
 // use. An entry that misses servers which others reach has lost its links: it passes
-// requests on to those, at once if it misses most servers of the service, else if no
-// server can be chosen or connected to.
+// requests on to those, at once if it misses nearly all servers of the service, else if no
+// server can be chosen or connected to. An entry that takes no connection is left out for
+// some time, so that an entry that is cut off from others too refuses requests at once.
 //
 // # Usage
 //
@@ -16,9 +17,10 @@
 package relay
 
 import (
+	"maps"
 	"math/rand/v2"
-	"net/netip"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/shallotpier/shallotpier/internal/heartbeat"
@@ -27,11 +29,13 @@
 
 const (
 	// lostShare is the share of a service's servers from which an entry that can't reach
-	// them has lost its links, and below which another one may serve its requests.
-	lostShare = 0.5
-	// minAdvantage is the least difference of two shares that isn't explained by entries
-	// that notice the end of a server at different times.
-	minAdvantage = 0.3
+	// them has lost its links. An entry whose availability zone is cut off from all others
+	// still reaches the servers of its zone.
+	lostShare = 0.9
+	// maxMissed is the share below which another entry may serve its requests.
+	maxMissed = 0.5
+	// failurePause is how long an entry is left out after it took no connection.
+	failurePause = 2 * time.Second
 	// maxEntries is the maximum number of entries to try.
 	maxEntries = 3
 )
@@ -46,9 +50,12 @@
 	Unreached func() map[id.Service]float64
 	// Others returns the other live entries.
 	Others func(now time.Time) []heartbeat.Node
+
+	mu     sync.Mutex
+	failed map[id.Instance]time.Time
 }
 
-// LinksLost reports whether this entry can't reach most servers of a service, so that its
+// LinksLost reports whether this entry can't reach nearly all servers of a service, so that its
 // requests should be passed on if others reach more.
 func (s *Selector) LinksLost(svc id.Service) bool { return s.Unreached()[svc] >= lostShare }
 
@@ -56,13 +63,12 @@
 // this region first, in random order. Regions for which allows returns false are left out.
 func (s *Selector) Entries(now time.Time, svc id.Service, allows func(id.Region) bool) []heartbeat.Node {
 	own := s.Unreached()[svc]
-	limit := min(own, lostShare)
-	if own >= lostShare {
-		limit = own - minAdvantage
-	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	others := slices.DeleteFunc(s.Others(now), func(n heartbeat.Node) bool {
 		missed := n.Unreached[svc]
-		return !n.Ready || n.Relay == (netip.AddrPort{}) || !allows(n.Region) || missed >= lostShare || missed > limit
+		return !n.Ready || !n.Relay.IsValid() || !allows(n.Region) || missed >= maxMissed || missed > own ||
+			now.Sub(s.failed[n.Instance]) < failurePause
 	})
 	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
 	slices.SortStableFunc(others, func(a, b heartbeat.Node) int {
@@ -77,3 +83,14 @@
 	})
 	return others[:min(len(others), maxEntries)]
 }
+
+// Failed records that an entry took no connection.
+func (s *Selector) Failed(now time.Time, entry id.Instance) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.failed == nil {
+		s.failed = make(map[id.Instance]time.Time)
+	}
+	maps.DeleteFunc(s.failed, func(_ id.Instance, at time.Time) bool { return now.Sub(at) >= failurePause })
+	s.failed[entry] = now
+}
