forward: requests aren't handled by an older configuration at another entry

The version goes along, and an entry that is behind refuses the request as not run. Forward TestOlderConfigurationTakesNoRequests fails before (200).

--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -150,7 +150,7 @@
 	if h.Leaving() {
 		w.Header().Set("Connection", "close")
 	}
-	if c.config = h.Config(); c.config == nil {
+	if c.config = h.Config(); c.config == nil || o != nil && c.config.Version < o.version {
 		c.refuse(result.NotReady)
 		return
 	}
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -20,6 +20,8 @@
 	relayService = "Shallotpier-Relay-Service"
 	// relaySends holds the number of sends to servers that the first entry has made.
 	relaySends = "Shallotpier-Relay-Sends"
+	// relayVersion holds the version of the first entry's configuration.
+	relayVersion = "Shallotpier-Relay-Version"
 )
 
 type (
@@ -38,6 +40,7 @@
 		caller  string
 		service id.Service
 		sends   int
+		version id.Version
 	}
 )
 
@@ -46,12 +49,13 @@
 func (h *Handler) Relayed() http.Handler {
 	return &linger.Handler{Next: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		sends, err := strconv.Atoi(r.Header.Get(relaySends))
-		if err != nil || sends < 0 {
+		version, versionErr := strconv.ParseUint(r.Header.Get(relayVersion), 10, 64)
+		if err != nil || versionErr != nil || sends < 0 {
 			w.WriteHeader(http.StatusBadRequest)
 			return
 		}
-		o := &origin{caller: r.Header.Get(relayCaller), service: id.Service(r.Header.Get(relayService)), sends: sends}
-		for _, name := range []string{relayCaller, relayService, relaySends} {
+		o := &origin{caller: r.Header.Get(relayCaller), service: id.Service(r.Header.Get(relayService)), sends: sends, version: id.Version(version)}
+		for _, name := range []string{relayCaller, relayService, relaySends, relayVersion} {
 			r.Header.Del(name)
 		}
 		h.serve(w, r, o)
@@ -102,6 +106,7 @@
 	out.Header.Set(relayCaller, c.callerAddress())
 	out.Header.Set(relayService, string(c.service))
 	out.Header.Set(relaySends, strconv.Itoa(c.sends))
+	out.Header.Set(relayVersion, strconv.FormatUint(uint64(c.config.Version), 10))
 	return out
 }
 
--- a/internal/forward/relay_test.go
+++ b/internal/forward/relay_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/shallotpier/shallotpier/internal/forward"
 	"github.com/shallotpier/shallotpier/internal/heartbeat"
 	"github.com/shallotpier/shallotpier/internal/roster"
 	"github.com/shallotpier/shallotpier/internal/route"
@@ -296,6 +297,36 @@
 	is.Equal(second.backend.requests.Load()-before, int64(5))
 }
 
+// A request must not be handled by a configuration older than that of the entry to which the
+// caller has sent it.
+func TestOlderConfigurationTakesNoRequests(t *testing.T) {
+	tests := map[string]struct {
+		version id.Version
+		status  int
+	}{
+		"older": {1, http.StatusServiceUnavailable},
+		"same":  {7, http.StatusOK},
+		"newer": {8, http.StatusOK},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			cut, helper := cutPair(t, service.Write, true, "ok")
+			cut.setVersion(7)
+			helper.setVersion(tt.version)
+			status, _, _ := cut.ask(t.Context(), "/x/8", "body")
+			is.Equal(status, tt.status)
+		})
+	}
+}
+
+// setVersion sets the version of the configuration.
+func (f *fixture) setVersion(v id.Version) {
+	config := *f.handler.Config()
+	config.Version = v
+	f.handler.Config = func() *forward.Config { return &config }
+}
+
 // Headers that only entries send must have no effect at the callers' listener.
 func TestCallersCantPassOn(t *testing.T) {
 	is := is.New(t)
