relay: an entry may help also while many servers are down

An entry now helps if it misses at least a tenth less than the one that asks, whatever its own share is; equal shares, as when servers are down for all, give no reason to pass requests on. relay TestEntries (links lost while servers are down, half of the servers down, a region out of reach) fails before.

--- a/internal/relay/selector.go
+++ b/internal/relay/selector.go
@@ -32,8 +32,11 @@
 	// them has lost its links. An entry whose availability zone is cut off from all others
 	// still reaches the servers of its zone.
 	lostShare = 0.9
-	// maxMissed is the share below which another entry may serve its requests.
-	maxMissed = 0.5
+	// minAdvantage is the least difference between the shares of this entry and of one
+	// that may serve its requests, which entries that notice the end of a server at
+	// different times don't explain. It is also the greatest share of an entry that serves
+	// requests of one that hasn't noticed the loss of its links.
+	minAdvantage = 0.1
 	// failurePause is how long an entry is left out after it took no connection.
 	failurePause = 2 * time.Second
 	// maxEntries is the maximum number of entries to try.
@@ -62,12 +65,11 @@
 // Entries returns the entries to pass a request for a service on to, in order: those of
 // this region first, in random order. Regions for which allows returns false are left out.
 func (s *Selector) Entries(now time.Time, svc id.Service, allows func(id.Region) bool) []heartbeat.Node {
-	own := s.Unreached()[svc]
+	limit := max(s.Unreached()[svc]-minAdvantage, minAdvantage)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	others := slices.DeleteFunc(s.Others(now), func(n heartbeat.Node) bool {
-		missed := n.Unreached[svc]
-		return !n.Ready || !n.Relay.IsValid() || !allows(n.Region) || missed >= maxMissed || missed > own ||
+		return !n.Ready || !n.Relay.IsValid() || !allows(n.Region) || n.Unreached[svc] > limit ||
 			now.Sub(s.failed[n.Instance]) < failurePause
 	})
 	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
