forward, relay: links that are left, but full, don't keep requests

An entry that misses most servers passes such requests on; one with sound links refuses them as before. Forward TestRequestsThatLinksLeftDontTakeArePassedOn fails before in both cases of lost links.

--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -191,7 +191,7 @@
 		}
 		m := c.choice.Server
 		if m == nil {
-			if c.choice.Reason == dispatch.NoServer && c.passOn() {
+			if c.mayHelp(c.choice.Reason) && c.passOn() {
 				return
 			}
 			if failed == 0 {
@@ -233,6 +233,11 @@
 	return c.h.Relays != nil && c.origin == nil && !c.passedOn && c.h.Relays.LinksLost(c.service)
 }
 
+// mayHelp reports whether another entry may find a server where this one has found none.
+func (c *call) mayHelp(reason dispatch.Reason) bool {
+	return reason == dispatch.NoServer || c.h.Relays != nil && c.h.Relays.MissesMost(c.service)
+}
+
 // lastConnection reports whether a connection has hung and too little time is left for
 // another one that hangs and a send after it.
 func (c *call) lastConnection() bool {
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -29,6 +29,8 @@
 	Relays interface {
 		// LinksLost reports whether the entry can't reach nearly all servers of a service.
 		LinksLost(svc id.Service) bool
+		// MissesMost reports whether the entry can't reach most of them.
+		MissesMost(svc id.Service) bool
 		// Entries returns the entries that can, in order, in allowed regions only.
 		Entries(now time.Time, svc id.Service, allows func(id.Region) bool) []heartbeat.Node
 		// Failed records that an entry took no connection.
--- a/internal/forward/relay_test.go
+++ b/internal/forward/relay_test.go
@@ -28,12 +28,14 @@
 
 // relays is a fixed list of entries to pass requests on to.
 type relays struct {
-	lost    bool
-	entries []heartbeat.Node
+	lost, missesMost bool
+	entries          []heartbeat.Node
 }
 
 func (r *relays) LinksLost(id.Service) bool { return r.lost }
 
+func (r *relays) MissesMost(id.Service) bool { return r.lost || r.missesMost }
+
 func (r *relays) Entries(time.Time, id.Service, func(id.Region) bool) []heartbeat.Node {
 	return slices.Clone(r.entries)
 }
@@ -226,6 +228,66 @@
 	}
 }
 
+// While links hang and the entry doesn't know it yet, requests must still be served within
+// their time.
+func TestHangingLinksLeaveTimeForAnotherEntry(t *testing.T) {
+	for name, kind := range map[string]service.Kind{"read": service.Read, "write": service.Write} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			cut, helper := cutPair(t, kind, false, "ok")
+			cut.freshServers(t)
+			cut.route.Timeout = 800 * time.Millisecond
+			cut.handler.Upstream = &upstream.Client{
+				ConnectTimeout: 400 * time.Millisecond, RequestIDHeader: "X-Id",
+				Dial: func(ctx context.Context, _ string) (net.Conn, error) {
+					<-ctx.Done()
+					return nil, ctx.Err()
+				},
+			}
+			status, _, _ := cut.ask(t.Context(), "/x/8", "body")
+			is.Equal(status, http.StatusOK)
+			is.Equal(helper.backend.requests.Load(), int64(1))
+		})
+	}
+}
+
+// An entry that has lost most links must pass requests on also if a server that it takes for
+// reachable may get none now: a limit, or a long queue, says nothing of the others.
+func TestRequestsThatLinksLeftDontTakeArePassedOn(t *testing.T) {
+	tests := map[string]struct {
+		missesMost bool
+		queued     int // requests at the server that is left
+		limited    bool
+		status     int
+	}{
+		"limit used up, most links lost": {true, 0, true, http.StatusOK},
+		"limit used up, links sound":     {false, 0, true, http.StatusServiceUnavailable},
+		"server full, most links lost":   {true, 30, false, http.StatusOK},
+		"server full, links sound":       {false, 30, false, http.StatusServiceUnavailable},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			cut, helper := cutPair(t, service.Write, false, "ok")
+			cut.loseLinks()
+			if r, ok := cut.handler.Relays.(*relays); ok {
+				r.missesMost = tt.missesMost
+			}
+			m := cut.roster.View().Members(svc)[0]
+			if tt.limited {
+				m.ObserveLimit(time.Now(), 0.01, "r")
+				is.True(m.Begin(time.Now()))
+			}
+			for range tt.queued {
+				is.True(m.Begin(time.Now()))
+			}
+			status, _, _ := cut.ask(t.Context(), "/x/8", "body")
+			is.Equal(status, tt.status)
+			is.Equal(helper.backend.requests.Load() == 1, tt.status == http.StatusOK)
+		})
+	}
+}
+
 // A read that may have run at a server before the links were lost gets at most the sends of
 // its route in all, and no refusal that says that it has not run.
 func TestSendsBeforeTheLossCount(t *testing.T) {
--- a/internal/relay/selector.go
+++ b/internal/relay/selector.go
@@ -5,7 +5,7 @@
 // servers are down, the reports of all entries agree, and passing a request on is of no
 // use. An entry that misses servers which others reach has lost its links: it passes
 // requests on to those, at once if it misses nearly all servers of the service, else if no
-// server can be chosen or connected to. An entry that takes no connection is left out for
+// server can be chosen or connected to, or the few that are left are full. An entry that takes no connection is left out for
 // some time, so that an entry that is cut off from others too refuses requests at once.
 //
 // # Usage
@@ -32,6 +32,9 @@
 	// them has lost its links. An entry whose availability zone is cut off from all others
 	// still reaches the servers of its zone.
 	lostShare = 0.9
+	// mostShare is the share from which the servers that are left say nothing of what the
+	// service can take.
+	mostShare = 0.5
 	// minAdvantage is the least difference between the shares of this entry and of one
 	// that may serve its requests, which entries that notice the end of a server at
 	// different times don't explain. It is also the greatest share of an entry that serves
@@ -62,6 +65,9 @@
 // requests should be passed on if others reach more.
 func (s *Selector) LinksLost(svc id.Service) bool { return s.Unreached()[svc] >= lostShare }
 
+// MissesMost reports whether this entry can't reach most servers of a service.
+func (s *Selector) MissesMost(svc id.Service) bool { return s.Unreached()[svc] >= mostShare }
+
 // Entries returns the entries to pass a request for a service on to, in order: those of
 // this region first, in random order. Regions for which allows returns false are left out.
 func (s *Selector) Entries(now time.Time, svc id.Service, allows func(id.Region) bool) []heartbeat.Node {
