roster, node: answers over old connections don't hide cut links

Each answer over an old one made its server count as reachable, so that the entry reported 0 to 14% of its servers out of reach, while it refused 93 of 108 requests.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -478,7 +478,7 @@
 			return
 		case now := <-t.C:
 			n.Roster.Step(now)
-			n.updateReach()
+			n.updateReach(now)
 			if n.mayUseColdRates(now) {
 				n.Roster.SetEntries(n.options.Self.Peers, n.Heartbeats.KnownPeers())
 			}
--- a/internal/node/reach.go
+++ b/internal/node/reach.go
@@ -22,13 +22,13 @@
 
 // updateReach determines the share of the servers of each service that the entry can't
 // reach. Services of which it reaches all are left out.
-func (n *Node) updateReach() {
+func (n *Node) updateReach(now time.Time) {
 	unreached := make(map[id.Service]float64)
 	view := n.Roster.View()
 	for _, svc := range view.Services() {
 		members, missed := view.Members(svc), 0
 		for _, m := range members {
-			if !m.Reachable() {
+			if m.Missed(now) {
 				missed++
 			}
 		}
--- a/internal/roster/check.go
+++ b/internal/roster/check.go
@@ -52,7 +52,7 @@
 	if !m.state.connectFailed.IsZero() && m.state.health.Ejected() {
 		return
 	}
-	m.state.connectFailed = now
+	m.state.connectFailed, m.state.missedAt = now, now
 	m.state.health.Observe(now, health.ConnectFailed)
 }
 
@@ -76,11 +76,11 @@
 	defer s.mu.Unlock()
 	s.checking = false
 	if ok {
-		s.connectFailed = time.Time{}
+		s.connectFailed, s.missedAt = time.Time{}, time.Time{}
 		s.health.Reached(now)
 		return
 	}
-	s.connectFailed = now
+	s.connectFailed, s.missedAt = now, now
 	s.health.Observe(now, health.ConnectFailed)
 }
 
@@ -91,3 +91,14 @@
 	defer m.state.mu.Unlock()
 	return m.zone.ok() && (m.state.connectFailed.IsZero() || !m.state.health.Ejected())
 }
+
+// Missed reports whether the server accepts no new connections, according to this entry's
+// requests and checks. It may still answer over connections that are open.
+func (m *Member) Missed(now time.Time) bool {
+	if !m.Reachable() {
+		return true
+	}
+	m.state.mu.Lock()
+	defer m.state.mu.Unlock()
+	return !m.state.missedAt.IsZero() && now.Sub(m.state.missedAt) < missedFor
+}
--- a/internal/roster/member.go
+++ b/internal/roster/member.go
@@ -24,6 +24,9 @@
 	// minLoadHalfLife is the minimum half-life of the reported number of other entries'
 	// requests, a few times the duration of a short request.
 	minLoadHalfLife = 300 * time.Millisecond
+	// missedFor is how long a server counts as missed after a failed connection: longer
+	// than the time between two requests that need a new one.
+	missedFor = 3 * time.Second
 )
 
 type (
@@ -92,6 +95,9 @@
 		// connection check.
 		connectFailed time.Time
 		checking      bool
+		// missedAt is the time of the last failed connection attempt, zero if one has
+		// succeeded in a check since. An answer over an older connection doesn't clear it.
+		missedAt time.Time
 		// others is the number of other entries' requests according to the server's
 		// last report.
 		others   float64
@@ -275,7 +281,7 @@
 		s.connectFailed = time.Time{}
 		m.zone.succeeded(now)
 	case o.Event == health.ConnectFailed:
-		s.connectFailed = now
+		s.connectFailed, s.missedAt = now, now
 		m.zone.connectFailed(now, m.Name)
 	}
 	s.health.Observe(now, o.Event)
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -457,3 +457,26 @@
 		})
 	}
 }
+
+// A server whose open connections live on while new ones are refused counts as missed: its
+// answers must not hide that the links are cut.
+func TestServersWithOldConnectionsOnlyAreMissed(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	r := newRoster()
+	r.Put(now, server("i-1"))
+	m := r.View().Members("registry")[0]
+	is.True(!m.Missed(now))
+	is.True(m.Begin(now))
+	is.True(m.Begin(now))
+	m.End(now, roster.Outcome{Event: health.ConnectFailed, Failed: true})
+	now = now.Add(100 * time.Millisecond)
+	m.End(now, roster.Outcome{Event: health.Answered})
+	is.True(m.Reachable())
+	is.True(m.Missed(now))
+	is.True(!m.Missed(now.Add(3 * time.Second))) // a new try is due
+	r.RecordCheck(now, m, true)
+	is.True(!m.Missed(now))
+	r.RecordEnd(now, m)
+	is.True(m.Missed(now))
+}
