relay: an entry that has noticed less of its loss doesn't help

Entries that miss a tenth more than the best one are left out. relay TestEntries (another has noticed less of a loss) fails before.

--- a/internal/relay/selector.go
+++ b/internal/relay/selector.go
@@ -78,6 +78,12 @@
 		return !n.Ready || !n.Relay.IsValid() || !allows(n.Region) || n.Unreached[svc] > limit ||
 			now.Sub(s.failed[n.Instance]) < failurePause
 	})
+	least := 1.0
+	for i := range others {
+		least = min(least, others[i].Unreached[svc])
+	}
+	// One that misses more than another has probably lost its links as well.
+	others = slices.DeleteFunc(others, func(n heartbeat.Node) bool { return n.Unreached[svc] > least+minAdvantage })
 	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
 	slices.SortStableFunc(others, func(a, b heartbeat.Node) int {
 		switch near := a.Region == s.Region; {
--- a/internal/relay/selector_test.go
+++ b/internal/relay/selector_test.go
@@ -40,6 +40,7 @@
 		"servers down for all":               {1, []other{{"a", 1, false, false}, {"b", 1, false, false}}, nil, true, nil},
 		"half of the servers down for all":   {0.5, []other{{"a", 0.45, false, false}, {"b", 0.5, false, false}}, nil, false, nil},
 		"links lost while servers are down":  {1, []other{{"a", 0.6, false, false}, {"b", 1, false, false}}, nil, true, []id.Instance{"e-0"}},
+		"another has noticed less of a loss": {0.71, []other{{"a", 0.57, false, false}, {"b", 0.05, false, false}, {"c", 0, false, false}}, nil, false, []id.Instance{"e-1", "e-2"}},
 		"zone cut off from all others":       {0.83, []other{{"b", 0.17, false, false}}, nil, false, []id.Instance{"e-0"}},
 		"a region out of reach of all":       {0.33, []other{{"a", 0.33, false, false}}, nil, false, nil},
 		"nothing known to be out of reach":   {0, []other{{"a", 0, false, false}, {"b", 0.2, false, false}}, nil, false, []id.Instance{"e-0"}},
