soak: entries lose their links to servers

Each entry has proxies of its own to the servers, which it finds in what the store answers. The rule is checked as worded: from 3 s after the cut began on, shares served there and at the others, entries in touch only. A check that asks which entry has sent a request takes the one that answered for another, from the entries' logs. Links that hang as a network's can't be made on loopback; forward tests have them.

--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -20,6 +20,7 @@
 	attempts   []*attempt
 	byID       map[string]*attempt
 	runs       map[string][]standin.Run
+	relayed    map[string]*process // the entry that answered for another one
 	violations []string
 }
 
@@ -29,6 +30,7 @@
 	s.callers.mu.Lock()
 	defer s.callers.mu.Unlock()
 	c := &checker{soak: s, attempts: s.callers.attempts, byID: make(map[string]*attempt), runs: make(map[string][]standin.Run)}
+	c.relayed = s.relayed()
 	for _, a := range c.attempts {
 		c.byID[a.id] = a
 	}
@@ -64,6 +66,7 @@
 	c.checkRefused(recovery)
 	r.Crashes = c.checkCrashing()
 	r.Limited = c.checkLimits()
+	r.LinkCuts = c.checkLinks()
 	r.Violations = c.violations
 	return r
 }
@@ -130,7 +133,7 @@
 		}
 		for _, r := range runs {
 			since, ok := c.soak.drainingSince[r.Server]
-			if !ok || r.At.Sub(since) <= drainDelay || !c.quiet(a.entry, r.At) && !c.received(a.entry, since, r.At) {
+			if !ok || r.At.Sub(since) <= drainDelay || !c.quiet(c.sender(a), r.At) && !c.received(c.sender(a), since, r.At) {
 				continue
 			}
 			c.addViolation("leaving: %s reached %s through %s %v after the server announced draining", a.id, r.Server, a.entry.name, r.At.Sub(since))
--- a/internal/soak/crashing.go
+++ b/internal/soak/crashing.go
@@ -157,7 +157,7 @@
 	var late []string
 	for _, r := range runs {
 		a := c.byID[r.Request]
-		if r.At.After(bound) && c.inTouch(a.entry, r) {
+		if r.At.After(bound) && c.inTouch(c.sender(a), r) {
 			late = append(late, fmt.Sprintf("%s through %s at %.2f s", r.Request, a.entry.name, c.seconds(r.At)))
 		}
 	}
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -215,6 +215,7 @@
 	}
 	b.proxy.refuse()
 	b.proxy.reset()
+	s.links.takeDown(b)
 	b.Crash()
 	s.store.Remove(platform.KindServers, string(b.Name()))
 	return true
--- a/internal/soak/limits.go
+++ b/internal/soak/limits.go
@@ -99,7 +99,9 @@
 	for _, a := range c.attempts {
 		if a.limited {
 			server := id.Server(strings.TrimPrefix(a.signature, a.id+"."))
-			l.record.PassOn(server, id.Instance(a.entry.name), a.done)
+			for _, entry := range c.passedOnBy(a) {
+				l.record.PassOn(server, entry, a.done)
+			}
 		}
 	}
 	l.mu.Lock()
@@ -112,8 +114,8 @@
 		c.soak.mu.Lock()
 		b := c.soak.named[arrived.server]
 		c.soak.mu.Unlock()
-		if a.entry.outOfTouch.quiet(arrived.at, stableWindow) && b.disturbance.quiet(arrived.at, stableWindow) {
-			l.record.Arrive(arrived.server, id.Instance(a.entry.name), arrived.at)
+		if sender := c.sender(a); sender.outOfTouch.quiet(arrived.at, stableWindow) && b.disturbance.quiet(arrived.at, stableWindow) {
+			l.record.Arrive(arrived.server, id.Instance(sender.name), arrived.at)
 		}
 	}
 	for _, v := range l.record.Violations(stableWindow) {
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -12,6 +12,9 @@
 type proxy struct {
 	address string
 	target  string
+	// rewrite, if not nil, returns the rewriter of the bytes from the target on a new
+	// connection.
+	rewrite func() *rewriter
 
 	mu       sync.Mutex
 	listener net.Listener // nil while connections are refused
@@ -126,11 +129,19 @@
 // forward copies bytes in one direction, unless the mode stalls it.
 func (p *proxy) forward(dst, src net.Conn, direction mode) {
 	buf := make([]byte, 16<<10)
+	var rewriter *rewriter
+	if p.rewrite != nil && direction == stalledResponses {
+		rewriter = p.rewrite()
+	}
 	for {
 		n, err := src.Read(buf)
 		p.waitUntilForwarding(direction)
 		if n > 0 {
-			if _, werr := dst.Write(buf[:n]); werr != nil {
+			data := buf[:n]
+			if rewriter != nil {
+				data = rewriter.next(data)
+			}
+			if _, werr := dst.Write(data); werr != nil {
 				break
 			}
 		}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -9,7 +9,7 @@
 // servers crash, slow down, reject requests, lose responses, drain, and restart under
 // other names; configurations change and zones are evacuated. In some runs one caller
 // repeats a request that crashes every server that runs it, from one address or several; in others servers name
-// limits, which rise, fall and end.
+// limits, which rise, fall and end, or entries lose their links to all servers.
 //
 // A run terminates only processes that it started. [Run] returns an error if the run
 // itself failed; violated guarantees are listed in the [Report].
@@ -24,6 +24,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"os"
@@ -70,6 +71,8 @@
 	// addressStream leaves the streams of the callers as they are, and the requests of
 	// failed seeds at one address.
 	addressStream uint64 = 2439 << 32
+	// linkStream leaves the failed seeds without cuts of links.
+	linkStream uint64 = 2661 << 32
 )
 
 type (
@@ -105,6 +108,9 @@
 		Recovered float64
 		// Crashes is the number of servers that a request crashed.
 		Crashes int
+		// LinkCuts is the number of times that entries lost their links to all servers
+		// for long enough for the check.
+		LinkCuts int
 		// Limited is the number of servers that named a limit long enough for the
 		// check.
 		Limited int
@@ -143,7 +149,9 @@
 		// crashing is the request that crashes servers; nil if the run has none.
 		crashing *crashingRequest
 		// limits are the servers' limits; nil if the run has none.
-		limits   *serverLimits
+		limits *serverLimits
+		// links are the links between entries and servers; nil if the run cuts none.
+		links    *links
 		restarts sync.WaitGroup
 	}
 
@@ -178,6 +186,7 @@
 	defer cancel()
 	s.crashing = s.newCrashingRequest()
 	s.limits = s.newServerLimits()
+	s.links = s.newLinks()
 	if err := s.setUp(ctx); err != nil {
 		return nil, err
 	}
@@ -193,6 +202,9 @@
 	if s.limits != nil {
 		wg.Go(func() { s.limits.run(limited, s) })
 	}
+	if s.links != nil {
+		wg.Go(func() { s.links.run(limited, s) })
+	}
 	s.inject(ctx)
 	endLimits()
 	recoveryEnd := time.Now().Add(recoveryTime)
@@ -247,6 +259,9 @@
 			return err
 		}
 		s.entries = append(s.entries, e)
+		if err := s.links.connect(s, e); err != nil {
+			return eris.Wrap(err, "start link proxies")
+		}
 		if err := e.launch(); err != nil {
 			return err
 		}
@@ -283,7 +298,7 @@
 // startBehindProxy starts a server under a new name and, the first time, its proxy.
 func (s *soak) startBehindProxy(b *backend) error {
 	if b.proxy != nil {
-		if err := b.proxy.listen(); err != nil {
+		if err := errors.Join(b.proxy.listen(), s.links.restore(b)); err != nil {
 			return eris.Wrap(err, "listen for the backend server")
 		}
 	}
@@ -308,6 +323,7 @@
 		e.storeProxy.close()
 	}
 	s.restarts.Wait()
+	s.links.close()
 	for _, b := range s.servers {
 		b.Stop()
 		b.proxy.close()
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -68,7 +68,7 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			t.Logf("seed %d: %d of %d requests served, %.3f after the last fault, %d servers crashed by a request, %d with limits", seed, r.Served, r.Requests, r.Recovered, r.Crashes, r.Limited)
+			t.Logf("seed %d: %d of %d requests served, %.3f after the last fault, %d servers crashed by a request, %d with limits, links lost %d times", seed, r.Served, r.Requests, r.Recovered, r.Crashes, r.Limited, r.LinkCuts)
 			for _, v := range r.Violations {
 				t.Errorf("seed %d: %s", seed, v)
 			}
