--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -68,7 +68,7 @@
 
 		// origin is set if another entry has passed the request on, passedOn if this
 		// entry has tried to.
-		origin     *origin
+		origin     *relayOrigin
 		passedOn   bool
 		mayHaveRun bool // a send failed of which it isn't known whether it ran
 		// connectTook is how long the last connection that failed took.
@@ -208,27 +208,37 @@
 		}
 		code = c.stream.failureCode(code)
 		failed = code
-		c.mayHaveRun = c.mayHaveRun || code.Ran() != result.No
-		retry := c.retryGranted || c.mayRetry(code)
-		if code == result.ConnectFailed && (!retry || c.lastConnection()) && c.passOn() {
+		if c.endAfter(code) {
 			return
 		}
-		if !retry {
-			c.refuse(code)
-			return
-		}
-		c.retryGranted = false
-		if c.quarantinedMeanwhile() {
-			if c.sends == 0 {
-				code = result.Quarantined
-			}
-			c.refuse(code)
-			return
+	}
+}
+
+// endAfter ends the request after a send that failed with code, unless it is to be sent
+// again, and reports whether it has.
+func (c *call) endAfter(code result.Code) bool {
+	c.mayHaveRun = c.mayHaveRun || code.Ran() != result.No
+	retry := c.retryGranted || c.mayRetry(code)
+	if code == result.ConnectFailed && (!retry || c.lastConnection()) && c.passOn() {
+		return true
+	}
+	if !retry {
+		c.refuse(code)
+		return true
+	}
+	c.retryGranted = false
+	if c.quarantinedMeanwhile() {
+		if c.sends == 0 {
+			code = result.Quarantined
 		}
+		c.refuse(code)
+		return true
 	}
+	return false
 }
 
-// linksLost reports whether the entry itself can't reach nearly all servers of the service.
+// linksLost reports whether the entry has lost its links to nearly all servers of the
+// service, and may still pass the request on.
 func (c *call) linksLost() bool {
 	return c.h.Relays != nil && c.origin == nil && !c.passedOn && c.h.Relays.LinksLost(c.service)
 }
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -138,7 +138,7 @@
 }
 
 // serve answers one request. The origin is nil if it came from the caller itself.
-func (h *Handler) serve(w http.ResponseWriter, r *http.Request, o *origin) {
+func (h *Handler) serve(w http.ResponseWriter, r *http.Request, o *relayOrigin) {
 	h.running.Add(1)
 	defer h.running.Add(-1)
 	c := &call{h: h, w: w, r: r, start: time.Now(), id: r.Header.Get(h.Headers.RequestID), origin: o}
@@ -150,7 +150,8 @@
 	if h.Leaving() {
 		w.Header().Set("Connection", "close")
 	}
-	if c.config = h.Config(); c.config == nil || o != nil && c.config.Version < o.version {
+	c.config = h.Config()
+	if c.config == nil || o != nil && c.config.Version < o.version {
 		c.refuse(result.NotReady)
 		return
 	}
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -27,9 +27,9 @@
 type (
 	// Relays selects the entries to pass a request on to.
 	Relays interface {
-		// LinksLost reports whether the entry can't reach nearly all servers of a service.
+		// LinksLost reports whether nearly all servers of a service are out of reach.
 		LinksLost(svc id.Service) bool
-		// MissesMost reports whether the entry can't reach most of them.
+		// MissesMost reports whether most of them are.
 		MissesMost(svc id.Service) bool
 		// Entries returns the entries that can, in order, in allowed regions only.
 		Entries(now time.Time, svc id.Service, allows func(id.Region) bool) []heartbeat.Node
@@ -37,12 +37,12 @@
 		Failed(now time.Time, entry id.Instance)
 	}
 
-	// origin describes the request that another entry has passed on.
-	origin struct {
-		caller  string
-		service id.Service
-		sends   int
-		version id.Version
+	// relayOrigin is what the entry that has passed a request on says of it.
+	relayOrigin struct {
+		caller  string     // the caller's address
+		service id.Service // drawn for the request
+		sends   int        // to servers, so far
+		version id.Version // of the configuration
 	}
 )
 
@@ -56,7 +56,9 @@
 			w.WriteHeader(http.StatusBadRequest)
 			return
 		}
-		o := &origin{caller: r.Header.Get(relayCaller), service: id.Service(r.Header.Get(relayService)), sends: sends, version: id.Version(version)}
+		o := &relayOrigin{
+			caller: r.Header.Get(relayCaller), service: id.Service(r.Header.Get(relayService)), sends: sends, version: id.Version(version),
+		}
 		for _, name := range []string{relayCaller, relayService, relaySends, relayVersion} {
 			r.Header.Del(name)
 		}
--- a/internal/relay/selector.go
+++ b/internal/relay/selector.go
@@ -5,8 +5,9 @@
 // servers are down, the reports of all entries agree, and passing a request on is of no
 // use. An entry that misses servers which others reach has lost its links: it passes
 // requests on to those, at once if it misses nearly all servers of the service, else if no
-// server can be chosen or connected to, or the few that are left are full. An entry that takes no connection is left out for
-// some time, so that an entry that is cut off from others too refuses requests at once.
+// server can be chosen or connected to, or the few that are left are full. An entry that
+// takes no connection is left out for some time, so that one that is cut off from the other
+// entries too refuses requests at once.
 //
 // # Usage
 //
@@ -37,8 +38,8 @@
 	mostShare = 0.5
 	// minAdvantage is the least difference between the shares of this entry and of one
 	// that may serve its requests, which entries that notice the end of a server at
-	// different times don't explain. It is also the greatest share of an entry that serves
-	// requests of one that hasn't noticed the loss of its links.
+	// different times don't explain. It is also the greatest share of an entry that may
+	// serve requests of one that hasn't noticed the loss of its links.
 	minAdvantage = 0.1
 	// failurePause is how long an entry is left out after it took no connection.
 	failurePause = 2 * time.Second
@@ -61,8 +62,8 @@
 	failed map[id.Instance]time.Time
 }
 
-// LinksLost reports whether this entry can't reach nearly all servers of a service, so that its
-// requests should be passed on if others reach more.
+// LinksLost reports whether nearly all servers of a service are out of reach of this entry,
+// so that its requests should be passed on if others reach more.
 func (s *Selector) LinksLost(svc id.Service) bool { return s.Unreached()[svc] >= lostShare }
 
 // MissesMost reports whether this entry can't reach most servers of a service.
