forward: an entry that finds no server is followed by another one

A body that isn't buffered and was sent in part ends with the refusal. Forward TestEntriesThatFindNoServerAreFollowedByOthers fails before.

--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -33,7 +33,7 @@
 		MissesMost(svc id.Service) bool
 		// Entries returns the entries that can, in order, in allowed regions only.
 		Entries(now time.Time, svc id.Service, allows func(id.Region) bool) []heartbeat.Node
-		// Failed records that an entry took no connection.
+		// Failed records that an entry took no connection, or found no server.
 		Failed(now time.Time, entry id.Instance)
 	}
 
@@ -67,11 +67,11 @@
 }
 
 // passOn passes the request on to another entry that reaches more servers, and reports
-// whether that gave the final answer. A failed entry is followed by another one only if
-// nothing was sent to it and its connection didn't hang, which may take the time of the
-// request.
+// whether that gave the final answer. An entry that took no connection, or that found no
+// server, is followed by another one, unless its connection hung, which may take the time of
+// the request.
 func (c *call) passOn() bool {
-	if c.origin != nil || c.passedOn || c.h.Relays == nil || c.stream != nil && c.stream.begun.Load() {
+	if c.origin != nil || c.passedOn || c.h.Relays == nil || c.bodyBegun() {
 		return false
 	}
 	c.passedOn = true
@@ -96,6 +96,12 @@
 			c.refuse(c.stream.failureCode(failed.Code))
 			return true
 		}
+		if foundNoServer(ans) && !c.bodyBegun() {
+			ans.Close()
+			c.h.Log.Info("request not passed on", "request", c.id, "instance", e.Instance, "code", relayedCode(ans.Header), "sent", false)
+			c.h.Relays.Failed(time.Now(), e.Instance)
+			continue
+		}
 		c.relay = e.Instance
 		c.h.Metrics.GetOrCreateCounter(`shallotpier_relayed_total{direction="out"}`).Inc()
 		c.writeRelayed(ans)
@@ -104,6 +110,10 @@
 	return false
 }
 
+// bodyBegun reports whether a part of a body that isn't buffered has been sent, so that it
+// can't be sent again.
+func (c *call) bodyBegun() bool { return c.stream != nil && c.stream.begun.Load() }
+
 // relayRequest returns the request to send to another entry.
 func (c *call) relayRequest() *http.Request {
 	out := c.outgoing()
@@ -131,6 +141,17 @@
 	c.writeAnswer(rep)
 }
 
+// foundNoServer reports whether an entry has refused a request since it reaches no server
+// either.
+func foundNoServer(ans *upstream.Answer) bool {
+	switch relayedCode(ans.Header) {
+	case result.NoServer, result.ConnectFailed:
+		return ans.Status == http.StatusServiceUnavailable
+	default:
+		return false
+	}
+}
+
 // relayedCode returns the result code of an answer that another entry has given.
 func relayedCode(h http.Header) result.Code {
 	if n, err := strconv.Atoi(h.Get(result.HeaderCode)); err == nil {
--- a/internal/forward/relay_test.go
+++ b/internal/forward/relay_test.go
@@ -288,6 +288,38 @@
 	}
 }
 
+// An entry that finds no server itself, since it has not noticed yet that its links are cut,
+// must be followed by another one, and get no requests for some time.
+func TestEntriesThatFindNoServerAreFollowedByOthers(t *testing.T) {
+	tests := map[string]struct {
+		kind   service.Kind
+		length int
+		first  int // status of the first request
+	}{
+		"read":                {service.Read, 4, http.StatusOK},
+		"write":               {service.Write, 4, http.StatusOK},
+		"body of 1.5 million": {service.Upload, 1_500_000, http.StatusServiceUnavailable}, // sent in part
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			cut, helper := cutPair(t, tt.kind, true, "ok")
+			unaware := start(t, tt.kind, "ok")
+			unaware.loseLinks()
+			cut.passOnTo(true, unaware.takeRelayed(t), helper.takeRelayed(t))
+			body := strings.Repeat("x", tt.length)
+			status, _, _ := cut.ask(t.Context(), "/x/8", body)
+			is.Equal(status, tt.first)
+			if tt.first != http.StatusOK {
+				is.Equal(helper.backend.requests.Load(), int64(0))
+				return
+			}
+			is.Equal(*helper.backend.body.Load(), body)
+			is.Equal(len(cut.handler.Relays.Entries(time.Now(), svc, nil)), 1)
+		})
+	}
+}
+
 // A read that may have run at a server before the links were lost gets at most the sends of
 // its route in all, and no refusal that says that it has not run.
 func TestSendsBeforeTheLossCount(t *testing.T) {
