forward: tests wait for a crash to be recorded

Traced: it slept 100 ms for a crash to be recorded, which now takes a connection more, and sent again before.

--- a/internal/forward/address_test.go
+++ b/internal/forward/address_test.go
@@ -70,7 +70,7 @@
 				if code == result.Quarantined.String() {
 					break
 				}
-				time.Sleep(100 * time.Millisecond) // until the server's end is known
+				f.waitForCrashes(n + 1)
 				f.freshServers(t)
 			}
 			is.Equal(code, result.Quarantined.String())
--- a/internal/forward/exit_test.go
+++ b/internal/forward/exit_test.go
@@ -284,7 +284,7 @@
 					_, err := io.WriteString(s, p.head()+p.body)
 					is.NoErr(err)
 					s.answer()
-					time.Sleep(100 * time.Millisecond) // until the crash is detected
+					f.waitForCrashes(n + 1)
 				}
 				is.Equal(f.crashes(), 3)
 				p.fields = []string{field}
