--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -33,7 +33,7 @@
 		MissesMost(svc id.Service) bool
 		// Entries returns the entries that can, in order, in allowed regions only.
 		Entries(now time.Time, svc id.Service, allows func(id.Region) bool) []heartbeat.Node
-		// Failed records that an entry took no connection, or found no server.
+		// Failed records that an entry took no connection.
 		Failed(now time.Time, entry id.Instance)
 	}
 
@@ -99,7 +99,6 @@
 		if foundNoServer(ans) && !c.bodyBegun() {
 			ans.Close()
 			c.h.Log.Info("request not passed on", "request", c.id, "instance", e.Instance, "code", relayedCode(ans.Header), "sent", false)
-			c.h.Relays.Failed(time.Now(), e.Instance)
 			continue
 		}
 		c.relay = e.Instance
--- a/internal/relay/selector.go
+++ b/internal/relay/selector.go
@@ -41,8 +41,7 @@
 	// different times don't explain. It is also the greatest share of an entry that may
 	// serve requests of one that hasn't noticed the loss of its links.
 	minAdvantage = 0.1
-	// failurePause is how long an entry is left out after it took no connection, or found
-	// no server.
+	// failurePause is how long an entry is left out after it took no connection.
 	failurePause = 2 * time.Second
 	// maxEntries is the maximum number of entries to try.
 	maxEntries = 3
@@ -100,7 +99,7 @@
 	return others[:min(len(others), maxEntries)]
 }
 
-// Failed records that an entry took no connection, or found no server.
+// Failed records that an entry took no connection.
 func (s *Selector) Failed(now time.Time, entry id.Instance) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
