forward: an entry that is behind is followed by another one

The next one is tried, as after an entry without servers. Forward TestEntriesThatAreBehindAreFollowedByOthers fails before.

--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -67,8 +67,8 @@
 }
 
 // passOn passes the request on to another entry that reaches more servers, and reports
-// whether that gave the final answer. An entry that took no connection, or that found no
-// server, is followed by another one, unless its connection hung, which may take the time of
+// whether that gave the final answer. An entry that took no connection, or that can't help, is
+// followed by another one, unless its connection hung, which may take the time of
 // the request.
 func (c *call) passOn() bool {
 	if c.origin != nil || c.passedOn || c.h.Relays == nil || c.bodyBegun() {
@@ -96,7 +96,7 @@
 			c.refuse(c.stream.failureCode(failed.Code))
 			return true
 		}
-		if foundNoServer(ans) && !c.bodyBegun() {
+		if cantHelp(ans) && !c.bodyBegun() {
 			ans.Close()
 			c.h.Log.Info("request not passed on", "request", c.id, "instance", e.Instance, "code", relayedCode(ans.Header), "sent", false)
 			continue
@@ -140,11 +140,11 @@
 	c.writeAnswer(rep)
 }
 
-// foundNoServer reports whether an entry has refused a request since it reaches no server
-// either.
-func foundNoServer(ans *upstream.Answer) bool {
+// cantHelp reports whether an entry has refused a request for what concerns that entry
+// alone: it reaches no server either, or has an older configuration.
+func cantHelp(ans *upstream.Answer) bool {
 	switch relayedCode(ans.Header) {
-	case result.NoServer, result.ConnectFailed:
+	case result.NoServer, result.ConnectFailed, result.NotReady:
 		return ans.Status == http.StatusServiceUnavailable
 	default:
 		return false
--- a/internal/forward/relay_test.go
+++ b/internal/forward/relay_test.go
@@ -427,6 +427,19 @@
 	}
 }
 
+// An entry whose configuration is older must be followed by another one.
+func TestEntriesThatAreBehindAreFollowedByOthers(t *testing.T) {
+	is := is.New(t)
+	cut, helper := cutPair(t, service.Write, true, "ok")
+	behind := start(t, service.Write, "ok")
+	cut.setVersion(7)
+	helper.setVersion(7)
+	cut.passOnTo(true, behind.takeRelayed(t), helper.takeRelayed(t))
+	status, _, _ := cut.ask(t.Context(), "/x/8", "body")
+	is.Equal(status, http.StatusOK)
+	is.Equal(behind.backend.requests.Load(), int64(0))
+}
+
 // setVersion sets the version of the configuration.
 func (f *fixture) setVersion(v id.Version) {
 	config := *f.handler.Config()
