--- a/internal/soak/links.go
+++ b/internal/soak/links.go
@@ -86,7 +86,7 @@
 		}
 		l.all[e][b], addresses[b.proxy.address] = p, p.address
 	}
-	e.storeProxy.rewrite = func() *rewriter { return &rewriter{addresses: addresses, prefix: []byte(s.ip + ":")} }
+	e.storeProxy.rewrite = func() *rewriter { return &rewriter{addresses: addresses} }
 	return nil
 }
 
@@ -244,7 +244,6 @@
 // rewriter replaces addresses in a stream by others of the same length.
 type rewriter struct {
 	addresses map[string]string
-	prefix    []byte // of all addresses
 	held      []byte // the end of the stream so far, if it may be the start of an address
 }
 
