--- a/internal/soak/links.go
+++ b/internal/soak/links.go
@@ -86,7 +86,7 @@
 		}
 		l.all[e][b], addresses[b.proxy.address] = p, p.address
 	}
-	e.storeProxy.rewrite = func() *rewriter { return &rewriter{addresses: addresses} }
+	e.storeProxy.setRewrite(func() *rewriter { return &rewriter{addresses: addresses} })
 	return nil
 }
 
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -12,9 +12,6 @@
 type proxy struct {
 	address string
 	target  string
-	// rewrite, if not nil, returns the rewriter of the bytes from the target on a new
-	// connection.
-	rewrite func() *rewriter
 
 	mu       sync.Mutex
 	listener net.Listener // nil while connections are refused
@@ -22,6 +19,9 @@
 	delay    time.Duration
 	open     map[net.Conn]bool
 	released chan struct{} // closed while nothing is stalled
+	// rewrite, if not nil, returns the rewriter of the bytes from the target on a new
+	// connection.
+	rewrite func() *rewriter
 }
 
 // mode selects the directions in which a proxy forwards bytes.
@@ -99,6 +99,23 @@
 	}
 }
 
+// setRewrite sets the rewriter of the bytes from the target on new connections.
+func (p *proxy) setRewrite(rewrite func() *rewriter) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.rewrite = rewrite
+}
+
+// newRewriter returns the rewriter of a new connection, nil if there is none.
+func (p *proxy) newRewriter() *rewriter {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.rewrite == nil {
+		return nil
+	}
+	return p.rewrite()
+}
+
 func (p *proxy) serve(l net.Listener) {
 	for {
 		c, err := l.Accept()
@@ -130,8 +147,8 @@
 func (p *proxy) forward(dst, src net.Conn, direction mode) {
 	buf := make([]byte, 16<<10)
 	var rewriter *rewriter
-	if p.rewrite != nil && direction == stalledResponses {
-		rewriter = p.rewrite()
+	if direction == stalledResponses {
+		rewriter = p.newRewriter()
 	}
 	for {
 		n, err := src.Read(buf)
