pipeline, node, forward: requests sent ahead are handled beside those before them

Cause: net/http reads the next request of a connection once it has answered the one before. A request sent ahead waited unread, and its first byte ended net/http's watch for the caller's disconnect, so that work for a caller that had left went on.

A listener in front of net/http splits such a connection into lanes, each a connection to net/http, and writes the answers in the order of the requests. Only requests of read routes overlap; any other one runs alone. What the listener can't frame for certain is left to net/http, in its place. Before a shutdown the lanes settle, since net/http then closes each connection with its next answer. A request's deadline begins when its head has arrived, not when its turn comes. Weighed and left: a server of our own in place of net/http's, and taking connections over once a second request is seen.

Failing before (the same node with the plain listener): TestRequestsSentAheadReachServers. Found by the tests while this was written: a deadlock between Settle and connections that split (TestShutdownLosesNoRequestSentAhead hung), callbacks under the connection's lock.

--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -19,6 +19,7 @@
 	"github.com/shallotpier/shallotpier/internal/dispatch"
 	"github.com/shallotpier/shallotpier/internal/health"
 	"github.com/shallotpier/shallotpier/internal/owner"
+	"github.com/shallotpier/shallotpier/internal/pipeline"
 	"github.com/shallotpier/shallotpier/internal/quarantine"
 	"github.com/shallotpier/shallotpier/internal/roster"
 	"github.com/shallotpier/shallotpier/internal/route"
@@ -41,7 +42,7 @@
 	// forwarded, so that a request whose answer is truncated can be retried.
 	maxBufferedAnswer = 256 << 10
 	// maxLogAttrs is the greatest number of attributes of a request's log line.
-	maxLogAttrs = 27
+	maxLogAttrs = 28
 	// maxConnectFailures is how many servers may fail to accept a connection
 	// before a request is refused.
 	maxConnectFailures = 3
@@ -615,6 +616,9 @@
 	if limited := c.choice.Limited; limited != nil {
 		attrs = append(attrs, slog.String("limited", string(limited.Name)))
 	}
+	if ahead := pipeline.Ahead(c.r.Context()); ahead > 0 {
+		attrs = append(attrs, slog.Int("ahead", ahead))
+	}
 	if c.origin != nil || c.relay != "" {
 		attrs = append(attrs, slog.Bool("relayed", c.origin != nil), slog.String("relay", string(c.relay)))
 	}
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -35,6 +35,7 @@
 	"github.com/shallotpier/shallotpier/internal/crashcheck"
 	"github.com/shallotpier/shallotpier/internal/dispatch"
 	"github.com/shallotpier/shallotpier/internal/linger"
+	"github.com/shallotpier/shallotpier/internal/pipeline"
 	"github.com/shallotpier/shallotpier/internal/quarantine"
 	"github.com/shallotpier/shallotpier/internal/retry"
 	"github.com/shallotpier/shallotpier/internal/roster"
@@ -42,6 +43,7 @@
 	"github.com/shallotpier/shallotpier/internal/upstream"
 	"github.com/shallotpier/shallotpier/pkg/id"
 	"github.com/shallotpier/shallotpier/pkg/result"
+	"github.com/shallotpier/shallotpier/pkg/service"
 	"github.com/shallotpier/shallotpier/pkg/unit"
 )
 
@@ -141,13 +143,13 @@
 func (h *Handler) serve(w http.ResponseWriter, r *http.Request, o *relayOrigin) {
 	h.running.Add(1)
 	defer h.running.Add(-1)
-	c := &call{h: h, w: w, r: r, start: time.Now(), id: r.Header.Get(h.Headers.RequestID), origin: o}
+	c := &call{h: h, w: w, r: r, start: pipeline.Arrived(r.Context(), time.Now()), id: r.Header.Get(h.Headers.RequestID), origin: o}
 	if o != nil {
 		c.sends = o.sends
 		h.Metrics.GetOrCreateCounter(`shallotpier_relayed_total{direction="in"}`).Inc()
 	}
 	defer c.finish()
-	if h.Leaving() {
+	if h.Leaving() && pipeline.EndAfter(r.Context()) {
 		w.Header().Set("Connection", "close")
 	}
 	c.config = h.Config()
@@ -186,6 +188,18 @@
 	c.forward()
 }
 
+// MayOverlap reports whether a request may run beside others of its connection: if it runs
+// more than once, as it may if the connection ends, that does no harm. No request does
+// during a shutdown, so that each answer may be the last of its connection.
+func (h *Handler) MayOverlap(r *http.Request) bool {
+	c := h.Config()
+	if c == nil || h.Leaving() {
+		return false
+	}
+	matched := c.Routes.Match(r.Host, r.URL.Path)
+	return matched != nil && matched.Kind == service.Read
+}
+
 // Running returns the number of requests in progress.
 func (h *Handler) Running() int { return int(h.running.Load()) }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -20,6 +20,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"log"
 	"log/slog"
 	"net"
 	"net/http"
@@ -40,6 +41,7 @@
 	"github.com/shallotpier/shallotpier/internal/heartbeat"
 	"github.com/shallotpier/shallotpier/internal/peer"
 	"github.com/shallotpier/shallotpier/internal/peer/rpc"
+	"github.com/shallotpier/shallotpier/internal/pipeline"
 	"github.com/shallotpier/shallotpier/internal/quarantine"
 	"github.com/shallotpier/shallotpier/internal/relay"
 	"github.com/shallotpier/shallotpier/internal/retry"
@@ -398,24 +400,18 @@
 			o.Log.Error("heartbeats failed", "err", err)
 		}
 	})
-	server := &http.Server{
-		Handler: n.handler, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: n.idleConns.onStateChange,
-		ErrorLog: slog.NewLogLogger(o.Log.With("library", "net/http").Handler(), slog.LevelWarn),
-	}
+	callers := &pipeline.Listener{Listener: listener, Concurrent: n.handler.MayOverlap, State: n.idleConns.onStateChange, Metrics: o.Metrics}
+	server := n.callerServer(callers)
 	servers := []*http.Server{server}
 	ended := make(chan error, 2)
-	go func() { ended <- server.Serve(listener) }()
+	go func() { ended <- server.Serve(callers) }()
 	if o.Self.Relay.IsValid() {
-		relayed, err := net.Listen("tcp", o.Self.Relay.String())
+		relays, relayed, err := n.relayServer()
 		if err != nil {
-			return eris.Wrap(err, "listen for requests that entries pass on")
-		}
-		relayServer := &http.Server{
-			Handler: n.handler.Relayed(), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, IdleTimeout: defaultIdleTimeout,
-			ErrorLog: server.ErrorLog,
+			return err
 		}
-		servers = append(servers, relayServer)
-		go func() { ended <- relayServer.Serve(relayed) }()
+		servers = append(servers, relays)
+		go func() { ended <- relays.Serve(relayed) }()
 	}
 	o.Log.Info("started", "instance", o.Self.Instance, "incarnation", o.Self.Incarnation, "callers", o.Self.Callers)
 	select {
@@ -423,15 +419,41 @@
 		return eris.Wrap(err, "serve callers")
 	case <-ctx.Done():
 	}
-	err = n.stop(servers)
+	err = n.stop(callers, servers)
 	cancel()
 	n.wg.Wait()
 	return err
 }
 
+// callerServer returns the server of callers' requests.
+func (n *Node) callerServer(l *pipeline.Listener) *http.Server {
+	return &http.Server{
+		Handler: n.handler, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ConnState: l.OnStateChange, ConnContext: l.ConnContext,
+		ErrorLog: n.serverLog(),
+	}
+}
+
+// relayServer returns the server of requests that other entries pass on, and its listener.
+func (n *Node) relayServer() (*http.Server, net.Listener, error) {
+	l, err := net.Listen("tcp", n.options.Self.Relay.String())
+	if err != nil {
+		return nil, nil, eris.Wrap(err, "listen for requests that entries pass on")
+	}
+	return &http.Server{
+		Handler: n.handler.Relayed(), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, IdleTimeout: defaultIdleTimeout,
+		ErrorLog: n.serverLog(),
+	}, l, nil
+}
+
+// serverLog returns the log of net/http's servers.
+func (n *Node) serverLog() *log.Logger {
+	return slog.NewLogLogger(n.options.Log.With("library", "net/http").Handler(), slog.LevelWarn)
+}
+
 // stop shuts down gracefully: it announces the shutdown, serves new requests for a
 // while, then stops listening and waits for the running requests and for OnShutdown.
-func (n *Node) stop(servers []*http.Server) error {
+func (n *Node) stop(callers *pipeline.Listener, servers []*http.Server) error {
 	o := &n.options
 	o.Log.Info("leaving", "running", n.handler.Running())
 	n.leaving.Store(true)
@@ -448,6 +470,7 @@
 			o.OnShutdown()
 		}
 	}()
+	callers.Settle(ctx)
 	errs := make(chan error, len(servers))
 	for _, server := range servers {
 		go func() { errs <- server.Shutdown(ctx) }()
--- /dev/null
+++ b/internal/node/pipeline_test.go
@@ -0,0 +1,196 @@
+package node_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/shallotpier/shallotpier/internal/node"
+	"github.com/shallotpier/shallotpier/internal/route"
+	"github.com/shallotpier/shallotpier/pkg/service"
+)
+
+// readsAndWrites is a configuration with a route for reads, /read/, and one for writes, /x/.
+func readsAndWrites() *node.Config {
+	c := configOf(1, "/x/")
+	write := c.Routes.Match("a.example", "/x/")
+	read := *write
+	read.Name, read.Prefix, read.Kind, read.Attempts = "read", "/read/", service.Read, 2
+	c.Routes = route.NewTable([]*route.Route{write, &read})
+	return c
+}
+
+// gatedServer is a backend server that answers requests to paths that end with "held" once
+// the gate is open.
+type gatedServer struct {
+	*httptest.Server
+	gate chan struct{}
+	mu   sync.Mutex
+	ran  []string
+	left atomic.Int64 // requests that were given up
+}
+
+func newGatedServer(t *testing.T) *gatedServer {
+	t.Helper()
+	s := &gatedServer{gate: make(chan struct{})}
+	s.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		s.mu.Lock()
+		s.ran = append(s.ran, r.Header.Get("X-Id"))
+		s.mu.Unlock()
+		if strings.HasSuffix(r.URL.Path, "held") {
+			select {
+			case <-s.gate:
+			case <-r.Context().Done():
+				s.left.Add(1)
+				return
+			}
+		}
+		w.Header().Set("X-Id", r.Header.Get("X-Id"))
+		w.Header().Set("X-Signed", "s")
+		_, _ = io.WriteString(w, r.Header.Get("X-Id"))
+	}))
+	t.Cleanup(s.Close)
+	return s
+}
+
+func (s *gatedServer) ranAlready(reqID string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, other := range s.ran {
+		if other == reqID {
+			return true
+		}
+	}
+	return false
+}
+
+// awaitRun waits until a request runs, and reports whether it does.
+func (s *gatedServer) awaitRun(reqID string) bool {
+	for range 500 {
+		if s.ranAlready(reqID) {
+			return true
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	return false
+}
+
+func readRequest(path, reqID string) string {
+	return fmt.Sprintf("GET %s HTTP/1.1\r\nHost: a.example\r\nX-Id: %s\r\nX-Left: 5000\r\n\r\n", path, reqID)
+}
+
+func writeRequest(path, reqID string) string {
+	return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: a.example\r\nX-Id: %s\r\nX-Left: 5000\r\nContent-Length: 3\r\n\r\none", path, reqID)
+}
+
+// Reads that are sent ahead must reach a server while those before them are at work. A write
+// must wait for the answers before it, and reads behind it for its own.
+func TestRequestsSentAheadReachServers(t *testing.T) {
+	is := is.New(t)
+	server := newGatedServer(t)
+	n := newNode(t)
+	stop := run(t, n, server.Listener.Addr().String())
+	n.Configure(func() *node.Config { c := readsAndWrites(); c.Version = 2; return c }())
+	c, err := net.Dial("tcp", n.Self().Callers.String())
+	is.NoErr(err)
+	defer c.Close()
+	_ = c.SetDeadline(time.Now().Add(10 * time.Second))
+	_, err = io.WriteString(c, readRequest("/read/held", "r-1")+readRequest("/read/a", "r-2")+writeRequest("/x/a", "w-3")+readRequest("/read/b", "r-4"))
+	is.NoErr(err)
+	is.True(server.awaitRun("r-1"))
+	is.True(server.awaitRun("r-2"))
+	time.Sleep(50 * time.Millisecond)
+	is.True(!server.ranAlready("w-3"))
+	is.True(!server.ranAlready("r-4"))
+	close(server.gate)
+	br := bufio.NewReader(c)
+	for _, reqID := range []string{"r-1", "r-2", "w-3", "r-4"} {
+		open, err := readOwnAnswer(br, reqID)
+		is.NoErr(err)
+		is.True(open)
+	}
+	is.NoErr(stop())
+}
+
+// The work of servers on all requests of a caller that leaves must end.
+func TestCallerThatLeavesEndsAllItsReads(t *testing.T) {
+	is := is.New(t)
+	server := newGatedServer(t)
+	n := newNode(t)
+	stop := run(t, n, server.Listener.Addr().String())
+	n.Configure(func() *node.Config { c := readsAndWrites(); c.Version = 2; return c }())
+	c, err := net.Dial("tcp", n.Self().Callers.String())
+	is.NoErr(err)
+	for k := range 3 {
+		_, err = io.WriteString(c, readRequest("/read/held", fmt.Sprintf("r-%d", k)))
+		is.NoErr(err)
+		is.True(server.awaitRun(fmt.Sprintf("r-%d", k)))
+	}
+	is.NoErr(c.Close())
+	for end := time.Now().Add(5 * time.Second); server.left.Load() < 3; time.Sleep(5 * time.Millisecond) {
+		is.True(time.Now().Before(end)) // servers are still at work
+	}
+	is.NoErr(stop())
+}
+
+// A read that was sent ahead and passed on to a server must be answered, at whichever moment
+// of a shutdown it comes.
+func TestShutdownLosesNoRequestSentAhead(t *testing.T) {
+	is := is.New(t)
+	server := newRecordingServer(t, 20*time.Millisecond)
+	n := newNode(t)
+	stop := run(t, n, server.Listener.Addr().String())
+	n.Configure(func() *node.Config { c := readsAndWrites(); c.Version = 2; return c }())
+	var answered, lost atomic.Int64
+	var wg sync.WaitGroup
+	for k := range 40 {
+		wg.Go(func() {
+			for batch := 0; ; batch++ {
+				c, err := net.Dial("tcp", n.Self().Callers.String())
+				if err != nil {
+					return
+				}
+				br, open := bufio.NewReader(c), true
+				for ; open; batch++ {
+					var ids []string
+					var stream strings.Builder
+					for i := range 4 {
+						ids = append(ids, fmt.Sprintf("%d-%d-%d", k, batch, i))
+						stream.WriteString(readRequest("/read/a", ids[i]))
+					}
+					_, _ = io.WriteString(c, stream.String())
+					for _, reqID := range ids {
+						if open {
+							open, err = readOwnAnswer(br, reqID)
+							if err == nil {
+								answered.Add(1)
+								continue
+							}
+							open = false
+						}
+						if _, ran := server.seen.Load(reqID); ran {
+							lost.Add(1)
+						}
+					}
+				}
+				_ = c.Close()
+			}
+		})
+	}
+	time.Sleep(300 * time.Millisecond)
+	is.NoErr(stop())
+	wg.Wait()
+	is.Equal(lost.Load(), int64(0))
+	is.True(answered.Load() > 1000)
+}
