soak: callers send reads ahead, read slowly and leave

A tenth of a caller's turns sends 2 to 8 reads on one connection at once and reads their answers in order, slowly at times; a quarter of these leave before all answers have come. The checks are those of other requests: an answer to another request is mixed, one that ran and isn't answered during a shutdown is lost. The draws of other requests stay as they were (a random stream of their own).

--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -68,6 +68,7 @@
 		entries []*process
 		expiry  time.Time
 	)
+	ahead := rand.New(rand.NewPCG(s.options.Seed, firstAheadStream+uint64(n)))
 	for i := 0; ctx.Err() == nil; i++ {
 		if time.Now().After(expiry) || len(entries) == 0 {
 			entries, expiry = s.lookup(client, n), time.Now().Add(lookupTTL)
@@ -76,6 +77,11 @@
 			sleep(ctx, requestInterval)
 			continue
 		}
+		if ahead.IntN(100) < aheadPercent {
+			s.sendAhead(ctx, ahead, fmt.Sprintf("a%d-%d", n, i), entries[ahead.IntN(len(entries))])
+			sleep(ctx, requestInterval)
+			continue
+		}
 		a := s.newAttempt(rng, fmt.Sprintf("c%d-%d", n, i))
 		a.entry = entries[rng.IntN(len(entries))]
 		s.send(ctx, client, a)
@@ -140,8 +146,7 @@
 
 // send sends the request and records the result in a.
 func (s *soak) send(ctx context.Context, client *http.Client, a *attempt) {
-	sum := sha256.Sum256([]byte(a.payload))
-	a.digest = hex.EncodeToString(sum[:])
+	a.digest = digestOf(a.payload)
 	r, err := http.NewRequestWithContext(ctx, a.method, "http://"+a.entry.address(0)+a.path, strings.NewReader(a.payload))
 	if err != nil {
 		return
@@ -160,9 +165,7 @@
 	a.startCount, a.sent = a.entry.currentStartCount(), time.Now()
 	resp, err := client.Do(r)
 	a.done = time.Now()
-	a.entry.mu.Lock()
-	a.duringShutdown = !a.entry.stoppingSince.IsZero() && a.entry.startCount == a.startCount
-	a.entry.mu.Unlock()
+	a.duringShutdown = a.entry.stopping(a.startCount)
 	if err != nil {
 		return
 	}
@@ -175,3 +178,9 @@
 	a.limited = resp.Header.Get(standin.LimitHeader) != ""
 	a.done = time.Now()
 }
+
+// digestOf returns the digest of a body as the servers record it.
+func digestOf(body string) string {
+	sum := sha256.Sum256([]byte(body))
+	return hex.EncodeToString(sum[:])
+}
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -234,3 +234,10 @@
 func (e *process) isReady() bool {
 	return standin.Ready(&http.Client{Timeout: readinessTimeout}, e.address(1))
 }
+
+// stopping reports whether a graceful shutdown of the given start is in progress.
+func (e *process) stopping(startCount int) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return !e.stoppingSince.IsZero() && e.startCount == startCount
+}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -71,6 +71,8 @@
 	// addressStream leaves the streams of the callers as they are, and the requests of
 	// failed seeds at one address.
 	addressStream uint64 = 2439 << 32
+	// firstAheadStream leaves the other requests of the callers as they are.
+	firstAheadStream uint64 = 2025 << 32
 	// linkStream leaves the failed seeds without cuts of links.
 	linkStream uint64 = 2661 << 32
 )
