roster, forward, platform: what servers say of themselves in their answers

Cause: no entry read Server-Leaving, nor Retry-After in a server's 503. A server that leaves without the store's word, or while the store is away, went on getting requests; one that wants none for some time got them as before.

Both are beliefs about one start of a server, kept with the others in the roster. A server that wants no requests is passed over like one whose limit is used up, for the time that it names and up to a tenth more, drawn at random, so that entries don't all return at once; an hour at most. If all are, a request is refused at once with the code of limited servers and a time to come back. Malformed values are ignored, with one bounded log line; answers of another server (421) are ignored. States 'leaving' and 'away' in status, shallotpier_servers{state="away"}, shallotpier_servers_turned_away_total.

Failing without the two calls that observe answers: 9 cases of TestServersThatLeaveByTheirAnswers, TestRelayedAnswerOfALeavingServer not tried so, 2 of TestServersThatWantNoRequestsForATime.

--- a/internal/entryview/view.go
+++ b/internal/entryview/view.go
@@ -134,6 +134,8 @@
 	Usable State = "usable"
 	// Cold servers are in slow start and receive requests at a limited rate.
 	Cold State = "cold"
+	// Away servers have turned a request away and want none for some time.
+	Away State = "away"
 	// Limited servers have named a limit and receive requests up to this entry's share.
 	Limited State = "limited"
 	// Outlier servers fail more often or answer more slowly than others, and are
--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -309,6 +309,7 @@
 	c.server, c.tried = m.Name, append(c.tried, m.Name)
 	ans, err := c.h.Upstream.Send(c.sendCtx, &upstream.Request{
 		Server: m.Name, Address: m.Address, HTTP: c.outgoingTo(m), ID: c.id, Idempotent: c.idempotent(),
+		Interim: func(header http.Header) { c.observeLeaving(m, header) },
 	})
 	if err != nil {
 		return nil, c.recordSendError(m, start, asSendError(err))
@@ -316,7 +317,7 @@
 	if c.sends++; c.sends == 1 {
 		c.h.budget(c.service).CountFirst(time.Now())
 	}
-	c.observeLimit(m, ans)
+	c.observe(m, ans)
 	rep := &reply{Answer: ans, member: m}
 	if code := c.check(rep); code != 0 {
 		ans.Close()
@@ -483,6 +484,9 @@
 func (c *call) writeHeader(rep *reply) {
 	header := c.w.Header()
 	copyEndToEnd(header, rep.Header)
+	if c.origin != nil && rep.member != nil {
+		header.Set(relayServer, string(rep.member.Name))
+	}
 	if _, ok := header["Content-Type"]; !ok {
 		header["Content-Type"] = nil // disables content sniffing by net/http
 	}
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -117,6 +117,12 @@
 		// Limit extracts the limit that the server names in the header of an answer, 0
 		// if it names none; nil if servers name no limits.
 		Limit func(http.Header) (unit.Rate, error)
+		// ServerLeaving reports whether the header of an answer says that its server is
+		// leaving; nil if servers don't say so.
+		ServerLeaving func(http.Header) (bool, error)
+		// StayAway extracts the time for which a server that turns a request away wants
+		// no others, 0 if it names none; nil if servers name none.
+		StayAway func(http.Header) (time.Duration, error)
 		// StoreAge returns the staleness of the list of servers: the time since the
 		// platform's store last confirmed it.
 		StoreAge func() time.Duration
@@ -128,8 +134,8 @@
 		budgets   sync.Map // id.Service to *retry.Budget
 		baselines sync.Map // baselineKey to *outlier.Baseline
 		running   atomic.Int64
-		// invalidLimit is the time of the latest log line about an invalid limit.
-		invalidLimit atomic.Int64
+		// invalidLogged is the time of the latest log line about an invalid header.
+		invalidLogged atomic.Int64
 	}
 )
 
--- a/internal/forward/handler_test.go
+++ b/internal/forward/handler_test.go
@@ -104,6 +104,8 @@
 	case "limited, cut":
 		_, _ = io.WriteString(c, ok+"X-Limit: 2.5\r\nContent-Length: 3\r\n\r\no")
 		return false
+	case "interim leaving":
+		_, _ = io.WriteString(c, "HTTP/1.1 103 Early Hints\r\nX-Leaving: 1\r\n\r\n"+ok+"Content-Length: 3\r\n\r\none")
 	case "chunked":
 		_, _ = io.WriteString(c, ok+"Transfer-Encoding: chunked\r\n\r\n3\r\none\r\n0\r\n\r\n")
 	case "until closed":
@@ -129,10 +131,31 @@
 		_, _ = bufio.NewReader(c).ReadByte()
 		b.closed <- struct{}{}
 		return false
+	default:
+		return answerFields(c, header, line)
 	}
 	return true
 }
 
+// answerFields writes an answer whose line is a status and header fields, separated by
+// commas, and "cut" to end it within its body.
+func answerFields(c net.Conn, header, line string) bool {
+	status, rest, _ := strings.Cut(line, ", ")
+	rest, cut := strings.CutSuffix(rest, ", cut")
+	if rest != "" {
+		header += strings.ReplaceAll(rest, ", ", "\r\n") + "\r\n"
+	}
+	if status == "200" || status == "500" {
+		header += "X-Signed: s\r\n"
+	}
+	body := "one"
+	if cut {
+		body = "o"
+	}
+	_, _ = io.WriteString(c, "HTTP/1.1 "+status+" Status\r\n"+header+"Content-Length: 3\r\n\r\n"+body)
+	return !cut
+}
+
 // crash closes the listener of the server that a connection belongs to.
 func (b *backend) crash(c net.Conn) {
 	b.mu.Lock()
@@ -196,8 +219,21 @@
 		Headers: forward.Headers{
 			RequestID: "X-Id", Deadline: "X-Left", Object: "Object", Expect: "X-Expect", NotRun: "X-Not-Run", Signature: "X-Signed",
 		},
-		Load:     func(http.Header) *roster.Load { return nil },
-		Limit:    decodeLimit,
+		Load:  func(http.Header) *roster.Load { return nil },
+		Limit: decodeLimit,
+		ServerLeaving: func(h http.Header) (bool, error) {
+			value := h.Get("X-Leaving")
+			if value != "" && value != "1" {
+				return false, strconv.ErrSyntax
+			}
+			return value == "1", nil
+		},
+		StayAway: func(h http.Header) (time.Duration, error) {
+			if h.Get("X-Away") == "" {
+				return 0, nil
+			}
+			return time.ParseDuration(h.Get("X-Away"))
+		},
 		StoreAge: func() time.Duration { return 0 },
 		Log:      slog.New(slog.DiscardHandler), Metrics: metrics.NewSet(),
 	}
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -12,7 +12,7 @@
 	"github.com/shallotpier/shallotpier/pkg/result"
 )
 
-// Headers of a request that an entry passes on to another one.
+// Headers of a request that an entry passes on to another one, and of its answer.
 const (
 	// relayCaller holds the address of the caller.
 	relayCaller = "Shallotpier-Relay-Caller"
@@ -22,6 +22,8 @@
 	relaySends = "Shallotpier-Relay-Sends"
 	// relayVersion holds the version of the first entry's configuration.
 	relayVersion = "Shallotpier-Relay-Version"
+	// relayServer holds, in the answer, the name of the server that has given it.
+	relayServer = "Shallotpier-Relay-Server"
 )
 
 type (
@@ -126,6 +128,7 @@
 // writeRelayed forwards the answer that another entry has given.
 func (c *call) writeRelayed(ans *upstream.Answer) {
 	rep := &reply{Answer: ans}
+	c.observeRelayed(ans.Header)
 	if code := c.buffer(rep); code != 0 {
 		ans.Close()
 		c.refuse(code)
@@ -140,6 +143,19 @@
 	c.writeAnswer(rep)
 }
 
+// observeRelayed applies an answer of another entry whose server is leaving: this entry
+// passes that answer on as well.
+func (c *call) observeRelayed(header http.Header) {
+	name := header.Get(relayServer)
+	header.Del(relayServer)
+	if name == "" || c.h.ServerLeaving == nil {
+		return
+	}
+	if leaving, err := c.h.ServerLeaving(header); err == nil && leaving {
+		c.h.Dispatcher.Roster.ObserveRelayedLeaving(id.Server(name), c.id)
+	}
+}
+
 // cantHelp reports whether an entry has refused a request for what concerns that entry
 // alone: it reaches no server either, or has an older configuration.
 func cantHelp(ans *upstream.Answer) bool {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -141,6 +141,12 @@
 		// Limit extracts the limit that the server names in the header of an answer, 0
 		// if it names none; nil if servers name no limits.
 		Limit func(http.Header) (unit.Rate, error)
+		// ServerLeaving reports whether the header of an answer says that its server is
+		// leaving; nil if servers don't say so.
+		ServerLeaving func(http.Header) (bool, error)
+		// StayAway extracts the time for which a server that turns a request away wants
+		// no others, 0 if it names none; nil if servers name none.
+		StayAway func(http.Header) (time.Duration, error)
 		// Log receives a line per event.
 		Log *slog.Logger
 		// Metrics receives counters, gauges and histograms.
@@ -196,7 +202,7 @@
 	n.handler = &forward.Handler{
 		Config: n.forwardConfig, Dispatcher: n.dispatcher, Upstream: n.upstream,
 		Quarantine: n.Quarantine, CrashChecks: &crashcheck.Checker{Connect: n.upstream.CanConnect}, RetryLimits: n.retryLimits, Leaving: n.leaving.Load, Headers: o.Headers, Load: o.Load, Limit: o.Limit,
-		StoreAge: n.storeAge, Log: o.Log, Metrics: o.Metrics, RelayClient: n.relays,
+		ServerLeaving: o.ServerLeaving, StayAway: o.StayAway, StoreAge: n.storeAge, Log: o.Log, Metrics: o.Metrics, RelayClient: n.relays,
 		Relays: &relay.Selector{Region: o.Self.Region, Unreached: n.unreachedServers, Others: n.recentlyHeard},
 	}
 	n.peers.Self = peer.Sender{Instance: o.Self.Instance, Incarnation: o.Self.Incarnation}
@@ -345,30 +351,26 @@
 func (n *Node) serviceGauges(services map[id.Service]roster.ServiceConfig) {
 	for name := range services {
 		n.reachGauge(name)
-		n.options.Metrics.GetOrCreateGauge(fmt.Sprintf(`shallotpier_servers{service=%q,state="usable"}`, name), func() float64 {
-			return float64(len(n.Roster.View().Members(name)))
-		})
-		n.options.Metrics.GetOrCreateGauge(fmt.Sprintf(`shallotpier_servers{service=%q,state="outlier"}`, name), func() float64 {
-			outliers := 0
-			for _, m := range n.Roster.View().Members(name) {
-				if m.Outlier() {
-					outliers++
-				}
-			}
-			return float64(outliers)
-		})
-		n.options.Metrics.GetOrCreateGauge(fmt.Sprintf(`shallotpier_servers{service=%q,state="limited"}`, name), func() float64 {
-			limited, now := 0, time.Now()
-			for _, m := range n.Roster.View().Members(name) {
-				if m.Limit(now) > 0 {
-					limited++
-				}
-			}
-			return float64(limited)
-		})
+		n.serverGauge(name, "usable", func(time.Time, *roster.Member) bool { return true })
+		n.serverGauge(name, "outlier", func(_ time.Time, m *roster.Member) bool { return m.Outlier() })
+		n.serverGauge(name, "limited", func(now time.Time, m *roster.Member) bool { return m.Limit(now) > 0 })
+		n.serverGauge(name, "away", func(now time.Time, m *roster.Member) bool { return m.Away(now) > 0 })
 	}
 }
 
+// serverGauge registers the gauge of a service's eligible servers in a state.
+func (n *Node) serverGauge(svc id.Service, state string, in func(time.Time, *roster.Member) bool) {
+	n.options.Metrics.GetOrCreateGauge(fmt.Sprintf(`shallotpier_servers{service=%q,state=%q}`, svc, state), func() float64 {
+		count, now := 0, time.Now()
+		for _, m := range n.Roster.View().Members(svc) {
+			if in(now, m) {
+				count++
+			}
+		}
+		return float64(count)
+	})
+}
+
 // Run serves until ctx ends, then shuts down gracefully within the grace period.
 func (n *Node) Run(ctx context.Context) error {
 	o := &n.options
--- a/internal/node/state.go
+++ b/internal/node/state.go
@@ -52,7 +52,7 @@
 	s := entryview.Server{Name: m.Name, Service: m.Service, Zone: m.Zone, Slots: m.Slots, Busy: m.EstimatedRequests(now), Own: m.InFlight(), Limit: m.Limit(now), LimitShare: m.LimitShare(now)}
 	ready, next := m.Readiness(now)
 	switch {
-	case m.Leaving:
+	case m.Leaving, m.AnsweredLeaving():
 		s.State = entryview.Leaving
 	case slices.Contains(evacuated, m.Zone):
 		s.State = entryview.Evacuated
@@ -62,6 +62,8 @@
 		s.State = entryview.Cold
 	case !ready && next.IsZero():
 		s.State = entryview.Out
+	case m.Away(now) > 0:
+		s.State = entryview.Away
 	case s.Limit > 0:
 		s.State = entryview.Limited
 	case m.Outlier():
--- /dev/null
+++ b/internal/roster/answers.go
@@ -0,0 +1,62 @@
+package roster
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/shallotpier/shallotpier/pkg/id"
+)
+
+const (
+	// MaxAway is the longest time for which a server may turn requests away at once.
+	MaxAway = time.Hour
+	// returnSpread is the fraction by which an entry extends the time at random, so that
+	// not all entries return to the server at the same moment.
+	returnSpread = 0.1
+)
+
+// ObserveLeaving records that an answer of a server to a request has said that the server
+// is leaving. It gets no more requests of this entry until its next start, whatever its
+// registration says.
+func (r *Roster) ObserveLeaving(m *Member, request string) {
+	if m.AnsweredLeaving() {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	m.state.mu.Lock()
+	known := m.state.leaving
+	m.state.leaving = true
+	m.state.mu.Unlock()
+	if known {
+		return
+	}
+	r.Log.Info("backend server leaving by its answer", "server", m.Name, "request", request, "startedAt", m.StartedAt, "registeredLeaving", m.Leaving)
+	if current := r.members[m.Name]; current != nil && current.state == m.state {
+		r.publishOne(current, m.Name)
+	}
+}
+
+// ObserveAway records that a server has turned a request away and wants no others of
+// this entry for a time, at most [MaxAway].
+func (r *Roster) ObserveAway(now time.Time, m *Member, away time.Duration, request string) {
+	away = min(away, MaxAway)
+	until := now.Add(away + time.Duration(rand.Float64()*returnSpread*float64(away)))
+	m.state.mu.Lock()
+	known := m.state.awayUntil.After(now)
+	m.state.awayUntil = later(m.state.awayUntil, until)
+	m.state.mu.Unlock()
+	if !known && away > 0 {
+		r.Log.Info("backend server wants no requests", "server", m.Name, "request", request, "for", away, "until", until)
+	}
+}
+
+// ObserveRelayedLeaving is like ObserveLeaving for an answer that another entry has given.
+func (r *Roster) ObserveRelayedLeaving(name id.Server, request string) {
+	r.mu.Lock()
+	m := r.members[name]
+	r.mu.Unlock()
+	if m != nil {
+		r.ObserveLeaving(m, request)
+	}
+}
--- a/internal/roster/member.go
+++ b/internal/roster/member.go
@@ -89,6 +89,10 @@
 		record    outlier.Record
 		outlier   bool
 		coldUntil time.Time
+		// leaving is set once an answer has said that the server is leaving.
+		leaving bool
+		// awayUntil is the end of the time in which the server wants no requests.
+		awayUntil time.Time
 		limiter   sharedrate.Limiter
 		// connectFailed is the time of the last failed connection attempt, zero if
 		// the server was reached since. While it is set, a trial request waits for a
@@ -153,6 +157,21 @@
 	return m.state.rank
 }
 
+// Away returns for how much longer the server wants no requests of this entry, 0 if it
+// takes them.
+func (m *Member) Away(now time.Time) time.Duration {
+	m.state.mu.Lock()
+	defer m.state.mu.Unlock()
+	return max(m.state.awayUntil.Sub(now), 0)
+}
+
+// AnsweredLeaving reports whether an answer has said that the server is leaving.
+func (m *Member) AnsweredLeaving() bool {
+	m.state.mu.Lock()
+	defer m.state.mu.Unlock()
+	return m.state.leaving
+}
+
 // InFlight returns the number of this entry's requests at the server.
 func (m *Member) InFlight() int {
 	m.state.mu.Lock()
@@ -202,22 +221,24 @@
 	return m.state.outlier
 }
 
-// Ready reports whether the server's health, its cold rate and its limit allow a request
-// now.
+// Ready reports whether the server's health, its cold rate, its limit and what it has
+// answered allow a request now.
 func (m *Member) Ready(now time.Time) bool {
 	ready, _ := m.Readiness(now)
 	return ready
 }
 
-// Readiness is like Ready. If only the server's limit doesn't allow a request, it also
-// returns when it may; otherwise the time is zero.
+// Readiness is like Ready. If only the server's limit doesn't allow a request, or the
+// server wants none for some time, it also returns when it may get one; otherwise the time
+// is zero.
 func (m *Member) Readiness(now time.Time) (ready bool, next time.Time) {
 	m.state.mu.Lock()
 	defer m.state.mu.Unlock()
 	if !m.state.ready(now, m) {
 		return false, time.Time{}
 	}
-	if next = m.limits.Next(now, m.limitKey(), m.limitShare); next.After(now) {
+	next = later(m.limits.Next(now, m.limitKey(), m.limitShare), m.state.awayUntil)
+	if next.After(now) {
 		return false, next
 	}
 	return true, time.Time{}
@@ -236,7 +257,7 @@
 	s := m.state
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.ready(now, m) {
+	if !s.ready(now, m) || s.awayUntil.After(now) {
 		return false
 	}
 	if !m.limits.Take(now, m.limitKey(), m.limitShare) {
@@ -324,7 +345,7 @@
 // ready reports whether the server's health and its cold rate allow a request.
 func (s *state) ready(now time.Time, m *Member) bool {
 	v, _ := s.verdict(now)
-	if v == health.No || v == health.Trial && !s.connectFailed.IsZero() || !m.zone.ok() {
+	if s.leaving || v == health.No || v == health.Trial && !s.connectFailed.IsZero() || !m.zone.ok() {
 		return false
 	}
 	return !now.Before(s.coldUntil) || s.limiter.Available(now, m.coldShare())
--- a/internal/roster/restore.go
+++ b/internal/roster/restore.go
@@ -31,6 +31,11 @@
 	// ended is what is known of a server that is no longer registered.
 	ended struct {
 		report
+		// state holds what its answers have said, for the case that the registration
+		// of the same start comes back.
+		state   *state
+		service id.Service
+		address string
 		// lost reports that the registration was not removed, but is missing since a
 		// restore. The server may write the same one again.
 		lost bool
@@ -139,7 +144,14 @@
 	if r.ended == nil {
 		r.ended = make(map[id.Server]*ended)
 	}
-	r.ended[m.Name] = &ended{report: m.report(), lost: m.lost, restores: r.restores, at: now}
+	r.ended[m.Name] = &ended{
+		report: m.report(), state: m.state, service: m.Service, address: m.Address, lost: m.lost, restores: r.restores, at: now,
+	}
+}
+
+// continues reports whether a registration is of the start of the server that has ended.
+func (e *ended) continues(s *Server) bool {
+	return e != nil && e.startedAt == s.StartedAt && e.service == s.Service && e.address == s.Address
 }
 
 // unlist records that the store has no registration of an ended server.
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -373,6 +373,7 @@
 		r.ignore(&s)
 		return false
 	}
+	before := r.ended[s.Name]
 	delete(r.ended, s.Name)
 	old := r.members[s.Name]
 	if old != nil && old.graceEnd.IsZero() && s.equalExceptSequence(&old.Server) {
@@ -386,6 +387,8 @@
 	m.restores = r.restores
 	if old != nil && old.StartedAt == s.StartedAt && old.Service == s.Service && old.Address == s.Address {
 		m.state = old.state
+	} else if old == nil && before.continues(&s) {
+		m.state = before.state
 	}
 	if s.Cold > 0 {
 		m.state.extendCold(now.Add(s.Cold))
@@ -499,8 +502,11 @@
 	r.view.Store(v)
 }
 
-// eligible reports whether a server's registration and zone allow requests.
-func (r *Roster) eligible(m *Member) bool { return !m.Leaving && !r.evacuated[m.Zone] }
+// eligible reports whether a server's registration, its answers and its zone allow
+// requests.
+func (r *Roster) eligible(m *Member) bool {
+	return !m.Leaving && !m.AnsweredLeaving() && !r.evacuated[m.Zone]
+}
 
 // count updates the number of a service's servers per region.
 func (v *View) count(svc id.Service) {
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -109,6 +109,8 @@
 		ID string
 		// Idempotent is set if the request may run more than once.
 		Idempotent bool
+		// Interim, unless nil, is called with the header of each interim answer.
+		Interim func(http.Header)
 	}
 
 	// Answer is a backend server's answer. Its body ends with io.EOF only if it
@@ -434,6 +436,9 @@
 		case resp.StatusCode == http.StatusSwitchingProtocols:
 			return fmt.Errorf("%w: switching protocols is not supported", errInvalidAnswer)
 		case resp.StatusCode < http.StatusOK:
+			if x.request.Interim != nil {
+				x.request.Interim(resp.Header)
+			}
 			continue
 		case got == x.request.ID, got == "" && resp.StatusCode >= http.StatusMultipleChoices:
 			x.resp = resp
