roster: what a server has said of itself holds at another address; soak: leaving by answers

The soak has servers now that say in their answers that they are leaving while their registrations say ready, and checks the rule: from a start of an entry that has passed such an answer on, no request that was sent later than the drain time after may reach the server.

Trace: entry-0 had logged 'leaving by its answer' of s-1 with the same start 1.1 s before. Between the two lines it logged a changed registration of s-1: the soak moves servers behind other addresses when it cuts links. A registration with another address began with nothing known, so the belief was kept by address and not by start. Ruled out: a restart (the entry was killed later), an earlier view (Begin refuses too).

Leaving and the time to stay away are taken over to the registration of the same start at another address; connections, health and load aren't. Failing before: 'at another address' in TestServerThatLeavesByItsAnswer.

--- a/internal/roster/answers.go
+++ b/internal/roster/answers.go
@@ -51,6 +51,26 @@
 	}
 }
 
+// takeOver takes over what is known of the same start of the server, by its registration or
+// by one that has ended. At another address, only what the server has said of itself holds.
+func (m *Member) takeOver(old *Member, before *ended) {
+	if old == nil && before != nil {
+		old = before.member
+	}
+	if old == nil || old.StartedAt != m.StartedAt {
+		return
+	}
+	if old.Service == m.Service && old.Address == m.Address {
+		m.state = old.state
+		return
+	}
+	if m.StartedAt != 0 { // otherwise the start is unknown
+		old.state.mu.Lock()
+		defer old.state.mu.Unlock()
+		m.state.leaving, m.state.awayUntil = old.state.leaving, old.state.awayUntil
+	}
+}
+
 // ObserveRelayedLeaving is like ObserveLeaving for an answer that another entry has given.
 func (r *Roster) ObserveRelayedLeaving(name id.Server, request string) {
 	r.mu.Lock()
--- a/internal/roster/answers_test.go
+++ b/internal/roster/answers_test.go
@@ -17,6 +17,8 @@
 func TestServerThatLeavesByItsAnswer(t *testing.T) {
 	again := server("i-1")
 	again.Sequence = 7
+	moved := server("i-1")
+	moved.Address = "10.0.0.9:80"
 	restarted := server("i-1")
 	restarted.StartedAt = 2
 	tests := map[string]struct {
@@ -37,6 +39,7 @@
 			r.Replace(start, []roster.Server{server("i-1"), server("i-2")})
 		}, true},
 		"other entries known": {func(r *roster.Roster) { r.SetEntries(entry(1), []netip.AddrPort{entry(2)}) }, true},
+		"at another address":  {func(r *roster.Roster) { r.Put(start, moved) }, true},
 		"restarted":           {func(r *roster.Roster) { r.Put(start, restarted) }, false},
 		"restarted after its removal": {func(r *roster.Roster) {
 			r.Remove(start, "i-1")
--- a/internal/roster/restore.go
+++ b/internal/roster/restore.go
@@ -31,11 +31,9 @@
 	// ended is what is known of a server that is no longer registered.
 	ended struct {
 		report
-		// state holds what its answers have said, for the case that the registration
+		// member holds what its answers have said, for the case that the registration
 		// of the same start comes back.
-		state   *state
-		service id.Service
-		address string
+		member *Member
 		// lost reports that the registration was not removed, but is missing since a
 		// restore. The server may write the same one again.
 		lost bool
@@ -144,14 +142,7 @@
 	if r.ended == nil {
 		r.ended = make(map[id.Server]*ended)
 	}
-	r.ended[m.Name] = &ended{
-		report: m.report(), state: m.state, service: m.Service, address: m.Address, lost: m.lost, restores: r.restores, at: now,
-	}
-}
-
-// continues reports whether a registration is of the start of the server that has ended.
-func (e *ended) continues(s *Server) bool {
-	return e != nil && e.startedAt == s.StartedAt && e.service == s.Service && e.address == s.Address
+	r.ended[m.Name] = &ended{report: m.report(), member: m, lost: m.lost, restores: r.restores, at: now}
 }
 
 // unlist records that the store has no registration of an ended server.
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -385,11 +385,7 @@
 	}
 	m := newMember(s, r.zone(s.Zone), r.baseline(s.Service), r.limitTable())
 	m.restores = r.restores
-	if old != nil && old.StartedAt == s.StartedAt && old.Service == s.Service && old.Address == s.Address {
-		m.state = old.state
-	} else if old == nil && before.continues(&s) {
-		m.state = before.state
-	}
+	m.takeOver(old, before)
 	if s.Cold > 0 {
 		m.state.extendCold(now.Add(s.Cold))
 	}
--- a/internal/soak/ahead.go
+++ b/internal/soak/ahead.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/shallotpier/shallotpier/platform"
+	"github.com/shallotpier/shallotpier/platform/standin"
 )
 
 const (
@@ -87,6 +88,7 @@
 			return
 		}
 		a.status, a.body, a.signature = resp.StatusCode, string(data), resp.Header.Get(h.Signature)
+		a.limited, a.leaving = resp.Header.Get(standin.LimitHeader) != "", resp.Header.Get(standin.LeavingHeader) != ""
 		if resp.Close {
 			return // what was sent behind this answer counts as not read
 		}
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -48,6 +48,7 @@
 		body           string
 		signature      string
 		limited        bool // the answer names a limit of the server
+		leaving        bool // the answer says that the server is leaving
 		duringShutdown bool // a graceful shutdown of the entry was in progress
 		interrupted    bool // by the end of the run, so that there is no result
 	}
@@ -175,7 +176,7 @@
 		return
 	}
 	a.status, a.body, a.signature = resp.StatusCode, string(data), resp.Header.Get(h.Signature)
-	a.limited = resp.Header.Get(standin.LimitHeader) != ""
+	a.limited, a.leaving = resp.Header.Get(standin.LimitHeader) != "", resp.Header.Get(standin.LeavingHeader) != ""
 	a.done = time.Now()
 }
 
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -67,6 +67,7 @@
 	r.Crashes = c.checkCrashing()
 	r.Limited = c.checkLimits()
 	r.LinkCuts = c.checkLinks()
+	r.Leaving = c.checkLeavingAnswers()
 	r.Violations = c.violations
 	return r
 }
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -73,6 +73,8 @@
 	addressStream uint64 = 2439 << 32
 	// firstAheadStream leaves the other requests of the callers as they are.
 	firstAheadStream uint64 = 2025 << 32
+	// leavingStream leaves the failed seeds without servers that leave by their answers.
+	leavingStream uint64 = 2040 << 32
 	// linkStream leaves the failed seeds without cuts of links.
 	linkStream uint64 = 2661 << 32
 )
@@ -116,6 +118,9 @@
 		// Limited is the number of servers that named a limit long enough for the
 		// check.
 		Limited int
+		// Leaving is the number of passages of an answer that says that its server is
+		// leaving, by start of entry and server.
+		Leaving int
 		// Faults lists the injected faults, in order.
 		Faults []string
 		// Violations lists the violations of guarantees.
@@ -201,6 +206,7 @@
 	}
 	limited, endLimits := context.WithCancel(ctx)
 	defer endLimits()
+	wg.Go(func() { s.announceLeaving(limited) })
 	if s.limits != nil {
 		wg.Go(func() { s.limits.run(limited, s) })
 	}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -52,6 +52,8 @@
 		// Entries that find no server for a moment are left out.
 		"cut_links_while_zones_are_evacuated":       14000,
 		"cut_links_while_zones_are_evacuated_twice": 13051,
+		// What a server has said of itself is forgotten when its address changes.
+		"leaving_by_answers_while_addresses_change": 2528691591,
 		// An entry with an older configuration refuses for others.
 		"cut_links_while_configurations_change": 13052,
 		// Copies of a frequent read on one crashed server count as several crashes.
