--- a/internal/pipeline/listener.go
+++ b/internal/pipeline/listener.go
@@ -23,7 +23,7 @@
 	// the longest answer that is complete before it is forwarded, with its head.
 	maxHeld = 320 << 10
 	// heldWriteTimeout is how long it may take to write the bytes of an answer that had
-	// to wait. Its handler has returned, so that nothing else limits the time.
+	// to wait. Its handler may have returned, so that nothing else limits the time.
 	heldWriteTimeout = 30 * time.Second
 	// maxIdleHead bounds the buffer for a head that an idle connection keeps, in bytes.
 	maxIdleHead = 2 << 10
--- a/internal/roster/answers.go
+++ b/internal/roster/answers.go
@@ -24,28 +24,42 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	m.state.mu.Lock()
-	known := m.state.leaving
-	m.state.leaving = true
-	m.state.mu.Unlock()
-	if known {
-		return
+	current := r.sameStart(m)
+	for _, s := range []*state{m.state, current.state} {
+		s.mu.Lock()
+		s.leaving = true
+		s.mu.Unlock()
 	}
 	r.Log.Info("backend server leaving by its answer", "server", m.Name, "request", request, "startedAt", m.StartedAt, "registeredLeaving", m.Leaving)
-	if current := r.members[m.Name]; current != nil && current.state == m.state {
+	if r.members[m.Name] == current {
 		r.publishOne(current, m.Name)
 	}
 }
 
+// sameStart returns the present registration of the start of a server that m, which may be
+// of an older view, is of; m itself if there is none. The caller holds the lock.
+func (r *Roster) sameStart(m *Member) *Member {
+	current := r.members[m.Name]
+	if current == nil || current.StartedAt != m.StartedAt || m.StartedAt == 0 && current.state != m.state {
+		return m
+	}
+	return current
+}
+
 // ObserveAway records that a server has turned a request away and wants no others of
 // this entry for a time, at most [MaxAway].
 func (r *Roster) ObserveAway(now time.Time, m *Member, away time.Duration, request string) {
 	away = min(away, MaxAway)
 	until := now.Add(away + time.Duration(rand.Float64()*returnSpread*float64(away)))
-	m.state.mu.Lock()
-	known := m.state.awayUntil.After(now)
-	m.state.awayUntil = later(m.state.awayUntil, until)
-	m.state.mu.Unlock()
+	r.mu.Lock()
+	current := r.sameStart(m)
+	r.mu.Unlock()
+	known := m.Away(now) > 0
+	for _, s := range []*state{m.state, current.state} {
+		s.mu.Lock()
+		s.awayUntil = later(s.awayUntil, until)
+		s.mu.Unlock()
+	}
 	if !known && away > 0 {
 		r.Log.Info("backend server wants no requests", "server", m.Name, "request", request, "for", away, "until", until)
 	}
--- a/internal/roster/answers_test.go
+++ b/internal/roster/answers_test.go
@@ -63,6 +63,27 @@
 	}
 }
 
+// An answer to a request that was sent by an older view, before the server's address
+// changed, must count for its present registration.
+func TestAnswersToRequestsOfAnOlderView(t *testing.T) {
+	is := is.New(t)
+	r := newRoster()
+	for _, name := range []id.Server{"i-1", "i-2"} {
+		r.Put(start, server(name))
+		older := r.View().Member(svc, name)
+		moved := server(name)
+		moved.Address = "10.0.0.9:80"
+		r.Put(start, moved)
+		if name == "i-1" {
+			r.ObserveLeaving(older, "a")
+		} else {
+			r.ObserveAway(start, older, time.Minute, "a")
+		}
+	}
+	is.Equal(names(r), []id.Server{"i-2"})
+	is.True(!r.View().Member(svc, "i-2").Begin(start))
+}
+
 // A server must get no request while it wants none, a tenth longer at most, and in any case
 // not after its next start.
 func TestServerThatWantsNoRequests(t *testing.T) {
