soak: a restart of an entry that requests were passed on to excuses it

The check of leaving by answers took the last start of an entry for all requests that others had passed on to it. The rule excuses a restart since the answer. Starts are counted up to the time of the request now; requests that an entry got itself are checked as before.

--- a/internal/soak/leaving.go
+++ b/internal/soak/leaving.go
@@ -51,7 +51,7 @@
 			continue
 		}
 		for _, e := range c.passedOnBy(a) {
-			p := passage{e, c.startCountOf(a, e), id.Server(strings.TrimPrefix(a.signature, a.id+"."))}
+			p := passage{e, c.startCountOf(a, e, a.done), id.Server(strings.TrimPrefix(a.signature, a.id+"."))}
 			if at, known := first[p]; !known || a.done.Before(at) {
 				first[p] = a.done
 			}
@@ -64,7 +64,7 @@
 		}
 		e := id.Instance(c.sender(a).name)
 		for _, r := range runs {
-			at, known := first[passage{e, c.startCountOf(a, e), r.Server}]
+			at, known := first[passage{e, c.startCountOf(a, e, r.At), r.Server}]
 			if known && a.sent.Sub(at) > drainDelay {
 				c.addViolation("leaving: %s reached %s through %s, sent %v after an answer that said the server is leaving", a.id, r.Server, e, a.sent.Sub(at))
 			}
@@ -73,15 +73,15 @@
 	return len(first)
 }
 
-// startCountOf returns the start count of an entry that handled an attempt. That of an
-// entry to which the attempt was passed on is unknown if it was restarted later.
-func (c *checker) startCountOf(a *attempt, entry id.Instance) int {
+// startCountOf returns the start count of an entry that handled an attempt: that when the
+// attempt was sent to it, or that at a time if the attempt was passed on to it.
+func (c *checker) startCountOf(a *attempt, entry id.Instance, at time.Time) int {
 	if id.Instance(a.entry.name) == entry {
 		return a.startCount
 	}
 	for _, e := range c.soak.entries {
 		if id.Instance(e.name) == entry {
-			return -e.currentStartCount()
+			return e.startCountAt(at)
 		}
 	}
 	return 0
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -51,7 +51,8 @@
 	mu            sync.Mutex
 	cmd           *exec.Cmd
 	exited        chan struct{}
-	startCount    int       // number of starts so far
+	startCount    int // number of starts so far
+	starts        []time.Time
 	stoppingSince time.Time // start of a graceful shutdown; zero if none is in progress
 }
 
@@ -175,6 +176,7 @@
 	exited := make(chan struct{})
 	e.cmd, e.exited, e.stoppingSince = cmd, exited, time.Time{}
 	e.startCount++
+	e.starts = append(e.starts, time.Now())
 	go func() {
 		_ = cmd.Wait() // the status is not needed, callers observe the effects
 		close(exited)
@@ -235,6 +237,17 @@
 	return standin.Ready(&http.Client{Timeout: readinessTimeout}, e.address(1))
 }
 
+// startCountAt returns the number of starts until a time.
+func (e *process) startCountAt(at time.Time) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	n := 0
+	for n < len(e.starts) && !e.starts[n].After(at) {
+		n++
+	}
+	return n
+}
+
 // stopping reports whether a graceful shutdown of the given start is in progress.
 func (e *process) stopping(startCount int) bool {
 	e.mu.Lock()
