forward: an entry whose limits are used up is followed by another one

Cause: an entry without links passes a request on to one that reaches more servers, and took its refusal for limits of servers (2024) for the final answer. Shares of limits are an entry's own, and the other may know fewer servers. Trace: from 4.0 to 5.1 s entry-0, whose path to the store was stalled, knew three servers (one zone still evacuated to it) of which one was limited, and refused 11 of the 18; entry-2 served all that it got.

--- a/internal/forward/relay_test.go
+++ b/internal/forward/relay_test.go
@@ -324,6 +324,21 @@
 	}
 }
 
+// An entry whose shares of the servers' limits are used up must be followed by another one,
+// which has shares of its own and may know more servers.
+func TestEntryWithUsedUpLimitsIsFollowedByAnother(t *testing.T) {
+	is := is.New(t)
+	cut, limited := cutPair(t, service.Write, true, "limited")
+	helper := start(t, service.Write, "ok")
+	helper.route.Timeout = cut.route.Timeout
+	cut.passOnTo(true, limited.takeRelayed(t), helper.takeRelayed(t))
+	for limited.count(func(m *roster.Member) bool { return m.Limit(time.Now()) > 0 }) < 3 || helper.backend.requests.Load() == 0 {
+		status, _, _ := cut.ask(t.Context(), "/x/1", "body")
+		is.Equal(status, http.StatusOK)
+		is.True(limited.backend.requests.Load() < 100)
+	}
+}
+
 // An entry that finds no server for a moment, as while zones are evacuated in turn, must get
 // requests as soon as it finds one again.
 func TestEntryThatFoundNoServerIsTriedAgain(t *testing.T) {
