soak: the check of leaving by answers takes starts at arrival; old seeds as they were

The check took the start at the time of reading. A restart since then excuses the entry by the rule.

The comment said that the seeds that failed before have no servers that leave; half of them had. Their random stream is one with which that is so.

--- a/internal/soak/leaving.go
+++ b/internal/soak/leaving.go
@@ -50,10 +50,18 @@
 		if !a.leaving {
 			continue
 		}
-		for _, e := range c.passedOnBy(a) {
-			p := passage{e, c.startCountOf(a, e, a.done), id.Server(strings.TrimPrefix(a.signature, a.id+"."))}
-			if at, known := first[p]; !known || a.done.Before(at) {
-				first[p] = a.done
+		server := id.Server(strings.TrimPrefix(a.signature, a.id+"."))
+		for _, r := range c.runs[a.id] {
+			if r.Server != server {
+				continue
+			}
+			for _, e := range c.passedOnBy(a) {
+				// The caller may have read the answer much later, when the entry had been
+				// restarted: behind others that were sent before it.
+				p := passage{e, c.startCountOf(a, e, r.At), server}
+				if at, known := first[p]; !known || a.done.Before(at) {
+					first[p] = a.done
+				}
 			}
 		}
 	}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -74,7 +74,7 @@
 	// firstAheadStream leaves the other requests of the callers as they are.
 	firstAheadStream uint64 = 2025 << 32
 	// leavingStream leaves the failed seeds without servers that leave by their answers.
-	leavingStream uint64 = 2040 << 32
+	leavingStream uint64 = 22197097 << 32
 	// linkStream leaves the failed seeds without cuts of links.
 	linkStream uint64 = 2661 << 32
 )
