--- a/internal/forward/answers.go
+++ b/internal/forward/answers.go
@@ -65,7 +65,7 @@
 	case err != nil:
 		c.logInvalid("time to stay away ignored", m, err)
 	case away > 0:
-		c.h.Metrics.GetOrCreateCounter(`shallotpier_servers_turned_away_total`).Inc()
+		c.h.Metrics.GetOrCreateCounter(`shallotpier_server_retry_after_total`).Inc()
 		c.h.Dispatcher.Roster.ObserveAway(time.Now(), m, away, c.id)
 	}
 }
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -194,10 +194,10 @@
 	c.forward()
 }
 
-// MayOverlap reports whether a request may run beside others of its connection: if it runs
-// more than once, as it may if the connection ends, that does no harm. No request does
-// during a shutdown, so that each answer may be the last of its connection.
-func (h *Handler) MayOverlap(r *http.Request) bool {
+// Concurrent reports whether a request may be handled beside others of its connection. Only
+// those of read routes may: after the connection has ended, callers send the unanswered ones
+// again. During a shutdown none may, so that each answer can be the last of its connection.
+func (h *Handler) Concurrent(r *http.Request) bool {
 	c := h.Config()
 	if c == nil || h.Leaving() {
 		return false
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -402,7 +402,7 @@
 			o.Log.Error("heartbeats failed", "err", err)
 		}
 	})
-	callers := &pipeline.Listener{Listener: listener, Concurrent: n.handler.MayOverlap, State: n.idleConns.onStateChange, Metrics: o.Metrics}
+	callers := &pipeline.Listener{Listener: listener, Concurrent: n.handler.Concurrent, State: n.idleConns.onStateChange, Metrics: o.Metrics}
 	server := n.callerServer(callers)
 	servers := []*http.Server{server}
 	ended := make(chan error, 2)
--- a/internal/pipeline/conn.go
+++ b/internal/pipeline/conn.go
@@ -91,7 +91,8 @@
 }
 
 // readThrough reads for the only lane of a connection that isn't split. It splits the
-// connection once it gets bytes of a further request, and returns true if p got none.
+// connection once it reads bytes of a further request, and returns split if it read nothing
+// else.
 func (c *conn) readThrough(p []byte) (n int, split bool, err error) {
 	if c.framer.part == atEnd {
 		// The request is being handled; net/http waits for the caller to disconnect.
@@ -109,8 +110,7 @@
 	}
 	used := c.frame(p[:n])
 	if used < n {
-		// p was read from the start of the request or later, so that all of the request
-		// has been read now.
+		// All of the request has been read: it ends within p.
 		c.splitUp(p[used:n])
 	}
 	return used, false, err
@@ -178,7 +178,7 @@
 	return err == nil && r.ContentLength == 0 && c.listener.Concurrent(r)
 }
 
-// isExclusive reports whether no request may be handled beside one that is handled.
+// isExclusive reports whether no other request may be handled beside a given one.
 func (c *conn) isExclusive(x *exchange) bool {
 	if x.head != nil {
 		x.exclusive, x.head = !c.isConcurrent(x.head), nil
--- a/internal/pipeline/framer.go
+++ b/internal/pipeline/framer.go
@@ -5,7 +5,7 @@
 	"strings"
 )
 
-// Parts of a request at which a framer may stand.
+// Parts of a request, as the position of a framer.
 const (
 	inHead part = iota
 	inBody
@@ -170,8 +170,8 @@
 	}
 }
 
-// body returns how many of the bytes belong to the current request's body. Its part is
-// then atEnd, or opaque if b isn't regular; all of b belongs together in that case.
+// body returns how many of the bytes belong to the current request's body. If the body
+// isn't regular, the framer becomes opaque and all of the bytes count.
 func (f *framer) body(b []byte) int {
 	n := 0
 	for n < len(b) && f.part != atEnd {
--- a/internal/pipeline/listener.go
+++ b/internal/pipeline/listener.go
@@ -32,7 +32,8 @@
 	lingerTimeout = time.Second
 	// laneBacklog is how many new lanes may wait for net/http to accept them.
 	laneBacklog = 256
-	// settleInterval is the interval of checks whether answers still wait.
+	// settleInterval is the interval of checks whether a connection has several requests
+	// that are handled.
 	settleInterval = 10 * time.Millisecond
 )
 
@@ -230,6 +231,6 @@
 // countAhead counts a request that is handled beside others of its connection.
 func (l *Listener) countAhead() {
 	if l.Metrics != nil {
-		l.Metrics.GetOrCreateCounter(`shallotpier_requests_beside_others_total`).Inc()
+		l.Metrics.GetOrCreateCounter(`shallotpier_requests_pipelined_total`).Inc()
 	}
 }
--- a/internal/roster/answers.go
+++ b/internal/roster/answers.go
@@ -36,8 +36,8 @@
 	}
 }
 
-// sameStart returns the present registration of the start of a server that m, which may be
-// of an older view, is of; m itself if there is none. The caller holds the lock.
+// sameStart returns the present registration of m's server if it is of the same start, and m
+// otherwise: m may come from an older view. The caller holds the lock.
 func (r *Roster) sameStart(m *Member) *Member {
 	current := r.members[m.Name]
 	if current == nil || current.StartedAt != m.StartedAt || m.StartedAt == 0 && current.state != m.state {
