review: entries act on an old configuration after connections went silent

Open connections to the store go silent, new ones work, and the operator moves a route. Entries' ports are now taken below the range of outgoing connections, since one try of an earlier script could not start an entry at its port.

--- a/review/standin/case_ahead.go
+++ b/review/standin/case_ahead.go
@@ -14,7 +14,7 @@
 		rounds  = 60
 		lookups = 5
 	)
-	s.place = place{"telavi-a", "east-kakheti"}
+	s.places = []place{{"telavi-a", "east-kakheti"}}
 	s.configure(3, map[string]any{
 		"photos": route("/photos/", "idempotent", "evidence-vault", 4*time.Second),
 		"lookup": route("/find/", "idempotent", "registry", 4*time.Second),
--- a/review/standin/case_grace.go
+++ b/review/standin/case_grace.go
@@ -13,7 +13,7 @@
 		grace   = 10 * time.Second
 		callers = 6
 	)
-	s.place = place{"telavi-a", "east-kakheti"}
+	s.places = []place{{"telavi-a", "east-kakheti"}}
 	s.configure(3, map[string]any{
 		"cert-issue": route("/cert/", "non_idempotent", "registry", 10*time.Second),
 	}, 15*time.Second)
--- a/review/standin/case_kept.go
+++ b/review/standin/case_kept.go
@@ -13,7 +13,7 @@
 		grace   = 6 * time.Second
 		callers = 6
 	)
-	s.place = place{"aarhus-a", "jylland"}
+	s.places = []place{{"aarhus-a", "jylland"}}
 	s.configure(3, map[string]any{
 		"record-lookup": route("/find/", "idempotent", "register", 8*time.Second),
 		"signoff":       route("/sign/", "non_idempotent", "register", 10*time.Second),
--- a/review/standin/case_upload.go
+++ b/review/standin/case_upload.go
@@ -14,7 +14,7 @@
 		grace   = 6 * time.Second
 		callers = 4
 	)
-	s.place = place{"telavi-a", "east-kakheti"}
+	s.places = []place{{"telavi-a", "east-kakheti"}}
 	s.configure(3, map[string]any{
 		"evidence-upload": route("/evidence/", "upload", "evidence-vault", 8*time.Second),
 	}, 15*time.Second)
--- a/review/standin/entry.go
+++ b/review/standin/entry.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -19,7 +20,7 @@
 	drainMs      int
 }
 
-// place is the availability zone of all processes of a case, and its region.
+// place is an availability zone and its region.
 type place struct{ zone, region string }
 
 const heartbeatMs = 1500
@@ -38,15 +39,18 @@
 // program is the command of deploy/system.toml, run from the repository's root.
 const program = "target/shallotpier-entry"
 
-func newEntry(folder, name, storeAddress string, at place, o entryOptions, log *record) (*entry, error) {
+func newEntry(folder, name, storeAddress string, at place, places []place, o entryOptions, log *record) (*entry, error) {
 	e := &entry{name: name, log: log, path: filepath.Join(folder, name+".toml"), stdout: filepath.Join(folder, name+".log")}
 	for i := range e.ports {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		port, err := freePort()
 		if err != nil {
 			return nil, err
 		}
-		defer l.Close()
-		e.ports[i] = l.Addr().(*net.TCPAddr).Port
+		e.ports[i] = port
+	}
+	regions := ""
+	for _, p := range places {
+		regions += fmt.Sprintf("%s = %q\n", p.zone, p.region)
 	}
 	settings := fmt.Sprintf(`instance = %q
 zone = %q
@@ -76,12 +80,44 @@
 coldAllowance = 5
 
 [regions]
-%s = %q
-`, name, at.zone, at.region, e.ports[0], e.ports[1], e.ports[2], e.ports[3], e.ports[4], e.ports[5], storeAddress,
-		heartbeatMs, o.stableMs, o.drainMs, o.graceSeconds, at.zone, at.region)
+%s`, name, at.zone, at.region, e.ports[0], e.ports[1], e.ports[2], e.ports[3], e.ports[4], e.ports[5], storeAddress,
+		heartbeatMs, o.stableMs, o.drainMs, o.graceSeconds, regions)
 	return e, os.WriteFile(e.path, []byte(settings), 0o600)
 }
 
+// The ports of entries are below the range that systems use for outgoing connections, which
+// could otherwise take a port before its entry listens.
+const (
+	firstPort = 20_000
+	lastPort  = 32_000
+)
+
+var usedPorts = map[int]bool{}
+
+// freePort returns a port that is free for TCP and UDP, a different one at each call.
+func freePort() (int, error) {
+	for range 1000 {
+		port := firstPort + rand.IntN(lastPort-firstPort)
+		address := fmt.Sprintf("127.0.0.1:%d", port)
+		if usedPorts[port] {
+			continue
+		}
+		l, err := net.Listen("tcp", address)
+		if err != nil {
+			continue
+		}
+		u, err := net.ListenPacket("udp", address)
+		_ = l.Close()
+		if err != nil {
+			continue
+		}
+		_ = u.Close()
+		usedPorts[port] = true
+		return port, nil
+	}
+	return 0, errors.New("no free port found")
+}
+
 func (e *entry) callers() string   { return fmt.Sprintf("127.0.0.1:%d", e.ports[0]) }
 func (e *entry) readiness() string { return fmt.Sprintf("127.0.0.1:%d", e.ports[1]) }
 
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -18,8 +18,9 @@
 
 // site is what a case runs on.
 type site struct {
-	folder  string
-	place   place
+	folder string
+	// places are those of the entries, in turn.
+	places  []place
 	log     *record
 	store   *store
 	entries []*entry
@@ -32,6 +33,7 @@
 	"long-grace":                 longGrace,
 	"sent-ahead":                 sentAhead,
 	"upload-at-a-stop":           uploadAtAStop,
+	"silent-connections":         silentConnections,
 }
 
 func main() {
@@ -124,7 +126,7 @@
 // addServers starts upstreams of a service.
 func (s *site) addServers(service string, count, slots int) error {
 	for i := range count {
-		b, err := startServer(s.store, s.log, fmt.Sprintf("i-%s-%d", service, i), service, s.place.zone, slots)
+		b, err := startServer(s.store, s.log, fmt.Sprintf("i-%s-%d", service, i), service, s.places[i%len(s.places)].zone, slots)
 		if err != nil {
 			return err
 		}
@@ -135,8 +137,17 @@
 
 // startEntries starts entries and waits until they are ready.
 func (s *site) startEntries(count int, o entryOptions) error {
-	for i := range count {
-		e, err := newEntry(s.folder, fmt.Sprintf("front-%d", i), s.store.address(), s.place, o, s.log)
+	stores := make([]string, count)
+	for i := range stores {
+		stores[i] = s.store.address()
+	}
+	return s.startEntriesAt(stores, o)
+}
+
+// startEntriesAt is like startEntries, with an address of the store for each entry.
+func (s *site) startEntriesAt(stores []string, o entryOptions) error {
+	for i, address := range stores {
+		e, err := newEntry(s.folder, fmt.Sprintf("front-%d", i), address, s.places[i%len(s.places)], s.places, o, s.log)
 		if err != nil {
 			return err
 		}
--- a/review/standin/stop.go
+++ b/review/standin/stop.go
@@ -17,6 +17,7 @@
 	deadline time.Duration
 	answer   answer
 	ended    time.Time
+	entry    string
 }
 
 // terminate sends SIGTERM, and SIGKILL after the grace period, as the platform does.
