review: an upload that is accepted early doesn't arrive whole

Case 1, rule UNASKED; the other cases move down by one. Upstreams answer 8 of 40 uploads with success before they have read the body and read on 1.5 s later. Without early answers all 40 arrive whole.

The case of uploads that are broken off at a stop is removed: without the SIGTERM they are broken off too, where no rule counts it.

--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -4,4 +4,4 @@
 # the disruption out.
 set -u
 cd "$(dirname "$0")/../.." || exit 2
-exec target/review-standin silent-connections review/3
+exec target/review-standin long-grace review/3
--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -13,6 +13,9 @@
 
 const host = "ficu95.example"
 
+// firstID is the number that ids begin with.
+const firstID = 0x1c41d07be2a30000
+
 var lastID atomic.Int64
 
 // client is one connection of a caller.
@@ -42,7 +45,7 @@
 	return &client{name: name, conn: c, read: bufio.NewReader(c), log: log}, nil
 }
 
-func newID() string { return fmt.Sprintf("%016x", 0x1c41d07be2a30000+lastID.Add(1)) }
+func newID() string { return fmt.Sprintf("%016x", firstID+lastID.Add(1)) }
 
 // send writes a request and returns its id.
 func (c *client) send(method, path, body string, deadline time.Duration) (string, error) {
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -32,8 +32,8 @@
 	"kept-connections-at-a-stop": keptConnectionsAtAStop,
 	"long-grace":                 longGrace,
 	"sent-ahead":                 sentAhead,
-	"upload-at-a-stop":           uploadAtAStop,
 	"silent-connections":         silentConnections,
+	"accepted-early":             acceptedEarly,
 }
 
 func main() {
@@ -126,10 +126,11 @@
 // addServers starts upstreams of a service.
 func (s *site) addServers(service string, count, slots int) error {
 	for i := range count {
-		b, err := startServer(s.store, s.log, fmt.Sprintf("i-%s-%d", service, i), service, s.places[i%len(s.places)].zone, slots)
+		b, err := newServer(s.store, s.log, fmt.Sprintf("i-%s-%d", service, i), service, s.places[i%len(s.places)].zone, slots)
 		if err != nil {
 			return err
 		}
+		b.serve()
 		s.servers = append(s.servers, b)
 	}
 	return nil
--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -27,8 +27,6 @@
 	queue    chan struct{}
 	http     *http.Server
 
-	// bodyPause is how long it works on the first part of a body before it reads the rest.
-	bodyPause time.Duration
 	// longAnswer, unless 0, is the length of its answers. It breaks off those to the
 	// requests for which breakOff returns true.
 	longAnswer int
@@ -44,12 +42,13 @@
 	began    time.Time
 	answered time.Time // zero if the request was broken off
 	times    int
+	// digest is the SHA-256 of the body in hexadecimal, and length the number of its bytes
+	// that have arrived. The digest is empty if not all of them have.
+	digest string
+	length int64
 }
 
-// firstPart is the part of a body that a server with a bodyPause reads at once.
-const firstPart = 32 << 10
-
-func startServer(s *store, log *record, id, service, zone string, slots int) (*server, error) {
+func newServer(s *store, log *record, id, service, zone string, slots int) (*server, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
@@ -58,10 +57,14 @@
 		id: id, service: service, zone: zone, slots: slots, born: time.Now(), listener: l, store: s, log: log,
 		queue: make(chan struct{}, slots), runs: map[string]*run{},
 	}
+	return b, nil
+}
+
+// serve answers requests with net/http.
+func (b *server) serve() {
 	b.http = &http.Server{Handler: b}
-	go func() { _ = b.http.Serve(l) }()
+	go func() { _ = b.http.Serve(b.listener) }()
 	b.register("ready")
-	return b, nil
 }
 
 func (b *server) register(state string) {
@@ -116,15 +119,12 @@
 	b.mu.Unlock()
 	b.log.printf("server %s: runs request %s %s, deadline %s ms", b.id, id, r.URL.Path, r.Header.Get("X-Deadline-Ms"))
 	sum := sha256.New()
-	if b.bodyPause > 0 && r.ContentLength != 0 {
-		// It stores the first part before it reads on.
-		_, _ = io.CopyN(sum, r.Body, firstPart)
-		time.Sleep(b.bodyPause)
-	}
-	if n, err := io.Copy(sum, r.Body); err != nil {
+	n, err := io.Copy(sum, r.Body)
+	if err != nil {
 		b.log.printf("server %s: body of request %s broke off after %d bytes: %v", b.id, id, n, err)
 		panic(http.ErrAbortHandler)
 	}
+	b.received(id, n, hex.EncodeToString(sum.Sum(nil)))
 	deadline := time.Hour
 	if ms, err := strconv.ParseFloat(r.Header.Get("X-Deadline-Ms"), 64); err == nil {
 		deadline = time.Duration(ms * float64(time.Millisecond))
@@ -153,6 +153,13 @@
 	fmt.Fprintf(w, "%s %s %s", id, b.id, hex.EncodeToString(sum.Sum(nil)))
 }
 
+// received records the body of a request.
+func (b *server) received(id string, length int64, digest string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.runs[id].length, b.runs[id].digest = length, digest
+}
+
 // writeLong writes a long answer, or breaks it off shortly before its end.
 func (b *server) writeLong(w http.ResponseWriter, id string) {
 	w.Header().Set("Content-Length", strconv.Itoa(b.longAnswer))
