--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -31,9 +31,9 @@
 var cases = map[string]func(*site) int{
 	"kept-connections-at-a-stop": keptConnectionsAtAStop,
 	"long-grace":                 longGrace,
-	"sent-ahead":                 sentAhead,
 	"silent-connections":         silentConnections,
 	"accepted-early":             acceptedEarly,
+	"deadly-and-given-up":        deadlyAndGivenUp,
 }
 
 func main() {
