--- a/review/standin/case_early.go
+++ b/review/standin/case_early.go
@@ -52,7 +52,7 @@
 			mu.Unlock()
 			early++
 		}
-		r := c.exchange(http.MethodPost, "/evidence/work/20/x", body, 3*time.Second)
+		r := c.exchange(http.MethodPost, "/evidence/takes/20/x", body, 3*time.Second)
 		_ = c.conn.Close()
 		if isEarly {
 			time.Sleep(earlyPause + 500*time.Millisecond) // the upstream has read on
--- a/review/standin/case_grace.go
+++ b/review/standin/case_grace.go
@@ -39,7 +39,7 @@
 				s.log.printf("caller %d: %v", i, err)
 				return &request{sent: time.Now(), ended: time.Now()}
 			}
-			return c.exchange(http.MethodPost, "/cert/work/3500/x", "certificate", 8*time.Second)
+			return c.exchange(http.MethodPost, "/cert/takes/3500/x", "certificate", 8*time.Second)
 		})
 	}
 	lost, answered := s.gather(exchanges, terminated, grace)
