node: a stop closes idle connections while requests sent ahead are at work

Cause: stop waited in pipeline.Settle, up to the end of the grace period, before the shutdown of net/http, which alone closes idle connections and the relay listener. With one read in place of two the idle connections are closed at once, which rules out the time that they are served for.

Now the relay listener shuts down beside that wait, and callers' connections end as soon as they are idle, the way they do at the idle timeout. A request that crosses the end is answered or not handled.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -170,7 +170,9 @@
 		entriesListed atomic.Bool
 		started       time.Time
 		leaving       atomic.Bool
-		upstream      *upstream.Client
+		// closing is set once callers' connections are closed as soon as they are idle.
+		closing  atomic.Bool
+		upstream *upstream.Client
 		// relays sends requests to other entries.
 		relays *upstream.Client
 		// dispatcher is also used by handler.
@@ -404,15 +406,14 @@
 	})
 	callers := &pipeline.Listener{Listener: listener, Concurrent: n.handler.Concurrent, State: n.idleConns.onStateChange, Metrics: o.Metrics}
 	server := n.callerServer(callers)
-	servers := []*http.Server{server}
+	relays := n.relayServer()
 	ended := make(chan error, 2)
 	go func() { ended <- server.Serve(callers) }()
 	if o.Self.Relay.IsValid() {
-		relays, relayed, err := n.relayServer()
+		relayed, err := net.Listen("tcp", o.Self.Relay.String())
 		if err != nil {
-			return err
+			return eris.Wrap(err, "listen for requests that entries pass on")
 		}
-		servers = append(servers, relays)
 		go func() { ended <- relays.Serve(relayed) }()
 	}
 	o.Log.Info("started", "instance", o.Self.Instance, "incarnation", o.Self.Incarnation, "callers", o.Self.Callers)
@@ -421,7 +422,7 @@
 		return eris.Wrap(err, "serve callers")
 	case <-ctx.Done():
 	}
-	err = n.stop(callers, servers)
+	err = n.stop(callers, server, relays)
 	cancel()
 	n.wg.Wait()
 	return err
@@ -436,16 +437,12 @@
 	}
 }
 
-// relayServer returns the server of requests that other entries pass on, and its listener.
-func (n *Node) relayServer() (*http.Server, net.Listener, error) {
-	l, err := net.Listen("tcp", n.options.Self.Relay.String())
-	if err != nil {
-		return nil, nil, eris.Wrap(err, "listen for requests that entries pass on")
-	}
+// relayServer returns the server of requests that other entries pass on.
+func (n *Node) relayServer() *http.Server {
 	return &http.Server{
 		Handler: n.handler.Relayed(), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, IdleTimeout: defaultIdleTimeout,
 		ErrorLog: n.serverLog(),
-	}, l, nil
+	}
 }
 
 // serverLog returns the log of net/http's servers.
@@ -454,8 +451,9 @@
 }
 
 // stop shuts down gracefully: it announces the shutdown, serves new requests for a
-// while, then stops listening and waits for the running requests and for OnShutdown.
-func (n *Node) stop(callers *pipeline.Listener, servers []*http.Server) error {
+// while, then stops listening, closes idle connections and waits for the running requests
+// and for OnShutdown.
+func (n *Node) stop(callers *pipeline.Listener, server, relays *http.Server) error {
 	o := &n.options
 	o.Log.Info("leaving", "running", n.handler.Running())
 	n.leaving.Store(true)
@@ -472,15 +470,13 @@
 			o.OnShutdown()
 		}
 	}()
+	relaysClosed := make(chan error, 1)
+	go func() { relaysClosed <- relays.Shutdown(ctx) }()
+	// Settle may take all of the time that is left, for the requests of one caller.
+	n.closing.Store(true)
+	n.idleConns.close(time.Now(), 0)
 	callers.Settle(ctx)
-	errs := make(chan error, len(servers))
-	for _, server := range servers {
-		go func() { errs <- server.Shutdown(ctx) }()
-	}
-	var err error
-	for range servers {
-		err = errors.Join(err, <-errs)
-	}
+	err := errors.Join(server.Shutdown(ctx), <-relaysClosed)
 	select {
 	case <-closed:
 	case <-ctx.Done():
@@ -529,7 +525,11 @@
 	}
 }
 
+// callerIdleTimeout returns the idle timeout of callers' connections.
 func (n *Node) callerIdleTimeout() time.Duration {
+	if n.closing.Load() {
+		return 0
+	}
 	if c := n.config.Load(); c != nil && c.IdleTimeout > 0 {
 		return c.IdleTimeout
 	}
--- a/internal/node/pipeline_test.go
+++ b/internal/node/pipeline_test.go
@@ -195,3 +195,58 @@
 	wg.Wait()
 	is.Equal(lost.Load(), int64(0))
 }
+
+// One caller's requests that are sent ahead must not keep the connections of others open
+// during a shutdown: what arrives on them late is cut at the end of the grace period.
+func TestShutdownClosesIdleConnectionsBesideRequestsSentAhead(t *testing.T) {
+	tests := map[string]struct {
+		address func(*node.Node) string
+		header  string
+	}{
+		"of a caller": {func(n *node.Node) string { return n.Self().Callers.String() }, ""},
+		"of another entry": {
+			func(n *node.Node) string { return n.Self().Relay.String() },
+			"Shallotpier-Relay-Sends: 0\r\nShallotpier-Relay-Version: 1\r\n",
+		},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			server := newGatedServer(t)
+			n := newNode(t)
+			n.SetBounds(node.Bounds{Grace: 2 * grace})
+			stop := run(t, n, server.Listener.Addr().String())
+			n.Configure(func() *node.Config { c := readsAndWrites(); c.Version, c.IdleTimeout = 2, time.Minute; return c }())
+			idle, err := net.Dial("tcp", tt.address(n))
+			is.NoErr(err)
+			defer idle.Close()
+			_ = idle.SetDeadline(time.Now().Add(10 * time.Second))
+			_, err = io.WriteString(idle, strings.Replace(readRequest("/read/a", "r-0"), "\r\n\r\n", "\r\n"+tt.header+"\r\n", 1))
+			is.NoErr(err)
+			idleReader := bufio.NewReader(idle)
+			open, err := readOwnAnswer(idleReader, "r-0")
+			is.NoErr(err)
+			is.True(open)
+			ahead, err := net.Dial("tcp", n.Self().Callers.String())
+			is.NoErr(err)
+			defer ahead.Close()
+			_, err = io.WriteString(ahead, readRequest("/read/held", "r-1")+readRequest("/read/held", "r-2"))
+			is.NoErr(err)
+			is.True(server.awaitRun("r-1"))
+			is.True(server.awaitRun("r-2"))
+			stopped := make(chan error, 1)
+			go func() { stopped <- stop() }()
+			_ = idle.SetReadDeadline(time.Now().Add(3 * grace / 2)) // sooner than the end of the grace period
+			_, err = idleReader.ReadByte()
+			is.Equal(err, io.EOF) // the connection has been closed
+			close(server.gate)
+			br := bufio.NewReader(ahead)
+			for _, reqID := range []string{"r-1", "r-2"} {
+				_, err := readOwnAnswer(br, reqID)
+				is.NoErr(err)
+			}
+			is.NoErr(<-stopped)
+		})
+	}
+}
