forward, node: an entry that is leaving refuses requests that may outlive it

Cause: nothing compared a request's deadline with the time that the process has left. That new requests are served for 0.45 of the grace period made it visible at 10 s; a shorter time alone would leave requests that arrive late on open connections, and was left as it is.

From 2.7 s after the start of a shutdown a request with a deadline after the exit gets 503 with code 2018 at once, before and again after its body. Another entry that passed it on asks a third one.

--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -46,6 +46,9 @@
 	// maxConnectFailures is how many servers may fail to accept a connection
 	// before a request is refused.
 	maxConnectFailures = 3
+	// leavingRetryDelay is the mean Retry-After of an entry that is shutting down. Other
+	// entries can serve the request at once; the delay spreads the retries.
+	leavingRetryDelay = 50 * time.Millisecond
 )
 
 type (
@@ -84,7 +87,7 @@
 		unconnected  int
 		tried        []id.Server
 		retryGranted bool          // the retry budget was charged for the next send
-		retryDelay   time.Duration // Retry-After of a quarantined request, 0 to derive it from the deadline
+		retryDelay   time.Duration // Retry-After of a quarantined request, 0 for any other one
 		fingerprints *fingerprints // once computed
 		suspected    bool          // the fingerprints were looked up in a list that isn't empty
 		crashes      int           // crash reports of the caller's fingerprint at that time
@@ -550,11 +553,7 @@
 	header.Set(result.HeaderCode, code.String())
 	header.Set("Content-Length", "0")
 	if c.status == http.StatusServiceUnavailable {
-		wait := c.retryDelay
-		if wait == 0 {
-			wait = c.retryAfter()
-		}
-		header.Set("Retry-After", strconv.FormatFloat(wait.Seconds(), 'f', 3, 64))
+		header.Set("Retry-After", strconv.FormatFloat(c.retryAfter().Seconds(), 'f', 3, 64))
 	}
 	c.w.WriteHeader(c.status)
 }
@@ -578,14 +577,25 @@
 	return http.StatusBadGateway
 }
 
-// retryAfter returns a Retry-After time with jitter, between 1/8 and 1/4 of the
-// time left, so that the retries of refused callers are distributed over time and come
-// before their deadline. If a server's limit allows a request only later than that, it is
-// longer, up to 1/3 of the time left: callers don't wait for longer than that.
+// retryAfter returns the Retry-After time of a refusal.
 func (c *call) retryAfter() time.Duration {
-	if c.deadline.IsZero() {
+	switch {
+	case c.retryDelay != 0:
+		return c.retryDelay
+	case c.code == result.EntryLeaving:
+		return leavingRetryDelay/2 + rand.N(leavingRetryDelay)
+	case c.deadline.IsZero():
 		return time.Second
+	default:
+		return c.retryWithinDeadline()
 	}
+}
+
+// retryWithinDeadline returns a Retry-After time with jitter, between 1/8 and 1/4 of the
+// time left, so that the retries of refused callers are distributed over time and come
+// before their deadline. If a server's limit allows a request only later than that, it is
+// longer, up to 1/3 of the time left: callers don't wait for longer than that.
+func (c *call) retryWithinDeadline() time.Duration {
 	left := max(time.Until(c.deadline), 0)
 	earliest := left / 8
 	if !c.choice.Next.IsZero() {
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -109,6 +109,9 @@
 		// Leaving reports whether the entry is shutting down, so that callers are
 		// asked to close their connections.
 		Leaving func() bool
+		// EndBy returns when the process exits, zero if that isn't known. Requests whose
+		// deadline is later are refused. Nil means never.
+		EndBy func() time.Time
 		// Headers holds the header names.
 		Headers Headers
 		// Load extracts the server's load report from the header of an answer; it
@@ -182,7 +185,7 @@
 		c.sendCtx, cancel = context.WithDeadline(context.WithoutCancel(ctx), c.deadline)
 		defer cancel()
 	}
-	if code := c.readBody(); code != 0 {
+	if code := c.receive(); code != 0 {
 		c.refuse(code)
 		return
 	}
@@ -206,6 +209,30 @@
 	return matched != nil && matched.Kind == service.Read
 }
 
+// receive reads the body unless the request may outlive the process, which is checked again
+// after the body, since its caller may send it slowly. It returns 0 or the code of the refusal.
+func (c *call) receive() result.Code {
+	if c.outlivesEntry() {
+		return result.EntryLeaving
+	}
+	if code := c.readBody(); code != 0 {
+		return code
+	}
+	if c.outlivesEntry() {
+		return result.EntryLeaving
+	}
+	return 0
+}
+
+// outlivesEntry reports whether the request may still be running when the process exits.
+func (c *call) outlivesEntry() bool {
+	if c.h.EndBy == nil {
+		return false
+	}
+	end := c.h.EndBy()
+	return !end.IsZero() && c.deadline.After(end)
+}
+
 // Running returns the number of requests in progress.
 func (h *Handler) Running() int { return int(h.running.Load()) }
 
--- a/internal/forward/handler_test.go
+++ b/internal/forward/handler_test.go
@@ -511,3 +511,50 @@
 	}
 	return n / reportsPerCrash
 }
+
+// A request that may outlive the process must be refused at once, before it is sent to a
+// server. One that ends in time must be served.
+func TestRequestsThatMayOutliveTheEntryAreRefused(t *testing.T) {
+	tests := map[string]struct {
+		exit   time.Duration // from now; 0 if the exit isn't known
+		left   string
+		status int
+	}{
+		"exit not known":          {0, "300", http.StatusOK},
+		"deadline before exit":    {time.Minute, "300", http.StatusOK},
+		"deadline after exit":     {100 * time.Millisecond, "300", http.StatusServiceUnavailable},
+		"route's time after exit": {100 * time.Millisecond, "5000", http.StatusServiceUnavailable},
+		"exit has passed":         {-time.Second, "300", http.StatusServiceUnavailable},
+	}
+	for name, tt := range tests {
+		for kindName, kind := range map[string]service.Kind{"read": service.Read, "write": service.Write, "upload": service.Upload} {
+			t.Run(name+", "+kindName, func(t *testing.T) {
+				is := is.New(t)
+				f := start(t, kind, "ok")
+				f.handler.EndBy = func() time.Time {
+					if tt.exit == 0 {
+						return time.Time{}
+					}
+					return time.Now().Add(tt.exit)
+				}
+				r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, f.URL+"/x/1", strings.NewReader("body"))
+				is.NoErr(err)
+				r.Host = "a.example"
+				r.Header.Set("X-Id", "abc")
+				r.Header.Set("X-Left", tt.left)
+				resp, err := http.DefaultClient.Do(r)
+				is.NoErr(err)
+				defer resp.Body.Close()
+				is.Equal(resp.StatusCode, tt.status)
+				if tt.status == http.StatusOK {
+					return
+				}
+				is.Equal(f.backend.requests.Load(), int64(0))
+				is.Equal(resp.Header.Get(result.HeaderCode), result.EntryLeaving.String())
+				wait, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
+				is.NoErr(err)
+				is.True(wait > 0 && wait < 0.1) // another entry can serve the request now
+			})
+		}
+	}
+}
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -157,11 +157,11 @@
 }
 
 // cantHelp reports whether an entry has refused a request for what concerns that entry
-// alone: it reaches no server either, has used up its shares of the servers' limits, or has
-// an older configuration.
+// alone: it reaches no server either, has used up its shares of the servers' limits, has an
+// older configuration, or is shutting down.
 func cantHelp(ans *upstream.Answer) bool {
 	switch relayedCode(ans.Header) {
-	case result.NoServer, result.ServersLimited, result.ConnectFailed, result.NotReady:
+	case result.NoServer, result.ServersLimited, result.ConnectFailed, result.NotReady, result.EntryLeaving:
 		return ans.Status == http.StatusServiceUnavailable
 	default:
 		return false
--- a/internal/forward/relay_test.go
+++ b/internal/forward/relay_test.go
@@ -482,3 +482,21 @@
 	is.NoErr(err)
 	is.Equal(string(data), "one") // retried, as no send was made before
 }
+
+// An entry that is shutting down must be followed by another one.
+func TestEntryThatIsLeavingIsFollowedByAnother(t *testing.T) {
+	for name, kind := range map[string]service.Kind{"read": service.Read, "write": service.Write} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			cut, leaving := cutPair(t, kind, true, "ok")
+			leaving.handler.EndBy = time.Now
+			helper := start(t, kind, "ok")
+			helper.route.Timeout = cut.route.Timeout
+			cut.passOnTo(true, leaving.takeRelayed(t), helper.takeRelayed(t))
+			status, _, _ := cut.ask(t.Context(), "/x/8", "")
+			is.Equal(status, http.StatusOK)
+			is.Equal(leaving.backend.requests.Load(), int64(0))
+			is.Equal(helper.backend.requests.Load(), int64(1))
+		})
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -76,6 +76,10 @@
 	// still served, while callers are notified of the shutdown by the directory and
 	// by the Connection header of answers.
 	serveShare = 0.45
+	// longRequestTimeout is how long after the start of a shutdown requests are served
+	// that may last longer than the grace period. Callers who have not noticed the shutdown
+	// by then are told to use another entry.
+	longRequestTimeout = 2700 * time.Millisecond
 	// exitReserve is the end of the grace period that is reserved for the process to
 	// exit.
 	exitReserve = 300 * time.Millisecond
@@ -169,7 +173,8 @@
 		// entriesListed is set once Heartbeats has a complete list of the entries.
 		entriesListed atomic.Bool
 		started       time.Time
-		leaving       atomic.Bool
+		// shutdown is set once the shutdown has begun.
+		shutdown atomic.Pointer[shutdown]
 		// closing is set once callers' connections are closed as soon as they are idle.
 		closing  atomic.Bool
 		upstream *upstream.Client
@@ -189,6 +194,12 @@
 		loggedUnreached map[id.Service]float64
 		wg              sync.WaitGroup
 	}
+
+	// shutdown is a graceful shutdown.
+	shutdown struct {
+		began time.Time
+		exit  time.Time // of the process, at the latest
+	}
 )
 
 // New returns a Node without configuration and servers.
@@ -203,7 +214,7 @@
 	n.dispatcher = &dispatch.Dispatcher{Roster: n.Roster, Region: o.Self.Region}
 	n.handler = &forward.Handler{
 		Config: n.forwardConfig, Dispatcher: n.dispatcher, Upstream: n.upstream,
-		Quarantine: n.Quarantine, CrashChecks: &crashcheck.Checker{Connect: n.upstream.CanConnect}, RetryLimits: n.retryLimits, Leaving: n.leaving.Load, Headers: o.Headers, Load: o.Load, Limit: o.Limit,
+		Quarantine: n.Quarantine, CrashChecks: &crashcheck.Checker{Connect: n.upstream.CanConnect}, RetryLimits: n.retryLimits, Leaving: n.leaving, EndBy: n.endBy, Headers: o.Headers, Load: o.Load, Limit: o.Limit,
 		ServerLeaving: o.ServerLeaving, StayAway: o.StayAway, StoreAge: n.storeAge, Log: o.Log, Metrics: o.Metrics, RelayClient: n.relays,
 		Relays: &relay.Selector{Region: o.Self.Region, Unreached: n.unreachedServers, Others: n.recentlyHeard},
 	}
@@ -253,7 +264,20 @@
 
 // Ready reports whether the entry serves callers and is not shutting down.
 func (n *Node) Ready() bool {
-	return n.serversListed.Load() && n.config.Load() != nil && !n.leaving.Load()
+	return n.serversListed.Load() && n.config.Load() != nil && !n.leaving()
+}
+
+// leaving reports whether the entry is shutting down.
+func (n *Node) leaving() bool { return n.shutdown.Load() != nil }
+
+// endBy returns the time by which a request that is received now has to end, zero if any
+// request is served.
+func (n *Node) endBy() time.Time {
+	s := n.shutdown.Load()
+	if s == nil || time.Since(s.began) < longRequestTimeout {
+		return time.Time{}
+	}
+	return s.exit
 }
 
 // Self returns the description of this entry that its heartbeats carry.
@@ -456,9 +480,9 @@
 func (n *Node) stop(callers *pipeline.Listener, server, relays *http.Server) error {
 	o := &n.options
 	o.Log.Info("leaving", "running", n.handler.Running())
-	n.leaving.Store(true)
+	grace, began := n.bounds.Load().Grace, time.Now()
+	n.shutdown.Store(&shutdown{began: began, exit: began.Add(grace - exitReserve)})
 	n.Heartbeats.Announce(n.heartbeatConn)
-	grace := n.bounds.Load().Grace
 	serve := time.Duration(float64(grace) * serveShare)
 	time.Sleep(serve)
 	ctx, cancel := context.WithTimeout(context.Background(), grace-serve-exitReserve)
--- a/internal/node/stop_test.go
+++ b/internal/node/stop_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -170,3 +171,63 @@
 	is.Equal(sent.Load(), int64(20))
 	is.Equal(answered.Load(), sent.Load())
 }
+
+// A request that may last longer than the process must be refused, not passed on and cut at
+// the end of the grace period, unless it came soon after the start of the shutdown.
+func TestShutdownRefusesRequestsThatMayOutliveTheProcess(t *testing.T) {
+	const (
+		longGrace = 8 * time.Second
+		late      = 3 * time.Second // while new connections are still accepted
+	)
+	tests := map[string]struct {
+		after     time.Duration // the start of the shutdown
+		left      time.Duration
+		bodyAfter time.Duration // the head
+		status    int
+	}{
+		"long, soon":                {100 * time.Millisecond, 10 * time.Second, 0, http.StatusOK},
+		"long, late":                {late, 10 * time.Second, 0, http.StatusServiceUnavailable},
+		"short, late":               {late, time.Second, 0, http.StatusOK},
+		"long, soon, its body late": {late - time.Second, 10 * time.Second, time.Second, http.StatusServiceUnavailable},
+	}
+	server := newRecordingServer(t, 2*time.Millisecond)
+	n := newNode(t)
+	n.SetBounds(node.Bounds{Grace: longGrace})
+	stop := run(t, n, server.Listener.Addr().String())
+	stopped := make(chan error, 1)
+	go func() { stopped <- stop() }()
+	began := time.Now()
+	var wg sync.WaitGroup
+	for name, tt := range tests {
+		wg.Go(func() {
+			t.Run(name, func(t *testing.T) {
+				is := is.New(t)
+				time.Sleep(time.Until(began.Add(tt.after)))
+				c, err := net.Dial("tcp", n.Self().Callers.String())
+				is.NoErr(err)
+				defer c.Close()
+				_ = c.SetDeadline(time.Now().Add(longGrace))
+				reqID := strings.ReplaceAll(name, " ", "-")
+				_, err = fmt.Fprintf(c, "POST /x/1 HTTP/1.1\r\nHost: a.example\r\nX-Id: %s\r\nX-Left: %d\r\nContent-Length: 3\r\n\r\n", reqID, tt.left.Milliseconds())
+				is.NoErr(err)
+				time.Sleep(tt.bodyAfter)
+				_, err = io.WriteString(c, "one")
+				is.NoErr(err)
+				resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+				is.NoErr(err)
+				_, _ = io.Copy(io.Discard, resp.Body)
+				is.Equal(resp.StatusCode, tt.status)
+				_, ran := server.seen.Load(reqID)
+				is.Equal(ran, tt.status == http.StatusOK)
+				if tt.status != http.StatusOK {
+					is.True(resp.Close)
+					is.True(resp.Header.Get("Retry-After") != "")
+				}
+			})
+		})
+	}
+	wg.Wait()
+	if err := <-stopped; err != nil {
+		t.Error(err)
+	}
+}
