--- a/internal/rawjson/rawjson.go
+++ b/internal/rawjson/rawjson.go
@@ -22,15 +22,14 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"strings"
 )
 
-var (
-	// errEnd is the error of a text that ends within a value.
-	errEnd = errors.New("unexpected end of JSON text")
+// delimiters end a number or a literal.
+const delimiters = `,:"[]{}`
 
-	// delimiters end a number or a literal.
-	delimiters = []byte(`,:"[]{}`)
-)
+// errEnd is the error of a text that ends within a value.
+var errEnd = errors.New("unexpected end of JSON text")
 
 // scanner reads a text from start to end.
 type scanner struct {
@@ -190,7 +189,7 @@
 
 // skipWord skips a number or a literal.
 func (s *scanner) skipWord() {
-	for s.pos < len(s.text) && !isSpace(s.text[s.pos]) && bytes.IndexByte(delimiters, s.text[s.pos]) < 0 {
+	for s.pos < len(s.text) && !isSpace(s.text[s.pos]) && strings.IndexByte(delimiters, s.text[s.pos]) < 0 {
 		s.pos++
 	}
 }
