upstream, forward: a refusal that a server writes once more proves nothing

Reported from other systems, tried here: a server reads a request on a kept connection, runs it, and writes an earlier refusal before the answer. Without an id, or with the id of a request that its caller had sent before, it was taken for the answer: callers saw 503 (not run) of a write that ran.

Cause: any failure without an id, and any answer with the request's id, belonged to the request, whatever the server had said before. Now a refusal without an id counts only as the first answer of its connection, a connection isn't used after such an answer, and an id that the server has answered with a failure gets a new connection. Entries' own refusals carry the id, so that connections between entries are kept.

--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -367,6 +367,9 @@
 	signed := rep.Header.Get(c.h.Headers.Signature) != ""
 	notRun := rep.Header.Get(c.h.Headers.NotRun) != ""
 	switch status := rep.Status; {
+	case !rep.Certain && (notRun || impliesNotRun(status)):
+		// It may be a refusal of an earlier request, written once more.
+		return result.AnswerCut
 	case status == http.StatusMisdirectedRequest:
 		c.h.Log.Warn("another server has the address", "request", c.id, "server", rep.member.Name, "address", rep.member.Address)
 		return result.ShedByServer
@@ -551,6 +554,9 @@
 	c.code, c.status = code, c.refusalStatus(code)
 	header := c.w.Header()
 	header.Set(result.HeaderCode, code.String())
+	if c.id != "" {
+		header.Set(c.h.Headers.RequestID, c.id) // without it another entry drops the connection
+	}
 	header.Set("Content-Length", "0")
 	if c.status == http.StatusServiceUnavailable {
 		header.Set("Retry-After", strconv.FormatFloat(c.retryAfter().Seconds(), 'f', 3, 64))
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -4,7 +4,9 @@
 // It never retries by itself. Answers are matched to requests by the request id,
 // since servers may answer twice, late, or without a content length. Answers to
 // earlier requests are skipped; a connection on which one, or bytes outside any
-// answer, were received is not reused.
+// answer, were received is not reused. Nor is one after an answer without an id, and a
+// request whose id the server has answered with a failure before gets a new connection: that
+// answer, written once more, couldn't be told from the next one.
 //
 // A [SendError] reports whether any byte of the request was written to a
 // connection. Only if none was, the request provably did not run.
@@ -26,6 +28,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"math"
 	"net"
 	"net/http"
@@ -94,6 +97,8 @@
 
 		mu   sync.Mutex
 		idle map[string][]*conn
+		// failed holds, by address, the ids of requests that servers answered with a failure.
+		failed map[string]*recentIDs
 	}
 
 	// Request is one request to one server.
@@ -126,6 +131,9 @@
 		Body io.Reader
 		// Latency is the time from the start of the send to the answer's header.
 		Latency time.Duration
+		// Certain is set if the answer belongs to the request for certain: it carries the
+		// request's id, or is the first one on its connection.
+		Certain bool
 
 		exchange *exchange
 	}
@@ -239,7 +247,7 @@
 	}
 	a := &Answer{
 		Status: x.resp.StatusCode, Header: x.resp.Header, Length: x.resp.ContentLength,
-		Latency: time.Since(start), exchange: x,
+		Latency: time.Since(start), Certain: x.hasID() || x.startOffset == 0 && x.strays == 0, exchange: x,
 	}
 	a.Body = &body{exchange: x, src: x.resp.Body}
 	return a, nil
@@ -270,6 +278,7 @@
 		}
 		c.idle[address] = kept
 	}
+	maps.DeleteFunc(c.failed, func(_ string, ids *recentIDs) bool { return ids.expired(now) })
 }
 
 // CanConnect reports whether a server accepts a new connection, which is then added
@@ -326,7 +335,7 @@
 		limit = c.NonIdempotentIdleTimeout
 	}
 	for {
-		cn := c.pop(req.Address, limit)
+		cn := c.pop(req.Address, limit, req.ID)
 		if cn == nil {
 			return nil
 		}
@@ -337,11 +346,16 @@
 	}
 }
 
-func (c *Client) pop(address string, limit time.Duration) *conn {
+// pop returns nil for requests whose answer could be taken for one that the server has given
+// before: those without an id, and those whose id it has answered with a failure.
+func (c *Client) pop(address string, limit time.Duration, reqID string) *conn {
+	if reqID == "" {
+		return nil
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	list := c.idle[address]
-	if len(list) == 0 {
+	if len(list) == 0 || c.failed[address].contains(reqID) {
 		return nil
 	}
 	cn := list[len(list)-1]
@@ -352,6 +366,19 @@
 	return cn
 }
 
+// recordFailure records that the server at an address has answered a request with a failure.
+func (c *Client) recordFailure(address, reqID string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.failed == nil {
+		c.failed = make(map[string]*recentIDs)
+	}
+	if c.failed[address] == nil {
+		c.failed[address] = &recentIDs{}
+	}
+	c.failed[address].add(time.Now(), reqID)
+}
+
 func (c *Client) put(cn *conn) {
 	_ = cn.SetDeadline(time.Time{})
 	cn.lastUsed = time.Now()
@@ -444,6 +471,9 @@
 			x.resp = resp
 			x.conn.limitReads(math.MaxInt64)
 			x.answered.Store(true)
+			if resp.StatusCode >= http.StatusMultipleChoices && x.request.ID != "" {
+				x.client.recordFailure(x.request.Address, x.request.ID)
+			}
 			return nil
 		case got == "":
 			return fmt.Errorf("%w: no request id", errInvalidAnswer)
@@ -539,7 +569,7 @@
 }
 
 func (x *exchange) reusable() bool {
-	if !x.complete || x.strays > 0 || x.resp.Close || x.conn.read.Buffered() > 0 {
+	if !x.complete || x.strays > 0 || !x.hasID() || x.resp.Close || x.conn.read.Buffered() > 0 {
 		return false
 	}
 	select {
@@ -555,6 +585,11 @@
 	return x.conn.idleTimeout > 0
 }
 
+// hasID reports whether the answer carries the request's id.
+func (x *exchange) hasID() bool {
+	return x.request.ID != "" && x.resp.Header.Get(x.client.RequestIDHeader) == x.request.ID
+}
+
 // Read reads the answer's body.
 func (b *body) Read(p []byte) (int, error) {
 	n, err := b.src.Read(p)
