upstream: the rest of a body is sent after an early answer of success

An upload whose server paused for 0.6 s was broken off.

Now what is left of a body is sent for up to 5 s after an answer of success, a connection is done with a body once the other side has acknowledged it, and the kernel is patient while a long body is sent. A planned stop waits for such bodies.

--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -311,7 +311,7 @@
 	start := time.Now()
 	c.server, c.tried = m.Name, append(c.tried, m.Name)
 	ans, err := c.h.Upstream.Send(c.sendCtx, &upstream.Request{
-		Server: m.Name, Address: m.Address, HTTP: c.outgoingTo(m), ID: c.id, Idempotent: c.idempotent(),
+		Server: m.Name, Address: m.Address, HTTP: c.outgoingTo(m), ID: c.id, Idempotent: c.idempotent(), BodyKept: c.stream == nil,
 		Interim: func(header http.Header) { c.observeLeaving(m, header) },
 	})
 	if err != nil {
@@ -480,6 +480,10 @@
 	if rep.member != nil {
 		rep.member.End(time.Now(), c.outcome(rep, c.code))
 	}
+	if c.stream != nil && !truncated {
+		// Closing the server's answer may take long.
+		_ = http.NewResponseController(c.w).Flush()
+	}
 	if truncated {
 		// The caller's connection is aborted, so that the answer doesn't look complete.
 		panic(http.ErrAbortHandler)
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -80,7 +80,7 @@
 	for _, e := range c.h.Relays.Entries(time.Now(), c.service, c.route.Allows) {
 		start := time.Now()
 		ans, err := c.h.RelayClient.Send(c.sendCtx, &upstream.Request{
-			Server: id.Server(e.Instance), Address: e.Relay.String(), HTTP: c.relayRequest(), ID: c.id, Idempotent: c.idempotent(),
+			Server: id.Server(e.Instance), Address: e.Relay.String(), HTTP: c.relayRequest(), ID: c.id, Idempotent: c.idempotent(), BodyKept: c.stream == nil,
 		})
 		if err != nil {
 			failed := asSendError(err)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -501,6 +501,8 @@
 	n.idleConns.close(time.Now(), 0)
 	callers.Settle(ctx)
 	err := errors.Join(server.Shutdown(ctx), <-relaysClosed)
+	n.upstream.Wait(ctx)
+	n.relays.Wait(ctx)
 	select {
 	case <-closed:
 	case <-ctx.Done():
--- a/internal/node/stop_test.go
+++ b/internal/node/stop_test.go
@@ -231,3 +231,45 @@
 		t.Error(err)
 	}
 }
+
+// A shutdown must wait for the rest of an upload that its server has accepted early.
+func TestShutdownSendsAcceptedUploadsToTheirEnd(t *testing.T) {
+	is := is.New(t)
+	const length = 400_000
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer l.Close()
+	got := make(chan int64, 1)
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer c.Close()
+		r, err := http.ReadRequest(bufio.NewReader(c))
+		if err != nil {
+			return
+		}
+		n, _ := io.CopyN(io.Discard, r.Body, 32<<10)
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nX-Id: r-1\r\nX-Signed: s\r\nContent-Length: 3\r\n\r\nr-1")
+		time.Sleep(7 * grace / 10) // longer than new requests are served
+		rest, _ := io.Copy(io.Discard, r.Body)
+		got <- n + rest
+	}()
+	n := newNode(t)
+	stop := run(t, n, l.Addr().String())
+	c, err := net.Dial("tcp", n.Self().Callers.String())
+	is.NoErr(err)
+	defer c.Close()
+	_, err = fmt.Fprintf(c, "POST /x/1 HTTP/1.1\r\nHost: a.example\r\nX-Id: r-1\r\nContent-Length: %d\r\n\r\n%s", length, strings.Repeat("x", length))
+	is.NoErr(err)
+	_, err = readOwnAnswer(bufio.NewReader(c), "r-1")
+	is.NoErr(err)
+	is.NoErr(stop())
+	select {
+	case n := <-got:
+		is.Equal(n, int64(length))
+	case <-time.After(100 * time.Millisecond):
+		t.Fatal("the process would have exited before the server had the whole upload")
+	}
+}
--- a/internal/sockopt/unacked_linux.go
+++ b/internal/sockopt/unacked_linux.go
@@ -3,6 +3,8 @@
 import (
 	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // tcpUserTimeout is the socket option TCP_USER_TIMEOUT, whose value is in
@@ -13,14 +15,41 @@
 // connection when sent data or keepalive probes are not acknowledged within limit,
 // which is truncated to milliseconds.
 func LimitUnacked(limit time.Duration) func(network, address string, raw syscall.RawConn) error {
-	return func(_, _ string, raw syscall.RawConn) error {
-		var err error
-		controlErr := raw.Control(func(fd uintptr) {
-			err = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(limit.Milliseconds()))
-		})
-		if controlErr != nil {
-			return controlErr
-		}
+	return func(_, _ string, raw syscall.RawConn) error { return setLimit(raw, limit) }
+}
+
+// SetUnackedLimit sets the limit of [LimitUnacked] on an open connection. The kernel counts
+// data that the other side doesn't take, since its buffers are full, as not acknowledged.
+func SetUnackedLimit(c syscall.Conn, limit time.Duration) error {
+	raw, err := c.SyscallConn()
+	if err != nil {
 		return err
 	}
+	return setLimit(raw, limit)
+}
+
+// Unacked returns how many of the bytes that were sent on a connection the other side has not
+// acknowledged, 0 if the kernel can't tell.
+func Unacked(c syscall.Conn) int {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	unacked := 0
+	controlErr := raw.Control(func(fd uintptr) { unacked, err = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ) })
+	if controlErr != nil || err != nil {
+		return 0
+	}
+	return unacked
+}
+
+func setLimit(raw syscall.RawConn, limit time.Duration) error {
+	var err error
+	controlErr := raw.Control(func(fd uintptr) {
+		err = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(limit.Milliseconds()))
+	})
+	if controlErr != nil {
+		return controlErr
+	}
+	return err
 }
--- a/internal/sockopt/unacked_other.go
+++ b/internal/sockopt/unacked_other.go
@@ -11,3 +11,9 @@
 func LimitUnacked(time.Duration) func(network, address string, raw syscall.RawConn) error {
 	return nil
 }
+
+// SetUnackedLimit does nothing: the option is available only on Linux.
+func SetUnackedLimit(syscall.Conn, time.Duration) error { return nil }
+
+// Unacked returns 0: the kernel can't tell on other systems than Linux.
+func Unacked(syscall.Conn) int { return 0 }
--- a/internal/upstream/body.go
+++ b/internal/upstream/body.go
@@ -3,7 +3,12 @@
 import (
 	"errors"
 	"io"
+	"net/http"
 	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/shallotpier/shallotpier/internal/sockopt"
 )
 
 // requestBody is a request's body that records the error of a read that failed.
@@ -41,3 +46,59 @@
 	}
 	return err
 }
+
+// bodySent reports whether the writing of the request has ended, and its error.
+func (x *exchange) bodySent() (bool, error) {
+	select {
+	case err := <-x.written:
+		x.written <- err
+		return true, err
+	default:
+		return false, nil
+	}
+}
+
+// acceptedEarly reports whether the server has answered with a success and hasn't taken all
+// of the request's body yet.
+func (x *exchange) acceptedEarly() bool {
+	if !x.complete || x.resp.StatusCode >= http.StatusMultipleChoices {
+		return false
+	}
+	sent, err := x.bodySent()
+	return !sent || err == nil && x.conn.unacked() > 0
+}
+
+// unacked returns how many bytes of a long body the server's machine hasn't acknowledged.
+func (c *conn) unacked() int {
+	sc, ok := c.Conn.(syscall.Conn)
+	if !c.patient || !ok {
+		return 0
+	}
+	return sockopt.Unacked(sc)
+}
+
+// sendRest sends the rest of the body and closes the connection.
+func (x *exchange) sendRest() {
+	deadline := time.Now().Add(acceptTimeout)
+	_ = x.conn.SetDeadline(deadline)
+	send := func() {
+		defer x.conn.Close()
+		select {
+		case err := <-x.written:
+			if err != nil {
+				return
+			}
+		case <-time.After(time.Until(deadline)): // the caller may have stopped sending
+			return
+		}
+		// Closing a connection with unread bytes would reset it.
+		if c, ok := x.conn.Conn.(interface{ CloseWrite() error }); ok && c.CloseWrite() == nil {
+			_, _ = io.CopyN(io.Discard, x.conn.Conn, maxHeadBytes)
+		}
+	}
+	if !x.request.BodyKept {
+		send()
+		return
+	}
+	x.client.sending.Go(send)
+}
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -61,8 +61,11 @@
 	maxInlineBody = 4 << 10
 	// unackedTimeout is how long the kernel waits for the acknowledgement of data
 	// or keepalive probes before it aborts a connection: three retransmissions
-	// between regions.
+	// between regions. It is longer while a long body is sent, see acceptTimeout.
 	unackedTimeout = 600 * time.Millisecond
+	// acceptTimeout is how long after its answer a server may take the rest of a body, and
+	// how long after the deadline the kernel waits for it to take any.
+	acceptTimeout = 5 * time.Second
 	// keepaliveInterval is the time before and between TCP keepalive probes on an
 	// idle connection, the shortest that kernels accept.
 	keepaliveInterval = time.Second
@@ -97,6 +100,8 @@
 
 		mu   sync.Mutex
 		idle map[string][]*conn
+		// sending counts the bodies that are sent after their answer.
+		sending sync.WaitGroup
 		// failed holds, by address, the ids of requests that servers answered with a failure.
 		failed map[string]*recentIDs
 	}
@@ -114,6 +119,8 @@
 		ID string
 		// Idempotent is set if the request may run more than once.
 		Idempotent bool
+		// BodyKept is set if the body can be read after the answer was closed.
+		BodyKept bool
 		// Interim, unless nil, is called with the header of each interim answer.
 		Interim func(http.Header)
 	}
@@ -173,6 +180,7 @@
 		readLimit   int64 // number of bytes that may still be read
 		write       *bufio.Writer
 		wrote       atomic.Int64
+		patient     bool // the kernel waits for longer than unackedTimeout
 		lastUsed    time.Time
 		lastCheck   time.Time // while idle
 		idleTimeout time.Duration
@@ -256,8 +264,25 @@
 // Close releases the answer's connection. If the answer was not received
 // completely, the connection is closed, which cancels the request at most backend
 // servers.
+//
+// If the server has answered with a success before it has taken all of the request's body,
+// the rest is still sent, for a few seconds at most. Close waits for that unless
+// [Request.BodyKept] is set.
 func (a *Answer) Close() { a.exchange.close() }
 
+// Wait waits until no body is being sent after its answer, or ctx ends.
+func (c *Client) Wait(ctx context.Context) {
+	done := make(chan struct{})
+	go func() {
+		c.sending.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+}
+
 // CloseIdle closes the pooled connections whose idle timeout has passed, and those that the
 // server has closed or has sent bytes on.
 func (c *Client) CloseIdle(now time.Time) {
@@ -381,6 +406,7 @@
 
 func (c *Client) put(cn *conn) {
 	_ = cn.SetDeadline(time.Time{})
+	cn.setPatient(false, unackedTimeout)
 	cn.lastUsed = time.Now()
 	cn.lastCheck = cn.lastUsed
 	c.mu.Lock()
@@ -435,10 +461,27 @@
 		x.written <- nil
 		return x.conn.send(x.request.HTTP)
 	}
+	limit := unackedTimeout
+	if deadline, ok := x.ctx.Deadline(); ok {
+		limit = max(limit, time.Until(deadline))
+	}
+	x.conn.setPatient(true, limit+acceptTimeout)
 	go func() { x.written <- x.sendBody() }()
 	return nil
 }
 
+// setPatient sets how long the kernel waits for the server to take data. A server at work on
+// a request may leave the rest of its body unread for as long as that takes.
+func (c *conn) setPatient(patient bool, limit time.Duration) {
+	if c.patient == patient {
+		return
+	}
+	c.patient = patient
+	if sc, ok := c.Conn.(syscall.Conn); ok {
+		_ = sockopt.SetUnackedLimit(sc, limit)
+	}
+}
+
 func (c *conn) send(r *http.Request) error {
 	if err := r.Write(c.write); err != nil {
 		return err
@@ -560,11 +603,14 @@
 func (x *exchange) close() {
 	x.once.Do(func() {
 		canceled := !x.stopCancel()
-		if canceled || !x.reusable() {
+		switch {
+		case !canceled && x.acceptedEarly():
+			x.sendRest()
+		case !canceled && x.reusable():
+			x.client.put(x.conn)
+		default:
 			_ = x.conn.Close()
-			return
 		}
-		x.client.put(x.conn)
 	})
 }
 
@@ -572,13 +618,7 @@
 	if !x.complete || x.strays > 0 || !x.hasID() || x.resp.Close || x.conn.read.Buffered() > 0 {
 		return false
 	}
-	select {
-	case err := <-x.written:
-		if err != nil {
-			return false
-		}
-	default:
-		// The server answered before it had read the whole body.
+	if sent, err := x.bodySent(); !sent || err != nil {
 		return false
 	}
 	x.conn.idleTimeout = min(x.conn.idleTimeout, announcedIdle(x.resp.Header, x.conn.idleTimeout))
