platform, follow, heartbeat: silent connections to the store are noticed in time

Cause: a sum of delays. Short-poll entries noticed after 2.5 s; the list that followed went to an idle connection, silent as well (0.7 s or more); others heard of it up to 0.5 s later and took 0.45 s, and 0.7 s for their own idle connections.

--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -107,6 +107,9 @@
 		StallTimeout time.Duration
 		// Sink receives the objects and their changes.
 		Sink Sink
+		// OnCatchUp, unless nil, is called after a list that may hold changes that the
+		// watch before it missed. Other entries may miss them too until they hear of them.
+		OnCatchUp func()
 		// Log receives a line when the store becomes unavailable or available
 		// again, when it has been restored from an older copy, and when the objects
 		// have to be listed again.
@@ -369,6 +372,7 @@
 	} else {
 		f.latest = store.Latest(f.latest, covered)
 	}
+	caughtUp := f.gap && !before.IsZero() && before.Before(covered)
 	if f.gap || restored {
 		// Removals during the gap don't appear in the list, but count as changes.
 		f.latest, f.gap = covered, false
@@ -382,6 +386,9 @@
 		f.handleRestore(time.Now(), before, covered, "store")
 	}
 	f.Sink.Replace(time.Now(), all)
+	if caughtUp && f.OnCatchUp != nil {
+		f.OnCatchUp()
+	}
 }
 
 func (f *Follower) recordAnswer() {
--- a/internal/heartbeat/detector.go
+++ b/internal/heartbeat/detector.go
@@ -150,7 +150,8 @@
 		view          *view         // live entries by zone; nil if outdated
 		round         int           // counts the rounds, to probe silent entries in rotation
 		limitRound    uint64        // counts the heartbeats with reports of limits
-		urgent        chan struct{} // requests a heartbeat outside the interval
+		urgent        chan struct{} // requests a heartbeat to relayTargets outside the interval
+		announce      chan struct{} // requests one to all targets
 	}
 
 	peer struct {
@@ -232,7 +233,7 @@
 // Run sends and receives until ctx ends.
 func (d *Detector) Run(ctx context.Context, conn net.PacketConn) error {
 	d.mu.Lock()
-	d.urgent = make(chan struct{}, 1)
+	d.urgent, d.announce = make(chan struct{}, 1), make(chan struct{}, 1)
 	d.mu.Unlock()
 	defer context.AfterFunc(ctx, func() { _ = conn.SetReadDeadline(time.Unix(1, 0)) })()
 	go d.send(ctx, conn)
@@ -270,6 +271,17 @@
 	d.write(conn, m, d.targets(now))
 }
 
+// AnnounceSoon sends a heartbeat to all of this entry's targets without waiting for the next
+// interval, while Run runs. It doesn't block.
+func (d *Detector) AnnounceSoon() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	select {
+	case d.announce <- struct{}{}:
+	default: // already requested, or Run has not started
+	}
+}
+
 func (d *Detector) nextLimitRound() uint64 {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -290,6 +302,13 @@
 				return
 			case <-tick.C:
 				break wait
+			case <-d.announce:
+				d.Announce(conn)
+				select {
+				case <-time.After(minRelayInterval):
+				case <-ctx.Done():
+					return
+				}
 			case <-d.urgent:
 				now := time.Now()
 				d.write(conn, d.compose(now), d.relayTargets(now))
--- a/internal/heartbeat/detector_test.go
+++ b/internal/heartbeat/detector_test.go
@@ -88,6 +88,37 @@
 	is.Equal(len(n[node(2, 1).Peers.String()]), 1)
 }
 
+// A change that other entries may have missed must be announced at once, not at the next
+// interval.
+func TestAnnounceSoon(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		d := newDetector()
+		d.AnnounceSoon() // before Run, without effect
+		d.Interval = time.Hour
+		other := node(2, 1).Peers
+		d.AddPeer("a-1", other)
+		n := network{other.String(): make(chan []byte, 100), node(1, 1).Peers.String(): make(chan []byte)}
+		go func() {
+			_ = d.Run(ctx, &packetConn{network: n, address: node(1, 1).Peers.String(), ended: make(chan struct{})})
+		}()
+		synctest.Wait()
+		one := len(n[other.String()]) // the first of the interval, in each format
+		is.True(one > 0)
+		d.AnnounceSoon()
+		synctest.Wait()
+		is.Equal(len(n[other.String()]), 2*one)
+		for range 100 {
+			d.AnnounceSoon()
+		}
+		time.Sleep(time.Second)
+		is.True(len(n[other.String()]) <= 4*one) // bounded
+		cancel()
+		synctest.Wait()
+	})
+}
+
 // network carries datagrams between packet connections in memory.
 type network map[string]chan []byte
 
