forward: crashes of servers at work on requests that were given up are counted

Cause: a read's connection is closed when its caller leaves, and only a connection that the server breaks off led to a check. Now a send that ends by the caller, its deadline or silence is remembered until the deadline, and each second the server is checked: an idle connection that is open shows that it lives, otherwise a new one is tried. Servers that have left the roster end as planned.

--- /dev/null
+++ b/internal/forward/abandoned_test.go
@@ -0,0 +1,74 @@
+package forward_test
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/shallotpier/shallotpier/pkg/result"
+	"github.com/shallotpier/shallotpier/pkg/service"
+)
+
+// A request that crashes servers must be quarantined even if each send of it is given up
+// before the crash, and no request may be blamed for it whose server lives on.
+func TestCrashesDuringAbandonedRequestsAreCounted(t *testing.T) {
+	tests := map[string]struct {
+		script  string
+		left    string        // the caller's deadline in milliseconds
+		leaves  time.Duration // after which the caller leaves, 0 if it stays
+		planned bool          // the servers leave the roster before they end
+		crashes int
+	}{
+		"caller leaves":                         {"late crash", "2000", 50 * time.Millisecond, false, 3},
+		"deadline passes":                       {"late crash", "50", 0, false, 3},
+		"caller leaves, server lives on":        {"silent", "2000", 50 * time.Millisecond, false, 0},
+		"deadline passes, server lives on":      {"silent", "50", 0, false, 0},
+		"caller leaves, servers end as planned": {"late crash", "2000", 50 * time.Millisecond, true, 0},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			f := start(t, service.Read, tt.script)
+			f.addServer(t) // one is left to compare with
+			f.route.Timeout, f.route.Attempts = 2*time.Second, 1
+			send := func() (int, string) {
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				if tt.leaves > 0 {
+					ctx, cancel = context.WithTimeout(ctx, tt.leaves)
+					defer cancel()
+				}
+				r, err := f.request(ctx, "/x/8", "")
+				is.NoErr(err)
+				r.Header.Set("X-Left", tt.left)
+				resp, err := http.DefaultClient.Do(r)
+				if err != nil {
+					return 0, ""
+				}
+				resp.Body.Close()
+				return resp.StatusCode, resp.Header.Get(result.HeaderCode)
+			}
+			for n := range 3 {
+				send()
+				if tt.planned {
+					f.roster.Replace(time.Now(), nil)
+				}
+				for i := 0; f.crashes() <= min(n, tt.crashes) && i < 150; i++ {
+					time.Sleep(20 * time.Millisecond)
+				}
+			}
+			is.Equal(f.crashes(), tt.crashes)
+			if tt.planned {
+				return
+			}
+			before := f.backend.requests.Load()
+			_, code := send()
+			is.Equal(code == result.Quarantined.String(), tt.crashes > 0)
+			is.Equal(f.backend.requests.Load() == before, tt.crashes > 0)
+		})
+	}
+}
--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -346,8 +346,11 @@
 		o.Latency = time.Since(start)
 	}
 	m.End(time.Now(), o)
-	if failed.Code == result.AnswerCut {
+	switch failed.Code {
+	case result.AnswerCut:
 		c.detectCrash(m)
+	case result.AnswerLate, result.CallerGone, result.ConnectionSilent:
+		c.h.abandon(m, c.suspect(m))
 	}
 	c.h.Log.Info("send failed", "request", c.id, "server", m.Name, "code", failed.Code, "sent", failed.Sent, "err", failed.Err)
 	return failed.Code
--- a/internal/forward/crash.go
+++ b/internal/forward/crash.go
@@ -25,6 +25,14 @@
 	maxCompared = 3
 )
 
+// suspect is a request that may be the cause of a server's end.
+type suspect struct {
+	request     string
+	own, shared quarantine.Fingerprint
+	origin      quarantine.Origin
+	until       time.Time // when the server stops work on it at the latest
+}
+
 // quarantined reports whether the request must not be sent because equal ones have
 // crashed servers.
 func (c *call) quarantined() bool {
@@ -63,9 +71,7 @@
 // detectCrash checks in the background whether a server that truncated an answer
 // has crashed, and if so records the request as a possible cause.
 func (c *call) detectCrash(m *roster.Member) {
-	start := time.Now()
-	origin := quarantine.Origin{Service: c.service, Send: c.id + " " + string(m.Name), Server: m.Name, Began: start}
-	fingerprint, shared := c.fingerprint(), c.sharedFingerprint()
+	s := c.suspect(m)
 	checked := make(chan struct{})
 	c.crashChecked = checked
 	go func() {
@@ -73,21 +79,34 @@
 		time.Sleep(crashCheckDelay)
 		verdict := c.h.CrashChecks.Check(context.Background(), checkTarget(m), c.h.reachableBeside(m))
 		if verdict != crashcheck.Ended {
-			c.h.Log.Info("backend server broke off, no crash recorded", "request", c.id, "server", m.Name, "fingerprint", fingerprint, "verdict", verdict, "after", time.Since(start))
+			c.h.Log.Info("backend server broke off, no crash recorded", "request", s.request, "server", m.Name, "fingerprint", s.own, "verdict", verdict, "after", time.Since(s.origin.Began))
 			return
 		}
 		c.h.Dispatcher.Roster.RecordEnd(time.Now(), m)
-		list := c.h.Quarantine
-		list.RecordCrash(time.Now(), fingerprint, origin)
-		origin.Of = fingerprint
-		list.RecordCrash(time.Now(), shared, origin)
-		c.h.Metrics.GetOrCreateCounter(`shallotpier_crash_reports_total{from="own"}`).Inc()
-		c.h.Log.Warn("backend server crashed during a request", "request", c.id, "server", m.Name, "fingerprint", fingerprint,
-			"crashes", list.Crashes(time.Now(), fingerprint), "quarantined", list.Quarantined(time.Now(), fingerprint),
-			"shared", shared, "sharedCrashes", list.Crashes(time.Now(), shared), "sharedQuarantined", list.Quarantined(time.Now(), shared))
+		c.h.recordCrash(s)
 	}()
 }
 
+// suspect returns the request as a possible cause of the server's end.
+func (c *call) suspect(m *roster.Member) *suspect {
+	return &suspect{
+		request: c.id, own: c.fingerprint(), shared: c.sharedFingerprint(), until: c.deadline,
+		origin: quarantine.Origin{Service: c.service, Send: c.id + " " + string(m.Name), Server: m.Name, Began: time.Now()},
+	}
+}
+
+// recordCrash records that a request's server has crashed.
+func (h *Handler) recordCrash(s *suspect) {
+	list, now, shared := h.Quarantine, time.Now(), s.origin
+	shared.Of = s.own
+	list.RecordCrash(now, s.own, s.origin)
+	list.RecordCrash(now, s.shared, shared)
+	h.Metrics.GetOrCreateCounter(`shallotpier_crash_reports_total{from="own"}`).Inc()
+	h.Log.Warn("backend server crashed during a request", "request", s.request, "server", s.origin.Server, "fingerprint", s.own,
+		"crashes", list.Crashes(now, s.own), "quarantined", list.Quarantined(now, s.own),
+		"shared", s.shared, "sharedCrashes", list.Crashes(now, s.shared), "sharedQuarantined", list.Quarantined(now, s.shared))
+}
+
 // reachableBeside returns other servers of a server's service that are thought to be
 // reachable: some of its availability zone, or of others if that has none.
 func (h *Handler) reachableBeside(m *roster.Member) []crashcheck.Target {
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -137,6 +137,7 @@
 		budgets   sync.Map // id.Service to *retry.Budget
 		baselines sync.Map // baselineKey to *outlier.Baseline
 		running   atomic.Int64
+		abandoned abandonedRequests
 		// invalidLogged is the time of the latest log line about an invalid header.
 		invalidLogged atomic.Int64
 	}
--- a/internal/forward/handler_test.go
+++ b/internal/forward/handler_test.go
@@ -49,9 +49,10 @@
 		last     atomic.Pointer[http.Request]
 		body     atomic.Pointer[string]
 		closed   chan struct{} // receives one value per closed connection of "silent"
-		// listeners belong to the servers; a server that crashes closes its own.
+		// listeners belong to the servers; a server that crashes closes its own, and its conns.
 		listeners []net.Listener
-		mu        sync.Mutex // protects listeners
+		conns     []net.Conn // to all servers
+		mu        sync.Mutex // protects listeners and conns
 	}
 
 	fixture struct {
@@ -116,6 +117,10 @@
 	case "crash":
 		b.crash(c)
 		return false
+	case "late crash": // of a server at work, which doesn't notice that its caller has left
+		time.Sleep(150 * time.Millisecond)
+		b.crash(c)
+		return false
 	case "links cut":
 		b.cutLinks()
 		return false
@@ -165,6 +170,11 @@
 			l.Close()
 		}
 	}
+	for _, other := range b.conns {
+		if other != c && other.LocalAddr().String() == c.LocalAddr().String() {
+			other.Close()
+		}
+	}
 }
 
 // cutLinks closes the listeners of all servers.
@@ -178,6 +188,9 @@
 
 func (b *backend) serve(c net.Conn) {
 	defer c.Close()
+	b.mu.Lock()
+	b.conns = append(b.conns, c)
+	b.mu.Unlock()
 	br := bufio.NewReader(c)
 	for {
 		r, err := http.ReadRequest(br)
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -32,6 +32,7 @@
 	"math"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -317,6 +318,14 @@
 	return true
 }
 
+// HasOpen reports whether an idle connection to a server is open, which a server that has
+// crashed has closed.
+func (c *Client) HasOpen(address string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.ContainsFunc(c.idle[address], (*conn).usable)
+}
+
 func connectCode(ctx context.Context) result.Code {
 	switch {
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
