pipeline: a stop answers the requests that have arrived and wait for others

Callers saw, in a test: of four writes that were sent ahead on one connection before SIGTERM, those behind the first got no answer if it was at work when new connections were refused, and those behind the first answer after the signal in any case.

Cause: EndAfter discarded what waited, and Settle waited for requests at work alone, so that net/http's shutdown made the next answer the last. Now a connection ends after the requests that have arrived by then, and the last of their answers says so.

Failing before, on: node TestShutdownAnswersWritesSentAhead, pipeline TestShutdownAnswersRequestsThatWait. TestShutdownDeliversAllAnswers sends its late request once Settle has begun, which it left to chance; its checks are the same.

--- a/internal/node/pipeline_test.go
+++ b/internal/node/pipeline_test.go
@@ -250,3 +250,30 @@
 		})
 	}
 }
+
+// Writes that are sent ahead must be answered in a shutdown, also those that wait for others
+// of their connection when new requests are no longer served.
+func TestShutdownAnswersWritesSentAhead(t *testing.T) {
+	is := is.New(t)
+	server := newGatedServer(t)
+	n := newNode(t)
+	stop := run(t, n, server.Listener.Addr().String())
+	c, err := net.Dial("tcp", n.Self().Callers.String())
+	is.NoErr(err)
+	defer c.Close()
+	_ = c.SetDeadline(time.Now().Add(10 * time.Second))
+	_, err = io.WriteString(c, writeRequest("/x/held", "w-1")+writeRequest("/x/a", "w-2")+writeRequest("/x/a", "w-3")+writeRequest("/x/a", "w-4"))
+	is.NoErr(err)
+	is.True(server.awaitRun("w-1"))
+	stopped := make(chan error, 1)
+	go func() { stopped <- stop() }()
+	time.Sleep(grace / 2) // new connections are refused by now
+	close(server.gate)
+	br := bufio.NewReader(c)
+	for _, reqID := range []string{"w-1", "w-2", "w-3", "w-4"} {
+		open, err := readOwnAnswer(br, reqID)
+		is.NoErr(err)
+		is.Equal(open, reqID != "w-4")
+	}
+	is.NoErr(<-stopped)
+}
--- a/internal/pipeline/conn.go
+++ b/internal/pipeline/conn.go
@@ -30,6 +30,10 @@
 		head []byte
 		// last is set once no further request may be handled.
 		last bool
+		// bounded is set once no request may be handled that begins at the offset bound
+		// or later.
+		bounded bool
+		bound   int64
 
 		// What follows is used once the connection is split.
 
@@ -291,11 +295,36 @@
 func (c *conn) dispatch() {
 	for c.err == nil && !c.ended && !c.left && len(c.waiting) > 0 && c.dispatchOne() {
 	}
+	if c.bounded && len(c.handled) == 0 && c.main.idle && c.framer.part == inHead {
+		c.end() // none of the requests before the bound is left
+	}
 	if len(c.waiting) < maxWaiting {
 		c.changed.Broadcast()
 	}
 }
 
+// setBound ends the connection after the requests that have arrived. The caller holds mu.
+func (c *conn) setBound() {
+	if !c.bounded {
+		c.bounded, c.bound = true, c.arrived
+	}
+}
+
+// pastBound reports whether the bytes that wait begin behind the bound.
+func (c *conn) pastBound() bool {
+	return c.bounded && c.arrived-int64(len(c.waiting)) >= c.bound
+}
+
+// requestWaits reports whether a request waits that is to be handled, or bytes of a body that
+// may be followed by one.
+func (c *conn) requestWaits() bool {
+	if len(c.waiting) == 0 || c.last || c.pastBound() {
+		return false
+	}
+	inBody := c.framer.part != inHead && c.framer.part != atEnd
+	return inBody || bytes.Contains(c.waiting, []byte(headEnd))
+}
+
 // dispatchOne reports whether it has changed anything.
 func (c *conn) dispatchOne() bool {
 	switch c.framer.part {
@@ -311,7 +340,7 @@
 
 // dispatchHead begins the next request once its head is complete.
 func (c *conn) dispatchHead() bool {
-	if c.last {
+	if c.last || c.pastBound() {
 		c.waiting = nil
 		return false
 	}
@@ -537,13 +566,29 @@
 func (c *conn) endAfter(n *lane) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if !c.split {
+		c.last = true
+		return true
+	}
+	c.setBound()
+	if c.requestWaits() {
+		return false
+	}
 	c.last = true
-	return !c.split || len(c.handled) == 0 || c.handled[len(c.handled)-1] == n.current
+	return len(c.handled) == 0 || c.handled[len(c.handled)-1] == n.current
+}
+
+// settle ends the connection after the requests that have arrived.
+func (c *conn) settle() {
+	c.mu.Lock()
+	defer c.unlock()
+	c.setBound()
+	c.dispatch()
 }
 
-// concurrent reports whether several requests are handled.
-func (c *conn) concurrent() bool {
+// busy reports whether several requests are handled, or will be after one another.
+func (c *conn) busy() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return len(c.handled) > 1
+	return len(c.handled) > 1 || c.requestWaits()
 }
--- a/internal/pipeline/listener.go
+++ b/internal/pipeline/listener.go
@@ -33,7 +33,7 @@
 	// laneBacklog is how many new lanes may wait for net/http to accept them.
 	laneBacklog = 256
 	// settleInterval is the interval of checks whether a connection has several requests
-	// that are handled.
+	// left.
 	settleInterval = 10 * time.Millisecond
 )
 
@@ -121,14 +121,18 @@
 	return context.WithValue(ctx, contextKey{}, c)
 }
 
-// Settle stops accepting connections and waits until no connection has more than one
-// request that is handled, or ctx ends. [Listener.Concurrent] must return false for all
+// Settle stops accepting connections and waits until each connection has at most one
+// request left that has arrived, or ctx ends. Requests on connections with several lanes
+// that arrive later aren't handled. [Listener.Concurrent] must return false for all
 // requests by then. A graceful shutdown of net/http makes each answer the last of its
 // connection, and would so drop those behind it.
 func (l *Listener) Settle(ctx context.Context) {
 	l.init()
+	for _, c := range l.splitConns() {
+		c.settle()
+	}
 	_ = l.Listener.Close()
-	for l.busy() {
+	for slices.ContainsFunc(l.splitConns(), (*conn).busy) {
 		select {
 		case <-time.After(settleInterval):
 		case <-ctx.Done():
@@ -137,9 +141,9 @@
 	}
 }
 
-// EndAfter ends the connection of a request after its answer: no further request of it is
-// handled. EndAfter reports whether the answer may say so. It may not if requests
-// behind it are handled already.
+// EndAfter ends the connection of a request after its answer and those to the requests
+// behind it that have arrived. EndAfter reports whether the answer may say so. It may not if
+// there are any behind it.
 func EndAfter(ctx context.Context) bool {
 	lane, ok := ctx.Value(contextKey{}).(*lane)
 	return !ok || lane.conn.endAfter(lane)
@@ -219,13 +223,12 @@
 	delete(l.split, c)
 }
 
-// busy reports whether any connection has several requests that are handled.
-func (l *Listener) busy() bool {
-	// A connection's lock is taken before the listener's elsewhere.
+// splitConns returns the connections with several lanes. Their locks must be taken without
+// the listener's, which is taken after them elsewhere.
+func (l *Listener) splitConns() []*conn {
 	l.mu.Lock()
-	split := slices.Collect(maps.Keys(l.split))
-	l.mu.Unlock()
-	return slices.ContainsFunc(split, (*conn).concurrent)
+	defer l.mu.Unlock()
+	return slices.Collect(maps.Keys(l.split))
 }
 
 // countAhead counts a request that is handled beside others of its connection.
--- a/internal/pipeline/listener_test.go
+++ b/internal/pipeline/listener_test.go
@@ -477,6 +477,14 @@
 		close(settled)
 		stopped <- s.server.Shutdown(t.Context())
 	}()
+	for end := time.Now().Add(patience); ; time.Sleep(time.Millisecond) {
+		other, err := net.Dial("tcp", s.address)
+		if err != nil {
+			break // Settle has begun, so that d comes too late
+		}
+		_ = other.Close()
+		s.is.True(time.Now().Before(end))
+	}
 	c.send(get("/wait/d"))
 	s.is.True(s.notBegun("d"))
 	for _, name := range []string{"a", "b"} {
@@ -495,6 +503,43 @@
 	}
 }
 
+// A graceful shutdown must answer the requests that have arrived and wait for others of their
+// connection, whether these are asked to end it or not, and say so in the last answer.
+func TestShutdownAnswersRequestsThatWait(t *testing.T) {
+	for name, query := range map[string]string{"asked to end": "?end=asked", "not asked": ""} {
+		t.Run(name, func(t *testing.T) {
+			s := serve(t)
+			c := s.dial()
+			c.send(post("/wait/a", "body"), post("/wait/b"+query, "body"), get("/wait/c"+query), get("/wait/d"+query), "GET /wait/e HTTP/1.1\r\n")
+			s.awaitBegun("a")
+			s.is.True(s.notBegun("b"))
+			s.leaving.Store(true)
+			stopped := make(chan error, 1)
+			go func() {
+				s.listener.Settle(t.Context())
+				stopped <- s.server.Shutdown(t.Context())
+			}()
+			for _, name := range []string{"a", "b", "c", "d"} {
+				s.awaitBegun(name)
+				time.Sleep(2 * moment) // a shutdown that came too early would end the connection after this answer
+				s.release(name)
+				resp, err := http.ReadResponse(c.read, nil)
+				s.is.NoErr(err)
+				_, err = io.Copy(io.Discard, resp.Body)
+				s.is.NoErr(err)
+				s.is.Equal(resp.Close, name == "d")
+			}
+			c.expectEnd()
+			select {
+			case err := <-stopped:
+				s.is.NoErr(err)
+			case <-time.After(patience):
+				t.Fatal("not shut down")
+			}
+		})
+	}
+}
+
 // Answers behind a slow one are held up to a limit. A caller that doesn't read must not
 // delay others, and its requests must end when it leaves.
 func TestCallerThatDoesNotRead(t *testing.T) {
