upstream: a check for an open connection drops those that aren't

HasOpen read a stray byte of a server off an idle connection and left it in the pool, where the connection then looked unused. Failing before: TestHasOpen, stray byte.

--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -109,8 +109,8 @@
 		// Leaving reports whether the entry is shutting down, so that callers are
 		// asked to close their connections.
 		Leaving func() bool
-		// EndBy returns when the process exits, zero if that isn't known. Requests whose
-		// deadline is later are refused. Nil means never.
+		// EndBy returns the time by which a request that is received now has to end, zero
+		// if there is none. Requests whose deadline is later are refused. Nil means none.
 		EndBy func() time.Time
 		// Headers holds the header names.
 		Headers Headers
@@ -213,20 +213,20 @@
 // receive reads the body unless the request may outlive the process, which is checked again
 // after the body, since its caller may send it slowly. It returns 0 or the code of the refusal.
 func (c *call) receive() result.Code {
-	if c.outlivesEntry() {
+	if c.mayOutliveEntry() {
 		return result.EntryLeaving
 	}
 	if code := c.readBody(); code != 0 {
 		return code
 	}
-	if c.outlivesEntry() {
+	if c.mayOutliveEntry() {
 		return result.EntryLeaving
 	}
 	return 0
 }
 
-// outlivesEntry reports whether the request may still be running when the process exits.
-func (c *call) outlivesEntry() bool {
+// mayOutliveEntry reports whether the request may still run when the process exits.
+func (c *call) mayOutliveEntry() bool {
 	if c.h.EndBy == nil {
 		return false
 	}
--- a/internal/upstream/body.go
+++ b/internal/upstream/body.go
@@ -71,7 +71,7 @@
 // unacked returns how many bytes of a long body the server's machine hasn't acknowledged.
 func (c *conn) unacked() int {
 	sc, ok := c.Conn.(syscall.Conn)
-	if !c.patient || !ok {
+	if c.unackedLimit == unackedTimeout || !ok {
 		return 0
 	}
 	return sockopt.Unacked(sc)
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -32,7 +32,6 @@
 	"math"
 	"net"
 	"net/http"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -176,15 +175,16 @@
 
 	conn struct {
 		net.Conn
-		address     string
-		read        *bufio.Reader
-		readLimit   int64 // number of bytes that may still be read
-		write       *bufio.Writer
-		wrote       atomic.Int64
-		patient     bool // the kernel waits for longer than unackedTimeout
-		lastUsed    time.Time
-		lastCheck   time.Time // while idle
-		idleTimeout time.Duration
+		address   string
+		read      *bufio.Reader
+		readLimit int64 // number of bytes that may still be read
+		write     *bufio.Writer
+		wrote     atomic.Int64
+		// unackedLimit is how long the kernel waits for acknowledgements.
+		unackedLimit time.Duration
+		lastUsed     time.Time
+		lastCheck    time.Time // while idle
+		idleTimeout  time.Duration
 	}
 
 	body struct {
@@ -319,11 +319,21 @@
 }
 
 // HasOpen reports whether an idle connection to a server is open, which a server that has
-// crashed has closed.
+// crashed has closed. Those that aren't are dropped.
 func (c *Client) HasOpen(address string) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return slices.ContainsFunc(c.idle[address], (*conn).usable)
+	list := c.idle[address]
+	for len(list) > 0 && !list[len(list)-1].usable() {
+		_ = list[len(list)-1].Close()
+		list = list[:len(list)-1]
+	}
+	if len(list) == 0 {
+		delete(c.idle, address)
+		return false
+	}
+	c.idle[address] = list
+	return true
 }
 
 func connectCode(ctx context.Context) result.Code {
@@ -348,7 +358,7 @@
 	if err != nil {
 		return nil, err
 	}
-	cn := &conn{Conn: raw, address: address, idleTimeout: c.IdleTimeout}
+	cn := &conn{Conn: raw, address: address, unackedLimit: unackedTimeout, idleTimeout: c.IdleTimeout}
 	cn.read, cn.write = bufio.NewReaderSize(cn, bufferSize), bufio.NewWriterSize(cn, bufferSize)
 	return cn, nil
 }
@@ -415,7 +425,7 @@
 
 func (c *Client) put(cn *conn) {
 	_ = cn.SetDeadline(time.Time{})
-	cn.setPatient(false, unackedTimeout)
+	cn.limitUnacked(unackedTimeout)
 	cn.lastUsed = time.Now()
 	cn.lastCheck = cn.lastUsed
 	c.mu.Lock()
@@ -474,18 +484,18 @@
 	if deadline, ok := x.ctx.Deadline(); ok {
 		limit = max(limit, time.Until(deadline))
 	}
-	x.conn.setPatient(true, limit+acceptTimeout)
+	x.conn.limitUnacked(limit + acceptTimeout)
 	go func() { x.written <- x.sendBody() }()
 	return nil
 }
 
-// setPatient sets how long the kernel waits for the server to take data. A server at work on
+// limitUnacked sets how long the kernel waits for the server to take data. A server at work on
 // a request may leave the rest of its body unread for as long as that takes.
-func (c *conn) setPatient(patient bool, limit time.Duration) {
-	if c.patient == patient {
+func (c *conn) limitUnacked(limit time.Duration) {
+	if c.unackedLimit == limit {
 		return
 	}
-	c.patient = patient
+	c.unackedLimit = limit
 	if sc, ok := c.Conn.(syscall.Conn); ok {
 		_ = sockopt.SetUnackedLimit(sc, limit)
 	}
--- a/internal/upstream/client_test.go
+++ b/internal/upstream/client_test.go
@@ -219,3 +219,46 @@
 	is.Equal(failed.Code, result.CallerGone)
 	<-closed
 }
+
+// A check whether a server lives must not leave a connection in use on which the server has
+// sent bytes that no request asked for.
+func TestHasOpen(t *testing.T) {
+	tests := map[string]struct {
+		after func(net.Conn) // the first answer
+		open  bool
+	}{
+		"open":       {func(net.Conn) {}, true},
+		"closed":     {func(c net.Conn) { _ = c.Close() }, false},
+		"stray byte": {func(c net.Conn) { _, _ = io.WriteString(c, "H") }, false},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			answered := make(chan struct{})
+			var connections atomic.Int64
+			addr := serve(t, func(n int, c net.Conn) {
+				connections.Add(1)
+				requests(c, func(_ int, r *http.Request) string {
+					if n == 0 {
+						go func() {
+							<-answered
+							tt.after(c)
+						}()
+					}
+					return ok(r.Header.Get(idHeader), "one")
+				})
+			})
+			c := newClient()
+			is.True(!c.HasOpen(addr))
+			_, err := send(t.Context(), c, addr, "a", "")
+			is.NoErr(err)
+			close(answered)
+			time.Sleep(50 * time.Millisecond)
+			is.Equal(c.HasOpen(addr), tt.open)
+			got, err := send(t.Context(), c, addr, "b", "body")
+			is.NoErr(err)
+			is.Equal(got, "one")
+			is.Equal(connections.Load() == 1, tt.open)
+		})
+	}
+}
