forward, roster: requests aren't blamed for servers that are out of reach

Cause: a server counted as crashed if no other one was thought to be reachable. When links are lost, the first failures make all servers count as out of reach, and later checks compared with none, or with servers of another zone. Now servers of the same zone are asked, of any service, also those out of reach if no other is left; servers that are known to have ended are left out.

Failing before, on: TestCrashesAreToldFromCutPaths, 4 of 8 cases, two for requests that were blamed, one for crashes of both servers of a small service that weren't counted, and one for others that have ended.

--- a/internal/forward/abandoned.go
+++ b/internal/forward/abandoned.go
@@ -43,7 +43,7 @@
 		return
 	}
 	if !h.Upstream.HasOpen(m.Address) &&
-		h.CrashChecks.Check(context.Background(), checkTarget(m), h.reachableBeside(m)) == crashcheck.Ended {
+		h.CrashChecks.Check(context.Background(), checkTarget(m), h.comparedWith(m)) == crashcheck.Ended {
 		h.Dispatcher.Roster.RecordEnd(time.Now(), m)
 		for _, s := range h.abandoned.remove(m.Name) {
 			h.recordCrash(s)
--- a/internal/forward/crash.go
+++ b/internal/forward/crash.go
@@ -77,7 +77,7 @@
 	go func() {
 		defer close(checked)
 		time.Sleep(crashCheckDelay)
-		verdict := c.h.CrashChecks.Check(context.Background(), checkTarget(m), c.h.reachableBeside(m))
+		verdict := c.h.CrashChecks.Check(context.Background(), checkTarget(m), c.h.comparedWith(m))
 		if verdict != crashcheck.Ended {
 			c.h.Log.Info("backend server broke off, no crash recorded", "request", s.request, "server", m.Name, "fingerprint", s.own, "verdict", verdict, "after", time.Since(s.origin.Began))
 			return
@@ -107,24 +107,44 @@
 		"shared", s.shared, "sharedCrashes", list.Crashes(now, s.shared), "sharedQuarantined", list.Quarantined(now, s.shared))
 }
 
-// reachableBeside returns other servers of a server's service that are thought to be
-// reachable: some of its availability zone, or of others if that has none.
-func (h *Handler) reachableBeside(m *roster.Member) []crashcheck.Target {
-	var near, far []crashcheck.Target
-	members := h.Dispatcher.Roster.View().Members(m.Service)
-	for _, i := range rand.Perm(len(members)) {
-		switch other := members[i]; {
-		case other.Name == m.Name || !other.Reachable():
-		case other.Zone == m.Zone:
-			near = append(near, checkTarget(other))
-		default:
-			far = append(far, checkTarget(other))
+// comparedWith returns other servers that tell whether the path to a server works: some of
+// its availability zone, of any service, or of others if that has none. Those that are thought
+// to be reachable are preferred. If none is, the path may be cut. Those that have ended tell
+// nothing.
+func (h *Handler) comparedWith(m *roster.Member) []crashcheck.Target {
+	var near, far []*roster.Member
+	view := h.Dispatcher.Roster.View()
+	for _, svc := range view.Services() {
+		for _, other := range view.Members(svc) {
+			switch {
+			case other.Name == m.Name:
+			case other.Zone == m.Zone:
+				near = append(near, other)
+			default:
+				far = append(far, other)
+			}
 		}
 	}
 	if len(near) == 0 {
 		near = far
 	}
-	return near[:min(len(near), maxCompared)]
+	var reachable, missed []crashcheck.Target
+	for _, i := range rand.Perm(len(near)) {
+		if len(reachable) == maxCompared {
+			break
+		}
+		switch other := near[i]; {
+		case other.Ended():
+		case other.Reachable():
+			reachable = append(reachable, checkTarget(other))
+		default:
+			missed = append(missed, checkTarget(other))
+		}
+	}
+	if len(reachable) > 0 {
+		return reachable
+	}
+	return missed[:min(len(missed), maxCompared)]
 }
 
 func checkTarget(m *roster.Member) crashcheck.Target {
--- a/internal/roster/check.go
+++ b/internal/roster/check.go
@@ -49,6 +49,7 @@
 func (r *Roster) RecordEnd(now time.Time, m *Member) {
 	m.state.mu.Lock()
 	defer m.state.mu.Unlock()
+	m.state.ended = true
 	if !m.state.connectFailed.IsZero() && m.state.health.Ejected() {
 		return
 	}
@@ -56,6 +57,13 @@
 	m.state.health.Observe(now, health.ConnectFailed)
 }
 
+// Ended reports whether the server is known to have ended, and not just to be out of reach.
+func (m *Member) Ended() bool {
+	m.state.mu.Lock()
+	defer m.state.mu.Unlock()
+	return m.state.ended
+}
+
 // startCheck reports whether the server is due for a check, and marks the check as
 // running.
 func (m *Member) startCheck(now time.Time) bool {
@@ -76,7 +84,7 @@
 	defer s.mu.Unlock()
 	s.checking = false
 	if ok {
-		s.connectFailed, s.missedAt = time.Time{}, time.Time{}
+		s.connectFailed, s.missedAt, s.ended = time.Time{}, time.Time{}, false
 		s.health.Reached(now)
 		return
 	}
--- a/internal/roster/member.go
+++ b/internal/roster/member.go
@@ -98,7 +98,9 @@
 		// the server was reached since. While it is set, a trial request waits for a
 		// connection check.
 		connectFailed time.Time
-		checking      bool
+		// ended is set once the server is known to have ended, until it takes a connection.
+		ended    bool
+		checking bool
 		// missedAt is the time of the last failed connection attempt, zero if one has
 		// succeeded in a check since. An answer over an older connection doesn't clear it.
 		missedAt time.Time
@@ -299,7 +301,7 @@
 	}
 	switch {
 	case o.Reached, o.Event == health.Answered:
-		s.connectFailed = time.Time{}
+		s.connectFailed, s.ended = time.Time{}, false
 		m.zone.succeeded(now)
 	case o.Event == health.ConnectFailed:
 		s.connectFailed, s.missedAt = now, now
