upstream, forward: accepted bodies that aren't delivered are reported

After an early answer of success, the rest of a body is sent for up to 5 s; if that failed, nothing said so, though the caller had been told of success. A log line names the request, the server or entry and the cause, and shallotpier_bodies_undelivered_total counts them.

TestUndeliveredBodiesAreReported: taken later, closed, reset, nothing more taken.

--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -312,7 +312,7 @@
 	c.server, c.tried = m.Name, append(c.tried, m.Name)
 	ans, err := c.h.Upstream.Send(c.sendCtx, &upstream.Request{
 		Server: m.Name, Address: m.Address, HTTP: c.outgoingTo(m), ID: c.id, Idempotent: c.idempotent(), BodyKept: c.stream == nil,
-		Interim: func(header http.Header) { c.observeLeaving(m, header) },
+		Interim: func(header http.Header) { c.observeLeaving(m, header) }, Undelivered: c.h.undelivered(c.id, string(m.Name)),
 	})
 	if err != nil {
 		return nil, c.recordSendError(m, start, asSendError(err))
@@ -356,6 +356,15 @@
 	return failed.Code
 }
 
+// undelivered returns what to do if an accepted body isn't delivered to a server, or to an
+// entry.
+func (h *Handler) undelivered(request, to string) func(error) {
+	return func(err error) {
+		h.Metrics.GetOrCreateCounter(`shallotpier_bodies_undelivered_total`).Inc()
+		h.Log.Warn("body not delivered after its answer", "request", request, "to", to, "err", err)
+	}
+}
+
 func asSendError(err error) *upstream.SendError {
 	var failed *upstream.SendError
 	if errors.As(err, &failed) {
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -81,6 +81,7 @@
 		start := time.Now()
 		ans, err := c.h.RelayClient.Send(c.sendCtx, &upstream.Request{
 			Server: id.Server(e.Instance), Address: e.Relay.String(), HTTP: c.relayRequest(), ID: c.id, Idempotent: c.idempotent(), BodyKept: c.stream == nil,
+			Undelivered: c.h.undelivered(c.id, string(e.Instance)),
 		})
 		if err != nil {
 			failed := asSendError(err)
--- a/internal/upstream/body.go
+++ b/internal/upstream/body.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"sync/atomic"
@@ -83,17 +84,8 @@
 	_ = x.conn.SetDeadline(deadline)
 	send := func() {
 		defer x.conn.Close()
-		select {
-		case err := <-x.written:
-			if err != nil {
-				return
-			}
-		case <-time.After(time.Until(deadline)): // the caller may have stopped sending
-			return
-		}
-		// Closing a connection with unread bytes would reset it.
-		if c, ok := x.conn.Conn.(interface{ CloseWrite() error }); ok && c.CloseWrite() == nil {
-			_, _ = io.CopyN(io.Discard, x.conn.Conn, maxHeadBytes)
+		if err := x.deliver(deadline); err != nil && x.request.Undelivered != nil {
+			x.request.Undelivered(err)
 		}
 	}
 	if !x.request.BodyKept {
@@ -102,3 +94,26 @@
 	}
 	x.client.sending.Go(send)
 }
+
+// deliver waits until all of the body has been written and acknowledged.
+func (x *exchange) deliver(deadline time.Time) error {
+	select {
+	case err := <-x.written:
+		if err != nil {
+			return err
+		}
+	case <-time.After(time.Until(deadline)): // the caller may have stopped sending
+		return fmt.Errorf("body not written within %v of the answer", acceptTimeout)
+	}
+	// Closing a connection with unread bytes would reset it.
+	if c, ok := x.conn.Conn.(interface{ CloseWrite() error }); ok && c.CloseWrite() == nil {
+		_, err := io.CopyN(io.Discard, x.conn.Conn, maxHeadBytes)
+		if err != nil && !errors.Is(err, io.EOF) && !isTimeout(err) {
+			return err
+		}
+	}
+	if n := x.conn.unacked(); n > 0 {
+		return fmt.Errorf("%d bytes of the body not acknowledged within %v of the answer", n, acceptTimeout)
+	}
+	return nil
+}
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -123,6 +123,9 @@
 		BodyKept bool
 		// Interim, unless nil, is called with the header of each interim answer.
 		Interim func(http.Header)
+		// Undelivered, unless nil, is called if the server has answered with a success and
+		// the rest of the body couldn't be delivered, perhaps after the answer was closed.
+		Undelivered func(error)
 	}
 
 	// Answer is a backend server's answer. Its body ends with io.EOF only if it
--- a/internal/upstream/early_test.go
+++ b/internal/upstream/early_test.go
@@ -99,3 +99,58 @@
 	took := time.Since(start)
 	is.True(took > 4*time.Second && took < 8*time.Second)
 }
+
+// A body that a server accepted and that didn't arrive must be reported, one that arrived
+// must not.
+func TestUndeliveredBodiesAreReported(t *testing.T) {
+	tests := map[string]struct {
+		after    func(net.Conn, io.Reader) // the early answer
+		reported bool
+	}{
+		"all of it taken later": {func(_ net.Conn, rest io.Reader) { _, _ = io.Copy(io.Discard, rest) }, false},
+		"connection closed":     {func(net.Conn, io.Reader) {}, true},
+		"connection reset": {func(c net.Conn, _ io.Reader) {
+			if tcp, ok := c.(*net.TCPConn); ok {
+				_ = tcp.SetLinger(0)
+			}
+		}, true},
+		"nothing more taken": {func(net.Conn, io.Reader) { time.Sleep(7 * time.Second) }, true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			addr := serve(t, func(_ int, c net.Conn) {
+				defer c.Close()
+				r, err := http.ReadRequest(bufio.NewReader(c))
+				if err != nil {
+					return
+				}
+				_, _ = io.CopyN(io.Discard, r.Body, 32<<10)
+				_, _ = io.WriteString(c, ok(r.Header.Get(idHeader), "one"))
+				time.Sleep(50 * time.Millisecond)
+				tt.after(c, r.Body)
+			})
+			c := newClient()
+			r, err := http.NewRequest(http.MethodPost, "http://"+addr+"/x", strings.NewReader(strings.Repeat("x", 8<<20)))
+			is.NoErr(err)
+			r.Header.Set(idHeader, "a")
+			reported := make(chan error, 1)
+			ans, err := c.Send(t.Context(), &upstream.Request{
+				Server: "i-1", Address: addr, HTTP: r, ID: "a", BodyKept: true, Undelivered: func(err error) { reported <- err },
+			})
+			is.NoErr(err)
+			_, err = io.ReadAll(ans.Body)
+			is.NoErr(err)
+			ans.Close()
+			c.Wait(t.Context())
+			select {
+			case err := <-reported:
+				is.True(tt.reported)
+				is.True(err.Error() != "")
+			default:
+				is.True(!tt.reported)
+			}
+		})
+	}
+}
