forward: a check of abandoned requests that tells nothing is logged

A server out of reach with abandoned requests was checked each second without a line. One term for them in the code.

--- a/internal/forward/abandoned.go
+++ b/internal/forward/abandoned.go
@@ -12,14 +12,14 @@
 
 const (
 	// abandonedCheckInterval is the interval of checks whether a server has ended while it
-	// was at work on requests that were given up. Servers that crash are back after seconds.
+	// was at work on abandoned requests. Servers that crash are back after seconds.
 	abandonedCheckInterval = time.Second
 	// maxAbandoned bounds the requests that are remembered of a server.
 	maxAbandoned = 64
 )
 
-// abandonedRequests holds the requests that were given up while their servers may have been
-// at work on them. Their connections are closed, so that nothing else tells of a crash.
+// abandonedRequests holds the requests whose connections were closed while their servers may
+// have been at work on them, so that nothing else tells of a crash.
 type abandonedRequests struct {
 	mu       sync.Mutex
 	byServer map[id.Server][]*suspect
@@ -35,20 +35,26 @@
 	}
 }
 
-// checkAbandoned records a crash for the requests that were given up at a server, if it has
-// ended, and checks again later while any may be at work.
+// checkAbandoned records a crash for the abandoned requests of a server, if it has ended, and
+// checks again later while any may be at work.
 func (h *Handler) checkAbandoned(m *roster.Member) {
 	if h.Dispatcher.Roster.View().Member(m.Service, m.Name) == nil {
 		h.abandoned.remove(m.Name) // it is leaving or gone, and may end as planned
 		return
 	}
-	if !h.Upstream.HasOpen(m.Address) &&
-		h.CrashChecks.Check(context.Background(), checkTarget(m), h.comparedWith(m)) == crashcheck.Ended {
+	verdict := crashcheck.Alive
+	if !h.Upstream.HasOpen(m.Address) {
+		verdict = h.CrashChecks.Check(context.Background(), checkTarget(m), h.comparedWith(m))
+	}
+	switch verdict {
+	case crashcheck.Ended:
 		h.Dispatcher.Roster.RecordEnd(time.Now(), m)
 		for _, s := range h.abandoned.remove(m.Name) {
 			h.recordCrash(s)
 		}
 		return
+	case crashcheck.Unknown:
+		h.Log.Info("backend server out of reach, no crash recorded for abandoned requests", "server", m.Name, "requests", h.abandoned.count(m.Name), "verdict", verdict)
 	}
 	if h.abandoned.expire(time.Now(), m.Name) {
 		time.AfterFunc(abandonedCheckInterval, func() { h.checkAbandoned(m) })
@@ -69,6 +75,12 @@
 	return len(list) == 0
 }
 
+func (a *abandonedRequests) count(server id.Server) int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return len(a.byServer[server])
+}
+
 func (a *abandonedRequests) remove(server id.Server) []*suspect {
 	a.mu.Lock()
 	defer a.mu.Unlock()
