--- a/internal/node/pipeline_test.go
+++ b/internal/node/pipeline_test.go
@@ -199,22 +199,36 @@
 // One caller's requests that are sent ahead must not keep the connections of others open
 // during a shutdown: what arrives on them late is cut at the end of the grace period.
 func TestShutdownClosesIdleConnectionsBesideRequestsSentAhead(t *testing.T) {
+	callers := func(n *node.Node) string { return n.Self().Callers.String() }
 	tests := map[string]struct {
 		address func(*node.Node) string
 		header  string
+		change  func(*node.Options)
+		during  func(*node.Node) // the shutdown
 	}{
-		"of a caller": {func(n *node.Node) string { return n.Self().Callers.String() }, ""},
+		"of a caller": {callers, "", nil, nil},
 		"of another entry": {
 			func(n *node.Node) string { return n.Self().Relay.String() },
-			"Shallotpier-Relay-Sends: 0\r\nShallotpier-Relay-Version: 1\r\n",
+			"Shallotpier-Relay-Sends: 0\r\nShallotpier-Relay-Version: 1\r\n", nil, nil,
 		},
+		"while the store is away": {callers, "", func(o *node.Options) { o.OnShutdown = func() { time.Sleep(3 * grace) } }, nil},
+		"while settings and configuration change": {callers, "", nil, func(n *node.Node) {
+			n.SetBounds(node.Bounds{Grace: time.Hour})
+			c := readsAndWrites()
+			c.Version, c.IdleTimeout = 3, time.Hour
+			n.Configure(c)
+		}},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			is := is.New(t)
 			server := newGatedServer(t)
-			n := newNode(t)
+			var change []func(*node.Options)
+			if tt.change != nil {
+				change = append(change, tt.change)
+			}
+			n := newNode(t, change...)
 			n.SetBounds(node.Bounds{Grace: 2 * grace})
 			stop := run(t, n, server.Listener.Addr().String())
 			n.Configure(func() *node.Config { c := readsAndWrites(); c.Version, c.IdleTimeout = 2, time.Minute; return c }())
@@ -236,7 +250,12 @@
 			is.True(server.awaitRun("r-1"))
 			is.True(server.awaitRun("r-2"))
 			stopped := make(chan error, 1)
+			began := time.Now()
 			go func() { stopped <- stop() }()
+			if tt.during != nil {
+				time.Sleep(grace / 4)
+				tt.during(n)
+			}
 			_ = idle.SetReadDeadline(time.Now().Add(3 * grace / 2)) // sooner than the end of the grace period
 			_, err = idleReader.ReadByte()
 			is.Equal(err, io.EOF) // the connection has been closed
@@ -247,6 +266,7 @@
 				is.NoErr(err)
 			}
 			is.NoErr(<-stopped)
+			is.True(time.Since(began) < 2*grace)
 		})
 	}
 }
