Review: an encoded slash in a path selects the wrong route

Tried: POST /lohu930%2F2f on a route with the prefix "/"; a version adds a route with the prefix "/lohu930/" to another service.

--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -28,10 +28,11 @@
 
 // cases are the plays by name. They return whether the rule was broken.
 var cases = map[string]func(*play) (bool, error){
-	"deadly": playDeadly,
-	"keys":   playKeys,
-	"page":   playPage,
-	"moved":  playMoved,
+	"deadly":  playDeadly,
+	"keys":    playKeys,
+	"page":    playPage,
+	"moved":   playMoved,
+	"encoded": playEncoded,
 }
 
 func main() { os.Exit(run()) }
--- a/review/standin2/moved.go
+++ b/review/standin2/moved.go
@@ -1,12 +1,8 @@
 package main
 
 import (
-	"bufio"
 	"fmt"
-	"io"
-	"net"
 	"net/http"
-	"sync"
 	"syscall"
 	"time"
 )
@@ -19,27 +15,16 @@
 // playMoved changes the configuration after the settings files have changed. With trouble, they
 // name another address of the platform's store, at which it is served from then on.
 func playMoved(p *play) (bool, error) {
-	var mu sync.Mutex
-	ranBy := map[string]string{}
-	answer := func(u *upstream, c net.Conn, read *bufio.Reader, r *http.Request) bool {
-		mu.Lock()
-		ranBy[r.Header.Get("X-Request-Id")] = u.service
-		mu.Unlock()
-		_, _ = io.Copy(io.Discard, r.Body)
-		return plainAnswer(u, c, read, r)
-	}
+	ran := &services{of: map[string]string{}}
 	routes := func(service string) map[string]route {
 		return map[string]route{
 			"r-issue": {Host: host, Prefix: "/pufi791/", Kind: "non_idempotent", Service: service, Timeout: 1500, Target: 250, Attempts: 2, Priority: 1},
 		}
 	}
 	p.store.put("config", "main", config(7, routes("registry"), "registry", "evidence-vault"))
-	zones := []string{"telavi-a", "kutaisi-a", "tbilisi-a"}
-	for i, service := range []string{"registry", "registry", "registry", "evidence-vault", "evidence-vault", "evidence-vault"} {
-		u := &upstream{id: fmt.Sprintf("i-%08x", 0x7f3a91c0+i), service: service, zone: zones[i%3], store: p.store, record: p.record, answer: answer}
-		if err := u.start(); err != nil {
-			return false, err
-		}
+	zones, err := p.startServices(ran)
+	if err != nil {
+		return false, err
 	}
 	if err := p.startEntries("", zones...); err != nil {
 		return false, err
@@ -68,9 +53,7 @@
 			entry: p.entries[i%len(p.entries)], method: http.MethodPost, path: "/pufi791/2f", id: fmt.Sprintf("issue-%d", i+1), deadline: 1500 * time.Millisecond, body: "a certificate",
 		}
 		a := k.do()
-		mu.Lock()
-		by := ranBy[k.id]
-		mu.Unlock()
+		by := ran.get(k.id)
 		p.record.add("%s sent to %s, answered: %s, run by %s", k.id, k.entry.name, a.String(), by)
 		if by == "registry" {
 			old++
