--- a/review/standin2/deadly.go
+++ b/review/standin2/deadly.go
@@ -22,6 +22,8 @@
 	deadlyPath  = "/lohu930/deadly"
 	otherPath   = "/pufi791/2f"
 	deadlyTries = 10
+	// answerLead is how long before its crash an upstream answers, if it does.
+	answerLead = 5 * time.Millisecond
 )
 
 // crashes are the crashes that the deadly request has caused.
@@ -31,12 +33,25 @@
 	// reached holds the ids of the client attempts that reached an upstream.
 	reached map[string]bool
 	starts  int
+	// sameIDs is set if upstreams start again under the ids that they had.
+	sameIDs bool
+	// answersFirst is set if an upstream answers the request with 500 before it crashes.
+	answersFirst bool
 }
 
 // playDeadly sends a request that crashes each upstream that begins to run it, again and again.
 // With trouble, an upstream starts again under the id that it had, else under a new one.
 func playDeadly(p *play) (bool, error) {
-	state := &crashes{reached: map[string]bool{}}
+	return p.sendDeadly(&crashes{reached: map[string]bool{}, sameIDs: p.trouble})
+}
+
+// playFailing is like playDeadly, but all upstreams start again under new ids. With trouble, an
+// upstream answers with 500 before it crashes.
+func playFailing(p *play) (bool, error) {
+	return p.sendDeadly(&crashes{reached: map[string]bool{}, answersFirst: p.trouble})
+}
+
+func (p *play) sendDeadly(state *crashes) (bool, error) {
 	p.store.put("config", "main", config(7, map[string]route{
 		"r-look":  {Host: host, Prefix: "/lohu930/", Kind: "idempotent", Service: "registry", Timeout: 1200, Target: 200, Attempts: 2, Affinity: true},
 		"r-issue": {Host: host, Prefix: "/pufi791/", Kind: "non_idempotent", Service: "registry", Timeout: 1500, Target: 250, Attempts: 2, Priority: 1},
@@ -95,17 +110,22 @@
 			return plainAnswer(u, c, read, r)
 		}
 		id := r.Header.Get("X-Request-Id")
-		p.record.ran(id, u.id, 0)
+		p.record.ran(id, u.id)
 		state.mu.Lock()
 		state.reached[id] = true
 		state.times = append(state.times, time.Now())
 		state.starts++
 		next := u.id
-		if !p.trouble {
+		if !state.sameIDs {
 			next = fmt.Sprintf("i-%08x", 0x1b000000+state.starts)
 		}
 		state.mu.Unlock()
-		p.record.add("%s crashes during %s", u.id, id)
+		if state.answersFirst {
+			fmt.Fprintf(c, "HTTP/1.1 500 Internal Server Error\r\nX-Request-Id: %s\r\nX-Server-Signature: %s\r\nContent-Length: 0\r\n\r\n", id, signature(id, u.id))
+			p.record.add("%s answers %s with 500", u.id, id)
+			time.Sleep(answerLead)
+		}
+		p.record.add("%s crashes by %s", u.id, id)
 		u.crash()
 		time.AfterFunc(downFor, func() {
 			if next != u.id {
--- a/review/standin2/encoded.go
+++ b/review/standin2/encoded.go
@@ -11,6 +11,8 @@
 	// other prefix than "/".
 	encodedPath     = "/lohu930%2F2f"
 	encodedRequests = 30
+	// configApply is the time within which a version has to be in force.
+	configApply = 2 * time.Second
 )
 
 // playEncoded stores bundles under names that contain a slash. With trouble, a version of the
--- a/review/standin2/entry.go
+++ b/review/standin2/entry.go
@@ -12,7 +12,6 @@
 	"path/filepath"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 )
 
@@ -37,9 +36,11 @@
 
 // The ports of the deployment are below those that the kernel gives to outgoing connections, so
 // that a port which is free for a while isn't taken by one.
+// Plays that run at the same time take them from different blocks.
 const (
 	firstPort = 18000
-	portCount = 14000
+	blockSize = 500
+	blocks    = 28
 )
 
 // given holds the ports that were given out: a process may not listen there yet.
@@ -59,7 +60,7 @@
 		if len(out) == n {
 			return out, nil
 		}
-		port := firstPort + rand.IntN(portCount)
+		port := firstPort + os.Getpid()%blocks*blockSize + rand.IntN(blockSize)
 		if _, taken := given.LoadOrStore(port, true); taken {
 			continue
 		}
@@ -120,19 +121,10 @@
 	return b.String()
 }
 
-// place writes the settings file, as a whole, and returns its path.
-func (e *entry) place() (string, error) {
-	path := filepath.Join(e.folder, e.name+".toml")
-	if err := os.WriteFile(path+".new", []byte(e.settings()), 0o600); err != nil {
-		return "", err
-	}
-	return path, os.Rename(path+".new", path)
-}
-
 // start starts the process. Its log goes to a file in the folder.
 func (e *entry) start() error {
-	path, err := e.place()
-	if err != nil {
+	path := filepath.Join(e.folder, e.name+".toml")
+	if err := os.WriteFile(path, []byte(e.settings()), 0o600); err != nil {
 		return err
 	}
 	log, err := os.OpenFile(filepath.Join(e.folder, e.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
@@ -154,9 +146,6 @@
 	return nil
 }
 
-// signal sends a signal to the process.
-func (e *entry) signal(s syscall.Signal) { _ = e.cmd.Process.Signal(s) }
-
 // end kills the process if it runs.
 func (e *entry) end() {
 	if e.cmd == nil || e.cmd.Process == nil {
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -31,8 +31,8 @@
 	"deadly":  playDeadly,
 	"keys":    playKeys,
 	"page":    playPage,
-	"moved":   playMoved,
 	"encoded": playEncoded,
+	"failing": playFailing,
 }
 
 func main() { os.Exit(run()) }
--- a/review/standin2/record.go
+++ b/review/standin2/record.go
@@ -13,10 +13,9 @@
 	mu    sync.Mutex
 	began time.Time
 	lines []string
-	runs  map[string][]string
 }
 
-func newRecord() *record { return &record{began: time.Now(), runs: map[string][]string{}} }
+func newRecord() *record { return &record{began: time.Now()} }
 
 // add adds a line with the time since the start.
 func (r *record) add(format string, args ...any) {
@@ -26,18 +25,8 @@
 }
 
 // ran records that an upstream began to work on a request.
-func (r *record) ran(request, server string, body int64) {
-	r.mu.Lock()
-	r.runs[request] = append(r.runs[request], server)
-	r.mu.Unlock()
-	r.add("%s runs at %s, body of %d bytes", request, server, body)
-}
-
-// runsOf returns the upstreams that ran a request.
-func (r *record) runsOf(request string) []string {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return append([]string(nil), r.runs[request]...)
+func (r *record) ran(request, server string) {
+	r.add("%s runs at %s", request, server)
 }
 
 // write writes the record to a file.
--- a/review/standin2/store.go
+++ b/review/standin2/store.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"slices"
 	"strconv"
@@ -17,14 +16,12 @@
 // conditional writes, with one revision counter.
 type store struct {
 	address string
-	server  *http.Server
 
 	mu       sync.Mutex
 	revision int
 	objects  map[string]map[string]*object
 	events   []event
 	changed  chan struct{}
-	down     bool
 }
 
 type object struct {
@@ -52,35 +49,10 @@
 		return nil, err
 	}
 	s := &store{address: l.Addr().String(), revision: 10, objects: map[string]map[string]*object{}, changed: make(chan struct{})}
-	s.serve(l)
+	go func() { _ = (&http.Server{Handler: s}).Serve(l) }()
 	return s, nil
 }
 
-func (s *store) serve(l net.Listener) {
-	s.server = &http.Server{Handler: s}
-	go func(server *http.Server) { _ = server.Serve(l) }(s.server)
-}
-
-// move lets the store be served at another address, and not at the old one any more.
-func (s *store) move() error {
-	l, err := listen("")
-	if err != nil {
-		return err
-	}
-	old := s.server
-	s.address = l.Addr().String()
-	s.serve(l)
-	return old.Close()
-}
-
-// setDown makes the store answer 503 to all calls, or serve again.
-func (s *store) setDown(down bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.down = down
-	s.wake()
-}
-
 func (s *store) wake() {
 	close(s.changed)
 	s.changed = make(chan struct{})
@@ -137,8 +109,6 @@
 	defer s.mu.Unlock()
 	w.Header().Set("Content-Type", "application/json")
 	switch {
-	case s.down:
-		w.WriteHeader(http.StatusServiceUnavailable)
 	case r.Method != http.MethodGet:
 		s.change(w, r, kind, name, body)
 	case r.URL.Query().Has("watch"):
@@ -185,9 +155,6 @@
 			}
 		}
 		switch {
-		case s.down:
-			w.WriteHeader(http.StatusServiceUnavailable)
-			return
 		case ended || len(found) > 0:
 			_ = json.NewEncoder(w).Encode(map[string]any{"events": found, "as_of": s.revision})
 			return
--- a/review/standin2/upstream.go
+++ b/review/standin2/upstream.go
@@ -163,18 +163,17 @@
 
 // plainAnswer reads the request and answers it.
 func plainAnswer(u *upstream, c net.Conn, _ *bufio.Reader, r *http.Request) bool {
-	n, err := io.Copy(io.Discard, r.Body)
-	if err != nil {
+	if _, err := io.Copy(io.Discard, r.Body); err != nil {
 		return false
 	}
 	id := r.Header.Get("X-Request-Id")
-	u.record.ran(id, u.id, n)
+	u.record.ran(id, u.id)
 	body := "answer to " + id
 	for u.isSilent() { // until the connection is reset
 		if _, err := c.Read(make([]byte, 1)); err != nil {
 			return false
 		}
 	}
-	_, err = io.WriteString(c, u.head(r, fmt.Sprintf("Content-Length: %d", len(body)))+body)
+	_, err := io.WriteString(c, u.head(r, fmt.Sprintf("Content-Length: %d", len(body)))+body)
 	return err == nil
 }
