--- a/review/standin2/deadly.go
+++ b/review/standin2/deadly.go
@@ -18,10 +18,13 @@
 	coldStart = 3000
 	// maxRetries is how many retries may reach upstreams later than the stable window after
 	// the third crash.
-	maxRetries  = 3
-	deadlyPath  = "/lohu930/deadly"
-	otherPath   = "/pufi791/2f"
-	deadlyTries = 10
+	maxRetries = 3
+	deadlyPath = "/lohu930/deadly"
+	otherPath  = "/pufi791/2f"
+	// deadlyTries are sent within 20 s, deadlyInterval apart.
+	deadlyTries    = 7
+	deadlyInterval = 3200 * time.Millisecond
+	lookPath       = "/lohu930/2f"
 	// answerLead is how long before its crash an upstream answers, if it does.
 	answerLead = 5 * time.Millisecond
 )
@@ -69,7 +72,7 @@
 	}
 	stop := make(chan struct{})
 	var others sync.WaitGroup
-	lost := p.sendOthers(stop, &others)
+	lost, looks := p.sendOthers(stop, &others)
 	var sent []answer
 	for i := range deadlyTries {
 		k := call{
@@ -80,13 +83,13 @@
 		a := k.do()
 		p.record.add("%s answered: %s", k.id, a.String())
 		sent = append(sent, a)
-		time.Sleep(5 * time.Second)
+		time.Sleep(time.Until(a.sent.Add(deadlyInterval)))
 	}
 	close(stop)
 	others.Wait()
 	state.mu.Lock()
 	defer state.mu.Unlock()
-	p.record.add("%d crashes, %d requests of other clients lost", len(state.times), *lost)
+	p.record.add("%d crashes, %d once-only requests of other clients lost; %d deadly requests beside %d other look-ups", len(state.times), *lost, deadlyTries, *looks)
 	if len(state.times) < 3 {
 		return false, nil
 	}
@@ -142,12 +145,13 @@
 	}
 }
 
-// sendOthers sends requests of other clients, which must not run twice, until stop is closed. It
-// returns the number of those that an upstream began to run and that had no success.
-func (p *play) sendOthers(stop <-chan struct{}, done *sync.WaitGroup) *int {
+// sendOthers sends look-ups and requests that must not run twice of other clients, until stop is
+// closed. It returns the number of the latter that an upstream began to run and that had no
+// success, and the number of look-ups.
+func (p *play) sendOthers(stop <-chan struct{}, done *sync.WaitGroup) (lost, looks *int) {
 	var mu sync.Mutex
-	lost := new(int)
-	for n := range 12 {
+	lost, looks = new(int), new(int)
+	for n := range 16 {
 		done.Go(func() {
 			for i := 0; ; i++ {
 				select {
@@ -155,18 +159,24 @@
 					return
 				case <-time.After(50 * time.Millisecond):
 				}
-				k := call{
-					entry: p.entries[n%len(p.entries)], method: http.MethodPost, path: otherPath, id: fmt.Sprintf("other-%d-%d", n+1, i+1),
-					deadline: 1500 * time.Millisecond, body: "a certificate",
+				k := call{entry: p.entries[n%len(p.entries)], id: fmt.Sprintf("other-%d-%d", n+1, i+1), deadline: 1500 * time.Millisecond}
+				if n%2 == 0 {
+					k.method, k.path, k.body = http.MethodPost, otherPath, "a certificate"
+				} else {
+					k.method, k.path, k.deadline = http.MethodGet, lookPath, 1200*time.Millisecond
 				}
-				if a := k.do(); a.status == http.StatusBadGateway || a.err != nil {
-					p.record.add("%s, sent to %s, answered: %s", k.id, k.entry.name, a.String())
-					mu.Lock()
+				a := k.do()
+				mu.Lock()
+				switch {
+				case k.method == http.MethodGet:
+					*looks++
+				case a.status == http.StatusBadGateway || a.err != nil:
 					*lost++
-					mu.Unlock()
+					p.record.add("%s, sent to %s, answered: %s", k.id, k.entry.name, a.String())
 				}
+				mu.Unlock()
 			}
 		})
 	}
-	return lost
+	return lost, looks
 }
