boottime: the clock is never behind the runtime's clock

Suspensions count as before. Without CLOCK_BOOTTIME the runtime's clock decides, as before.

TestClockIsNotBehindTheRuntimeClock: 3 of 5 cases fail with the boot clock alone.

--- a/internal/boottime/clock.go
+++ b/internal/boottime/clock.go
@@ -27,3 +27,13 @@
 
 // Add returns the instant that is d later.
 func (t Instant) Add(d time.Duration) Instant { return t + Instant(d) }
+
+// notBehind returns a clock that follows boot as long as that isn't behind the time that has
+// passed according to since.
+func notBehind(boot func() Instant, since func(time.Time) time.Duration) Clock {
+	start := time.Now()
+	first := boot()
+	return func() Instant {
+		return max(boot(), first.Add(since(start)))
+	}
+}
--- a/internal/boottime/clock_other.go
+++ b/internal/boottime/clock_other.go
@@ -5,7 +5,4 @@
 import "time"
 
 // System returns the runtime's clock, which may stop while the machine is suspended.
-func System() Clock {
-	start := time.Now()
-	return func() Instant { return Instant(time.Since(start)) }
-}
+func System() Clock { return notBehind(func() Instant { return 0 }, time.Since) }
--- a/internal/boottime/clock_test.go
+++ b/internal/boottime/clock_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -20,3 +21,37 @@
 	is.True(passed <= time.Since(begin))
 	is.Equal(first.Add(passed).Sub(first), passed)
 }
+
+// Guards against proofs that never age, and quotas that are never refilled, on a machine whose
+// boot clock is missing, stands still or goes back; and against the loss of the time for which
+// a machine was suspended.
+func TestClockIsNotBehindTheRuntimeClock(t *testing.T) {
+	const hour = boottime.Instant(time.Hour)
+	tests := map[string]struct {
+		boot func(passed time.Duration) boottime.Instant
+		want time.Duration
+	}{
+		"regular":      {func(passed time.Duration) boottime.Instant { return hour.Add(passed) }, 10 * time.Second},
+		"missing":      {func(time.Duration) boottime.Instant { return 0 }, 10 * time.Second},
+		"stands still": {func(time.Duration) boottime.Instant { return hour }, 10 * time.Second},
+		"goes back":    {func(passed time.Duration) boottime.Instant { return hour.Add(-passed) }, 10 * time.Second},
+		"suspended": {func(passed time.Duration) boottime.Instant {
+			if passed >= 5*time.Second {
+				passed += time.Minute
+			}
+			return hour.Add(passed)
+		}, 70 * time.Second},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				begin := time.Now()
+				clock := boottime.NotBehind(func() boottime.Instant { return tt.boot(time.Since(begin)) }, time.Since)
+				first := clock()
+				time.Sleep(10 * time.Second)
+				is.Equal(clock().Sub(first), tt.want)
+			})
+		})
+	}
+}
