node, platform: an entry that isn't ready says why

Nobody could tell from outside, since neither the readiness check nor the log said what was missing.

GET /readiness now answers 503 with what the entry lacks, and the log has a line at each change of it and every 5 s while it lasts. The test starts an entry with the settings and the configuration of the case.

Not fixed by this: the cause on the users' machines, which is suspected only.

--- a/internal/node/export_test.go
+++ b/internal/node/export_test.go
@@ -14,3 +14,6 @@
 func (n *Node) Unheard(now time.Time) []heartbeat.Node {
 	return n.unheard(now, n.Heartbeats.KnownPeers())
 }
+
+// LogReadiness logs the readiness as the entry does ten times a second.
+func (n *Node) LogReadiness(now time.Time) { n.logReadiness(now) }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -223,6 +223,7 @@
 		unreached atomic.Pointer[map[id.Service]float64]
 		// loggedUnreached holds the shares in the latest log lines; used by tick only.
 		loggedUnreached map[id.Service]float64
+		loggedReadiness readinessLog
 		wg              sync.WaitGroup
 	}
 
@@ -307,7 +308,7 @@
 
 // Ready reports whether the entry serves callers and is not shutting down. An entry that may
 // accept no keys is not ready if its configuration has any.
-func (n *Node) Ready() bool { return n.serving() && n.confirmed() }
+func (n *Node) Ready() bool { return len(n.Lacks()) == 0 }
 
 // serving reports whether the entry serves at least requests that need no key.
 func (n *Node) serving() bool {
@@ -598,6 +599,7 @@
 		case now := <-t.C:
 			n.Roster.Step(now)
 			n.updateReach(now)
+			n.logReadiness(now)
 			if n.mayUseColdRates(now) {
 				n.Roster.SetEntries(n.options.Self.Peers, n.Heartbeats.KnownPeers())
 			}
