quarantine: crashes of a server that was started again under its name count each

Callers saw a request that crashes each server that runs it reach servers without end: 13 crashes in 7 tries, 5 tries later than 3 s after the third crash, and 15 once-only requests of others lost beside it.

Cause: reports were counted by the server's name, and servers that crash may start again under the name that they had. The request goes to the owners of its object, two servers here, so that a third name was never reached. The same cause on a related path: a request that was given up was cleared when a later process of its server took connections.

Reports now name the server and its start, as its registration says. Copies of a request on one process are one crash, as before.

Ruled out by the log of the case: crashes that aren't detected (each has a line), and a success that clears them (none).

--- a/internal/forward/abandoned.go
+++ b/internal/forward/abandoned.go
@@ -38,9 +38,16 @@
 // checkAbandoned records a crash for the abandoned requests of a server, if it has ended, and
 // checks again later while any may be at work.
 func (h *Handler) checkAbandoned(m *roster.Member) {
-	if h.Dispatcher.Roster.View().Member(m.Service, m.Name) == nil {
+	switch current := h.Dispatcher.Roster.View().Member(m.Service, m.Name); {
+	case current == nil:
 		h.abandoned.remove(m.Name) // it is leaving or gone, and may end as planned
 		return
+	case m.StartedAt != 0 && current.StartedAt != m.StartedAt:
+		// Connections are those of a later process of the server.
+		for _, s := range h.abandoned.remove(m.Name) {
+			h.recordCrash(s)
+		}
+		return
 	}
 	verdict := crashcheck.Alive
 	if !h.Upstream.HasOpen(m.Address) {
--- a/internal/forward/abandoned_test.go
+++ b/internal/forward/abandoned_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/shallotpier/shallotpier/internal/roster"
 	"github.com/shallotpier/shallotpier/pkg/result"
 	"github.com/shallotpier/shallotpier/pkg/service"
 )
@@ -20,13 +21,18 @@
 		left    string        // the caller's deadline in milliseconds
 		leaves  time.Duration // after which the caller leaves, 0 if it stays
 		planned bool          // the servers leave the roster before they end
-		crashes int
+		// restarted is set if the servers have been started again under their names before
+		// they are checked.
+		restarted bool
+		crashes   int
 	}{
-		"caller leaves":                         {"late crash", "2000", 50 * time.Millisecond, false, 3},
-		"deadline passes":                       {"late crash", "50", 0, false, 3},
-		"caller leaves, server lives on":        {"silent", "2000", 50 * time.Millisecond, false, 0},
-		"deadline passes, server lives on":      {"silent", "50", 0, false, 0},
-		"caller leaves, servers end as planned": {"late crash", "2000", 50 * time.Millisecond, true, 0},
+		"caller leaves":                             {"late crash", "2000", 50 * time.Millisecond, false, false, 3},
+		"deadline passes":                           {"late crash", "50", 0, false, false, 3},
+		"caller leaves, server lives on":            {"silent", "2000", 50 * time.Millisecond, false, false, 0},
+		"deadline passes, server lives on":          {"silent", "50", 0, false, false, 0},
+		"caller leaves, servers end as planned":     {"late crash", "2000", 50 * time.Millisecond, true, false, 0},
+		"caller leaves, servers are back at once":   {"silent", "2000", 50 * time.Millisecond, false, true, 3},
+		"deadline passes, servers are back at once": {"silent", "50", 0, false, true, 3},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -52,8 +58,12 @@
 				resp.Body.Close()
 				return resp.StatusCode, resp.Header.Get(result.HeaderCode)
 			}
+			f.restart(1)
 			for n := range 3 {
 				send()
+				if tt.restarted {
+					f.restart(int64(n + 2))
+				}
 				if tt.planned {
 					f.roster.Replace(time.Now(), nil)
 				}
@@ -72,3 +82,14 @@
 		})
 	}
 }
+
+// restart registers all servers anew, as started at a time.
+func (f *fixture) restart(startedAt int64) {
+	var all []roster.Server
+	for _, m := range f.members("") {
+		s := m.Server
+		s.StartedAt = startedAt
+		all = append(all, s)
+	}
+	f.roster.Replace(time.Now(), all)
+}
--- a/internal/forward/crash.go
+++ b/internal/forward/crash.go
@@ -13,6 +13,7 @@
 	"github.com/shallotpier/shallotpier/internal/crashcheck"
 	"github.com/shallotpier/shallotpier/internal/quarantine"
 	"github.com/shallotpier/shallotpier/internal/roster"
+	"github.com/shallotpier/shallotpier/pkg/id"
 	"github.com/shallotpier/shallotpier/pkg/unit"
 )
 
@@ -91,7 +92,7 @@
 func (c *call) suspect(m *roster.Member) *suspect {
 	return &suspect{
 		request: c.id, own: c.fingerprint(), shared: c.sharedFingerprint(), until: c.deadline,
-		origin: quarantine.Origin{Service: c.service, Send: c.id + " " + string(m.Name), Server: m.Name, Began: time.Now()},
+		origin: quarantine.Origin{Service: c.service, Send: c.id + " " + string(m.Name), Server: m.Name, Incarnation: id.Incarnation(m.StartedAt), Began: time.Now()},
 	}
 }
 
--- a/internal/forward/crash_test.go
+++ b/internal/forward/crash_test.go
@@ -128,3 +128,34 @@
 	is.Equal(f.backend.requests.Load(), int64(3))
 	is.Equal(f.crashes(), 3)
 }
+
+// Guards against crashes of a server that is started again under its name being counted once:
+// a request that always reaches that server is never refused.
+func TestCrashesOfRestartedServersAreCounted(t *testing.T) {
+	is := is.New(t)
+	f := start(t, service.Write, "crash")
+	for f.servers() < 4 {
+		f.addServer(t)
+	}
+	code := ""
+	for n := range 4 {
+		f.roster.Replace(time.Now(), []roster.Server{{
+			Name: "i-0", Service: svc, Address: f.backend.listeners[n].Addr().String(), Slots: 6, StartedAt: int64(n + 1),
+		}})
+		for i := 0; f.crashes() <= n && i < 50 && code != result.Quarantined.String(); i++ {
+			_, header, _ := f.ask(t.Context(), "/x/8", "body")
+			code = header.Get(result.HeaderCode)
+			time.Sleep(20 * time.Millisecond)
+		}
+	}
+	is.Equal(f.backend.requests.Load(), int64(3))
+	is.Equal(f.crashes(), 3)
+	is.Equal(code, result.Quarantined.String())
+}
+
+// servers returns the number of servers that were started.
+func (f *fixture) servers() int {
+	f.backend.mu.Lock()
+	defer f.backend.mu.Unlock()
+	return len(f.backend.listeners)
+}
--- a/internal/quarantine/list.go
+++ b/internal/quarantine/list.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -31,6 +32,8 @@
 		Send string `json:"send,omitempty"`
 		// Server is the server that crashed; empty in reports of entries that send none.
 		Server id.Server `json:"server,omitempty"`
+		// Incarnation is its process, 0 if unknown.
+		Incarnation id.Incarnation `json:"incarnation,omitempty"`
 		// Instance is the entry that detected the crash.
 		Instance id.Instance `json:"instance"`
 		// Of is the fingerprint of the request with its caller, if Fingerprint is that of
@@ -56,9 +59,12 @@
 		Class id.Class
 		// Send is the ID of the send.
 		Send string
-		// Server is the server, whose name no later process of it has. If it is empty,
-		// each send counts as the crash of another server.
+		// Server is the server. If it is empty, each send counts as the crash of another
+		// server.
 		Server id.Server
+		// Incarnation is the server's process, 0 if unknown. A server may be started again
+		// under its name.
+		Incarnation id.Incarnation
 		// Began is the time at which it was begun.
 		Began time.Time
 		// Of is the fingerprint of the request with its caller, if the crash is recorded
@@ -214,7 +220,7 @@
 // RecordCrash records that a send crashed a server and returns the report for the
 // other entries.
 func (l *List) RecordCrash(now time.Time, fp Fingerprint, o Origin) CrashReport {
-	report := CrashReport{Fingerprint: fp, Send: o.Send, Server: o.Server, Instance: l.Instance, Of: o.Of, Service: o.Service, Class: o.Class, Began: o.Began, At: now}
+	report := CrashReport{Fingerprint: fp, Send: o.Send, Server: o.Server, Incarnation: o.Incarnation, Instance: l.Instance, Of: o.Of, Service: o.Service, Class: o.Class, Began: o.Began, At: now}
 	l.mu.Lock()
 	if s := l.states[fp]; s != nil && !now.After(s.liftedAt) {
 		report.At = s.liftedAt.Add(1) // the lift is of an entry whose clock is ahead
@@ -333,7 +339,7 @@
 	return true
 }
 
-// record adds a report, and reports whether it counts. Of several of one server, the
+// record adds a report, and reports whether it counts. Of several of one process, the
 // latest counts, and of more than maxReports the latest, so that all entries keep the
 // same ones whenever a lift reaches them.
 func (s *state) record(report *CrashReport) bool {
@@ -357,12 +363,16 @@
 	return !dropped || i > 0
 }
 
-// crash identifies the crash that a report is about.
+// crash identifies the crash that a report is about: a process crashes once.
 func (r *CrashReport) crash() string {
-	if r.Server != "" {
+	switch {
+	case r.Server == "":
+		return r.Send
+	case r.Incarnation == 0:
 		return string(r.Server)
+	default:
+		return string(r.Server) + " " + strconv.FormatUint(uint64(r.Incarnation), 10)
 	}
-	return r.Send
 }
 
 // compare orders reports of a fingerprint by time.
--- a/internal/quarantine/list_test.go
+++ b/internal/quarantine/list_test.go
@@ -178,6 +178,35 @@
 	is.True(l.Check(now.Add(2*time.Second), fp).Refused)
 }
 
+// Guards against several crashes of a server that is started again under its name counting as
+// one, and against one crash counting several times because its reports name no process.
+func TestProcessesOfOneServerCountEach(t *testing.T) {
+	tests := map[string]struct {
+		processes []id.Incarnation // of the reports, in order
+		crashes   int
+	}{
+		"one process":           {[]id.Incarnation{7, 7, 7}, 1},
+		"three processes":       {[]id.Incarnation{7, 8, 9}, 3},
+		"processes not known":   {[]id.Incarnation{0, 0, 0}, 1},
+		"another one not known": {[]id.Incarnation{7, 0, 7}, 2},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			l, other, fp, now := newList("entry-1"), newList("entry-2"), quarantine.Fingerprint{1}, start()
+			for n, process := range tt.processes {
+				began := now.Add(time.Duration(n) * time.Second)
+				other.Apply(began, l.RecordCrash(began.Add(time.Millisecond), fp, quarantine.Origin{Send: fmt.Sprint(n), Server: "i-1", Incarnation: process, Began: began}))
+			}
+			now = now.Add(time.Minute)
+			is.Equal(l.Crashes(now, fp), tt.crashes)
+			is.Equal(l.Check(now, fp).Refused, tt.crashes > 2)
+			is.Equal(other.Digest(now), l.Digest(now))
+			is.Equal(other.Check(now, fp), l.Check(now, fp))
+		})
+	}
+}
+
 // A list that takes what it lacks of another's reports must hold all of both, and have
 // the same digest once the other has done so too.
 func TestMissingReports(t *testing.T) {
