quarantine: an outage of several servers isn't blamed on their requests

Callers saw a harmless page refused by all entries for 30 minutes, 0 of 180 served, after 4 of 30 servers had been silent for 4.5 s while they served it.

Cause: three reports of different servers refused a request, also if one outage had cut sends that were under way together. Such requests are given up first, and their servers are found to have ended a second later, after the other answers that would have cleared the reports. `Began` of a report was the time at which its connection ended, so that nothing told one after another from together.

A request is now refused after three crashes if one of their sends was begun after the server of another had ended; times of different entries have no order within 2 s. The project's own interface had this rule, the two share it now.

TestQuarantineIsNotEvictedByOthers recorded its three crashes at one moment, under sends that overlap, which is no longer a reason to refuse; it now records them one after another, and checks the same.

--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -85,6 +85,7 @@
 		status       int
 		relay        id.Instance // the entry that has answered instead
 		server       id.Server
+		sentAt       time.Time // the latest send to a server
 		sends        int
 		unconnected  int
 		tried        []id.Server
@@ -356,7 +357,7 @@
 // failure.
 func (c *call) send(m *roster.Member) (*reply, result.Code) {
 	start := time.Now()
-	c.server, c.tried = m.Name, append(c.tried, m.Name)
+	c.server, c.sentAt, c.tried = m.Name, start, append(c.tried, m.Name)
 	c.timing.sending(start, m)
 	ans, err := c.h.Upstream.Send(c.sendCtx, &upstream.Request{
 		Server: m.Name, Address: m.Address, HTTP: c.outgoingTo(m), ID: c.id, Idempotent: c.idempotent(), BodyKept: c.stream == nil,
--- a/internal/forward/crash.go
+++ b/internal/forward/crash.go
@@ -73,6 +73,7 @@
 // has crashed, and if so records the request as a possible cause.
 func (c *call) detectCrash(m *roster.Member) {
 	s := c.suspect(m)
+	s.origin.Ended = time.Now()
 	checked := make(chan struct{})
 	c.crashChecked = checked
 	go func() {
@@ -80,7 +81,7 @@
 		time.Sleep(crashCheckDelay)
 		verdict := c.h.CrashChecks.Check(context.Background(), checkTarget(m), c.h.comparedWith(m))
 		if verdict != crashcheck.Ended {
-			c.h.Log.Info("backend server broke off, no crash recorded", "request", s.request, "server", m.Name, "fingerprint", s.own, "verdict", verdict, "after", time.Since(s.origin.Began))
+			c.h.Log.Info("backend server broke off, no crash recorded", "request", s.request, "server", m.Name, "fingerprint", s.own, "verdict", verdict, "after", time.Since(s.origin.Ended))
 			return
 		}
 		c.h.Dispatcher.Roster.RecordEnd(time.Now(), m)
@@ -92,7 +93,7 @@
 func (c *call) suspect(m *roster.Member) *suspect {
 	return &suspect{
 		request: c.id, own: c.fingerprint(), shared: c.sharedFingerprint(), until: c.deadline,
-		origin: quarantine.Origin{Service: c.service, Send: c.id + " " + string(m.Name), Server: m.Name, Incarnation: id.Incarnation(m.StartedAt), Began: time.Now()},
+		origin: quarantine.Origin{Service: c.service, Send: c.id + " " + string(m.Name), Server: m.Name, Incarnation: id.Incarnation(m.StartedAt), Began: c.sentAt},
 	}
 }
 
--- a/internal/forward/crash_test.go
+++ b/internal/forward/crash_test.go
@@ -1,8 +1,10 @@
 package forward_test
 
 import (
+	"fmt"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -159,3 +161,57 @@
 	defer f.backend.mu.Unlock()
 	return len(f.backend.listeners)
 }
+
+// Guards against a harmless request being refused for long because several servers ended at
+// the same time, each of them while it ran that request.
+func TestOutageOfSeveralServersIsNoCrashOfTheirRequests(t *testing.T) {
+	tests := map[string]struct {
+		kind service.Kind
+		left string // the callers' deadline in milliseconds
+	}{
+		"connections end":         {service.Write, "2000"},
+		"requests are given up":   {service.Read, "50"},
+		"reads, connections end":  {service.Read, "2000"},
+		"writes, given up before": {service.Write, "50"},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			f := start(t, tt.kind, "late crash", "late crash", "late crash", "ok")
+			f.route.Timeout, f.route.Attempts = 2*time.Second, 1
+			f.addServer(t) // one is left
+			var all []roster.Server
+			for _, m := range f.members("") {
+				all = append(all, m.Server)
+			}
+			var wg sync.WaitGroup
+			for n := range 3 {
+				f.roster.Replace(time.Now(), all[n:n+1]) // each server gets one request
+				wg.Go(func() {
+					r, err := f.request(t.Context(), "/x/8", map[service.Kind]string{service.Write: "body"}[tt.kind])
+					if err != nil {
+						t.Error(err)
+						return
+					}
+					r.Header.Set("X-Id", fmt.Sprint("a-", n))
+					r.Header.Set("X-Left", tt.left)
+					if resp, err := http.DefaultClient.Do(r); err == nil {
+						resp.Body.Close()
+					}
+				})
+				for end := time.Now().Add(time.Second); f.backend.requests.Load() <= int64(n) && time.Now().Before(end); time.Sleep(time.Millisecond) {
+				}
+			}
+			f.roster.Replace(time.Now(), all)
+			wg.Wait()
+			for end := time.Now().Add(5 * time.Second); f.crashes() < 3 && time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+			}
+			is.Equal(f.crashes(), 3)
+			status, header, _ := f.ask(t.Context(), "/x/8", map[service.Kind]string{service.Write: "body"}[tt.kind])
+			is.Equal(header.Get(result.HeaderCode), "")
+			is.Equal(status, http.StatusOK)
+			is.Equal(f.crashes(), 0) // the answer clears them
+		})
+	}
+}
--- a/internal/quarantine/doc.go
+++ b/internal/quarantine/doc.go
@@ -9,7 +9,9 @@
 // first crash, crashes its server too, all entries quarantine the fingerprint. A
 // complete answer ends the probation, and both states expire. A List that tolerates
 // crashes ([List.Tolerated]) has no probation: it refuses a fingerprint after one crash
-// more, and a complete answer ends that too.
+// more, and a complete answer ends that too. Crashes under sends that were all under way
+// together are no reason to refuse it, however many: they may be one outage of several
+// servers.
 //
 // Callers may send equal requests from several addresses, and equal requests of several
 // callers may differ in effect. A crash can therefore be recorded twice: for the request
--- a/internal/quarantine/limits_test.go
+++ b/internal/quarantine/limits_test.go
@@ -58,6 +58,7 @@
 	l, fp, now := newList("entry-1"), quarantine.Fingerprint{1}, start()
 	l.MaxFingerprints = 100
 	for n := range 3 {
+		now = now.Add(time.Millisecond) // one after the other
 		crash(l, now, fp, n)
 	}
 	for n := range l.MaxFingerprints {
--- a/internal/quarantine/list.go
+++ b/internal/quarantine/list.go
@@ -21,6 +21,9 @@
 	defaultMaxFingerprints = 10_000
 	maxReports             = 16
 	maxSkew                = time.Minute
+	// clockDifference is how far the clocks of two entries may differ: times of different
+	// entries that are closer together have no order.
+	clockDifference = 2 * time.Second
 )
 
 type (
@@ -43,8 +46,10 @@
 		Service id.Service `json:"service,omitempty"`
 		// Class is the request's class.
 		Class id.Class `json:"class,omitempty"`
-		// Began is the time at which the send was begun.
+		// Began is the time at which the send was begun, zero if unknown.
 		Began time.Time `json:"began,omitzero"`
+		// Ended is the time at which the server ended, zero if unknown: At at the latest.
+		Ended time.Time `json:"ended,omitzero"`
 		// At is the time at which the crash was detected or the state was lifted.
 		At time.Time `json:"at"`
 		// Lifted is set if the report ends the state of the fingerprint as of At.
@@ -67,6 +72,8 @@
 		Incarnation id.Incarnation
 		// Began is the time at which it was begun.
 		Began time.Time
+		// Ended is the time at which the server ended, zero if unknown.
+		Ended time.Time
 		// Of is the fingerprint of the request with its caller, if the crash is recorded
 		// for the request from any caller; otherwise it is zero.
 		Of Fingerprint
@@ -110,8 +117,8 @@
 		// Retention is the time for which a crash counts; 0 means 30 min.
 		Retention time.Duration
 		// Tolerated is the number of crashes that have no effect; the next one
-		// quarantines the fingerprint, without probation. If it is 0, a fingerprint
-		// is on probation from its first crash on.
+		// quarantines the fingerprint, without probation, unless all sends were under way
+		// together. If it is 0, a fingerprint is on probation from its first crash on.
 		Tolerated int
 		// OnQuarantine, if not nil, is called with the reports of a fingerprint that has
 		// become quarantined, at the entry that detected the last of its crashes. It must
@@ -220,7 +227,7 @@
 // RecordCrash records that a send crashed a server and returns the report for the
 // other entries.
 func (l *List) RecordCrash(now time.Time, fp Fingerprint, o Origin) CrashReport {
-	report := CrashReport{Fingerprint: fp, Send: o.Send, Server: o.Server, Incarnation: o.Incarnation, Instance: l.Instance, Of: o.Of, Service: o.Service, Class: o.Class, Began: o.Began, At: now}
+	report := CrashReport{Fingerprint: fp, Send: o.Send, Server: o.Server, Incarnation: o.Incarnation, Instance: l.Instance, Of: o.Of, Service: o.Service, Class: o.Class, Began: o.Began, Ended: cmp.Or(o.Ended, now), At: now}
 	l.mu.Lock()
 	if s := l.states[fp]; s != nil && !now.After(s.liftedAt) {
 		report.At = s.liftedAt.Add(1) // the lift is of an entry whose clock is ahead
@@ -302,9 +309,9 @@
 
 func (l *List) quarantined(s *state) bool {
 	if l.Tolerated > 0 {
-		return len(s.reports) > l.Tolerated && !s.ofOneCaller()
+		return len(s.reports) > l.Tolerated && !s.ofOneCaller() && s.recurred(clockDifference)
 	}
-	return s.quarantined()
+	return s.recurred(0)
 }
 
 // ofOneCaller reports whether the fingerprint is that of requests from any caller, but all
@@ -314,19 +321,29 @@
 	return first != Fingerprint{} && !slices.ContainsFunc(s.reports, func(r CrashReport) bool { return r.Of != first })
 }
 
-// quarantined reports whether a send crashed a server that was begun after another
-// one had crashed a server. Concurrent sends count as one crash: an outage of several
-// servers may have interrupted all of them.
-func (s *state) quarantined() bool {
+// recurred reports whether a send crashed a server that was begun after another one had
+// crashed a server. Sends that were under way together don't tell a request that crashes
+// servers from an outage of several servers at once. Margin is how far the clocks of two
+// entries may differ.
+func (s *state) recurred(margin time.Duration) bool {
 	for i := range s.reports {
-		if !s.reports[i].Began.Before(s.earliest()) {
-			return true
+		for j := range i {
+			if s.reports[i].follows(&s.reports[j], margin) {
+				return true
+			}
 		}
 	}
 	return false
 }
 
-func (s *state) earliest() time.Time { return s.reports[0].At }
+// follows reports whether the send was begun after the server of an earlier report had ended.
+func (r *CrashReport) follows(earlier *CrashReport, margin time.Duration) bool {
+	ended := cmp.Or(earlier.Ended, earlier.At)
+	if r.Instance != earlier.Instance {
+		ended = ended.Add(margin)
+	}
+	return r.Began.IsZero() || !r.Began.Before(ended)
+}
 
 // lift removes the reports up to a time, and reports whether the lift is the latest one.
 func (s *state) lift(at time.Time) bool {
--- a/internal/quarantine/list_test.go
+++ b/internal/quarantine/list_test.go
@@ -207,6 +207,48 @@
 	}
 }
 
+// Guards against a harmless request being refused after an outage of several servers, and
+// against a request that crashes servers being sent on because some of its sends were under
+// way together, or because the clocks of entries differ.
+func TestSendsUnderWayTogether(t *testing.T) {
+	const ms = time.Millisecond
+	type send struct {
+		entry        id.Instance
+		began, ended time.Duration
+	}
+	tests := map[string]struct {
+		sends   []send
+		refused bool
+	}{
+		"five together":                        {[]send{{"e-1", 0, 90 * ms}, {"e-1", 10 * ms, 91 * ms}, {"e-1", 20 * ms, 92 * ms}, {"e-1", 80 * ms, 93 * ms}, {"e-1", 89 * ms, 300 * ms}}, false},
+		"together at three entries":            {[]send{{"e-1", 0, 90 * ms}, {"e-2", 10 * ms, 91 * ms}, {"e-3", 20 * ms, 92 * ms}}, false},
+		"together, a clock is ahead":           {[]send{{"e-1", 0, 90 * ms}, {"e-2", 1500 * ms, 1590 * ms}, {"e-3", 20 * ms, 92 * ms}}, false},
+		"two together, one later":              {[]send{{"e-1", 0, 90 * ms}, {"e-1", 0, 95 * ms}, {"e-1", 90 * ms, 99 * ms}}, true},
+		"three together, one later":            {[]send{{"e-1", 0, 90 * ms}, {"e-1", 0, 91 * ms}, {"e-1", 0, 92 * ms}, {"e-1", 200 * ms, 210 * ms}}, true},
+		"one after another":                    {[]send{{"e-1", 0, 5 * ms}, {"e-1", 6 * ms, 10 * ms}, {"e-1", 11 * ms, 15 * ms}}, true},
+		"one after another at three entries":   {[]send{{"e-1", 0, 5 * ms}, {"e-2", 1900 * ms, 1905 * ms}, {"e-3", 3800 * ms, 3805 * ms}}, true},
+		"one after another, not known in time": {[]send{{"e-1", 0, 0}, {"e-1", -1, 0}, {"e-1", -1, 0}}, true},
+		"two one after another":                {[]send{{"e-1", 0, 5 * ms}, {"e-1", 6 * ms, 10 * ms}}, false},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			fp, l := quarantine.Fingerprint{1}, newList("e-9")
+			detected := start()
+			for n, s := range tt.sends {
+				o := quarantine.Origin{Send: fmt.Sprint(n), Server: id.Server(fmt.Sprint("i-", n)), Began: start().Add(s.began), Ended: start().Add(s.ended)}
+				if s.began < 0 {
+					o.Began, o.Ended = time.Time{}, time.Time{}
+				}
+				detected = start().Add(s.ended + 30*ms)
+				l.Apply(detected, newList(s.entry).RecordCrash(detected, fp, o))
+			}
+			is.Equal(l.Crashes(detected, fp), len(tt.sends))
+			is.Equal(l.Check(detected, fp).Refused, tt.refused)
+		})
+	}
+}
+
 // A list that takes what it lacks of another's reports must hold all of both, and have
 // the same digest once the other has done so too.
 func TestMissingReports(t *testing.T) {
