forward: a crash behind an error counts

Cause: an answer was taken for the end of a request's effect on its server. A request that its server has failed with a 5xx is now remembered for a second, like one that was given up, and counts if the process ends by then.

--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -400,7 +400,7 @@
 	case result.AnswerCut:
 		c.detectCrash(m)
 	case result.AnswerLate, result.CallerGone, result.ConnectionSilent:
-		c.h.abandon(m, c.suspect(m))
+		c.h.watch(m, c.suspect(m))
 	}
 	c.h.Log.Info("send failed", "request", c.id, "server", m.Name, "code", failed.Code, "sent", failed.Sent, "err", failed.Err)
 	return failed.Code
@@ -428,6 +428,9 @@
 func (c *call) check(rep *reply) result.Code {
 	signed := rep.Header.Get(c.h.Headers.Signature) != ""
 	notRun := rep.Header.Get(c.h.Headers.NotRun) != ""
+	if rep.Status >= http.StatusInternalServerError && !notRun {
+		c.watchFailed(rep.member)
+	}
 	switch status := rep.Status; {
 	case !rep.Certain && (notRun || impliesNotRun(status)):
 		// It may be a refusal of an earlier request, written once more.
--- a/internal/forward/crash.go
+++ b/internal/forward/crash.go
@@ -89,6 +89,14 @@
 	}()
 }
 
+// watchFailed checks whether a server ends right behind an error with which it has answered the
+// request: it may have failed because it was about to crash.
+func (c *call) watchFailed(m *roster.Member) {
+	s := c.suspect(m)
+	s.until = time.Now()
+	c.h.watch(m, s)
+}
+
 // suspect returns the request as a possible cause of the server's end.
 func (c *call) suspect(m *roster.Member) *suspect {
 	return &suspect{
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -161,7 +161,7 @@
 		budgets   sync.Map // id.Service to *retry.Budget
 		baselines sync.Map // baselineKey to *outlier.Baseline
 		running   atomic.Int64
-		abandoned abandonedRequests
+		suspects  suspects
 		// invalidLogged is the time of the latest log line about an invalid header.
 		invalidLogged atomic.Int64
 		// organisations limits the label values of the organisations' metrics.
--- a/internal/forward/handler_test.go
+++ b/internal/forward/handler_test.go
@@ -121,6 +121,11 @@
 	case "crash":
 		b.crash(c)
 		return false
+	case "error, crash":
+		_, _ = io.WriteString(c, "HTTP/1.1 500 Internal Server Error\r\nX-Signed: s\r\n"+header+"Content-Length: 3\r\n\r\nbad")
+		time.Sleep(5 * time.Millisecond)
+		b.crash(c)
+		return false
 	case "late crash": // of a server at work, which doesn't notice that its caller has left
 		time.Sleep(150 * time.Millisecond)
 		b.crash(c)
--- a/internal/forward/abandoned_test.go
+++ b/internal/forward/suspects_test.go
@@ -83,6 +83,43 @@
 	}
 }
 
+// Guards against a request that crashes servers never being refused because each of them answers
+// it with an error first, and against errors of servers that live on being counted as crashes.
+func TestCrashesBehindErrorsAreCounted(t *testing.T) {
+	tests := map[string]struct {
+		kind    service.Kind
+		script  string
+		crashes int
+	}{
+		"read":                   {service.Read, "error, crash", 3},
+		"write":                  {service.Write, "error, crash", 3},
+		"read, server lives on":  {service.Read, "error", 0},
+		"write, server lives on": {service.Write, "error", 0},
+		"turned away, lives on":  {service.Write, "shed", 0},
+		"may have run, lives on": {service.Write, "busy", 0},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			f := start(t, tt.kind, tt.script)
+			f.addServer(t) // one is left to compare with
+			f.route.Timeout, f.route.Attempts = 2*time.Second, 1
+			body := map[service.Kind]string{service.Write: "body"}[tt.kind]
+			for n := range 3 {
+				f.ask(t.Context(), "/x/8", body)
+				for end := time.Now().Add(1500 * time.Millisecond); f.crashes() <= min(n, tt.crashes) && time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+				}
+			}
+			is.Equal(f.crashes(), tt.crashes)
+			before := f.backend.requests.Load()
+			_, header, _ := f.ask(t.Context(), "/x/8", body)
+			is.Equal(header.Get(result.HeaderCode) == result.Quarantined.String(), tt.crashes > 0)
+			is.Equal(f.backend.requests.Load() == before, tt.crashes > 0)
+		})
+	}
+}
+
 // restart registers all servers anew, as started at a time.
 func (f *fixture) restart(startedAt int64) {
 	var all []roster.Server
