--- a/internal/node/stop_test.go
+++ b/internal/node/stop_test.go
@@ -25,7 +25,8 @@
 type recordingServer struct {
 	*httptest.Server
 	delay time.Duration
-	seen  sync.Map // id to true
+	slow  time.Duration // of requests for /x/slow
+	seen  sync.Map      // id to true
 }
 
 func newRecordingServer(t *testing.T, delay time.Duration) *recordingServer {
@@ -34,7 +35,11 @@
 	s.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		s.seen.Store(r.Header.Get("X-Id"), true)
 		_, _ = io.Copy(io.Discard, r.Body)
-		time.Sleep(s.delay)
+		delay := s.delay
+		if r.URL.Path == "/x/slow" {
+			delay = s.slow
+		}
+		time.Sleep(delay)
 		w.Header().Set("X-Id", r.Header.Get("X-Id"))
 		w.Header().Set("X-Signed", "s")
 		_, _ = io.WriteString(w, r.Header.Get("X-Id"))
@@ -273,3 +278,93 @@
 		t.Fatal("the process would have exited before the server had the whole upload")
 	}
 }
+
+// Guards against a request that comes late in the grace period being taken, passed on and then
+// cut at its end without an answer, on new and on kept connections, whatever its deadline.
+func TestShutdownCutsNoRequestThatCameLate(t *testing.T) {
+	t.Parallel()
+	const (
+		longGrace = 10 * time.Second
+		// work is more than the rest of the grace period when the entry stops listening.
+		work = 6900 * time.Millisecond
+		// late is how long after the start of a shutdown a request may be sent that is cut
+		// because its server is still at work at the end of the grace period.
+		late = 3 * time.Second
+		step = 250 * time.Millisecond
+	)
+	server := newRecordingServer(t, 2*time.Millisecond)
+	server.slow = work
+	n := newNode(t)
+	n.SetBounds(node.Bounds{Grace: longGrace})
+	stop := run(t, n, server.Listener.Addr().String())
+	var kept []net.Conn // opened before the shutdown
+	for range int(longGrace / step) {
+		c, err := net.Dial("tcp", n.Self().Callers.String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		kept = append(kept, c)
+	}
+	time.Sleep(100 * time.Millisecond)
+	stopped := make(chan error, 1)
+	go func() { stopped <- stop() }()
+	began := time.Now()
+	var (
+		wg                    sync.WaitGroup
+		served, refused, lost atomic.Int64
+	)
+	send := func(c net.Conn, after time.Duration, reqID string, left time.Duration) {
+		defer c.Close()
+		_ = c.SetDeadline(began.Add(longGrace)) // when the process would have ended
+		path := "1"
+		if after >= late && left > longGrace {
+			path = "slow"
+		}
+		_, err := fmt.Fprintf(c, "POST /x/%s HTTP/1.1\r\nHost: a.example\r\nX-Id: %s\r\nX-Left: %d\r\nContent-Length: 3\r\n\r\none", path, reqID, left.Milliseconds())
+		var resp *http.Response
+		if err == nil {
+			resp, err = http.ReadResponse(bufio.NewReader(c), nil)
+		}
+		if err == nil {
+			_, err = io.Copy(io.Discard, resp.Body)
+		}
+		_, ran := server.seen.Load(reqID)
+		switch {
+		case err != nil && ran && after >= late:
+			t.Errorf("%s was passed on and cut: %v", reqID, err)
+		case err != nil:
+			lost.Add(1) // crossed the close of its connection, or came soon
+		case resp.StatusCode == http.StatusOK:
+			served.Add(1)
+		case resp.StatusCode == http.StatusServiceUnavailable:
+			refused.Add(1)
+			if ran {
+				t.Errorf("%s was passed on and refused", reqID)
+			}
+		}
+	}
+	for i := range kept {
+		after, left := time.Duration(i)*step, 20*time.Second
+		if i%3 == 2 {
+			left = time.Second
+		}
+		wg.Go(func() {
+			time.Sleep(time.Until(began.Add(after)))
+			send(kept[i], after, fmt.Sprintf("kept-%v", after), left)
+		})
+		wg.Go(func() {
+			time.Sleep(time.Until(began.Add(after)))
+			if c, err := net.Dial("tcp", n.Self().Callers.String()); err == nil {
+				send(c, after, fmt.Sprintf("new-%v", after), left)
+			}
+		})
+	}
+	wg.Wait()
+	if err := <-stopped; err != nil {
+		t.Error(err)
+	}
+	t.Logf("%d served, %d refused, %d without an answer", served.Load(), refused.Load(), lost.Load())
+	if served.Load() < 10 || refused.Load() < 1 {
+		t.Error("too few requests were served, or none was refused")
+	}
+}
