pipeline, forward: answers that turn requests away as wrong can be told apart

What net/http answers by itself to a head that it can't read was neither logged nor counted, and a 404 didn't say for what.

Now shallotpier_heads_rejected_total counts the former by status, and log lines of 404 and 400 have the hash of host and target, and the deadline.

TestBadRequestBehindGoodOnes checks the counter as well.

--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"log/slog"
 	"math"
@@ -44,6 +45,8 @@
 	maxBufferedAnswer = 256 << 10
 	// maxLogAttrs is the greatest number of attributes of a request's log line.
 	maxLogAttrs = 44
+	// maxLoggedDeadline is how much of a malformed deadline is logged, in characters.
+	maxLoggedDeadline = 40
 	// maxConnectFailures is how many servers may fail to accept a connection
 	// before a request is refused.
 	maxConnectFailures = 3
@@ -720,6 +723,9 @@
 			slog.String("shared", c.sharedFingerprint().String()), slog.Int("sharedCrashes", c.sharedCrashes),
 			slog.String("target", strconv.FormatUint(c.targetKey(), 16)), slog.String("caller", c.callerAddress()))
 	}
+	if c.code == result.NoService || c.code == result.BadRequest {
+		attrs = append(attrs, slog.String("target", strconv.FormatUint(c.targetKey(), 16)), slog.String("deadline", fmt.Sprintf("%.*s", maxLoggedDeadline, c.r.Header.Get(c.h.Headers.Deadline))))
+	}
 	if owner := c.choice.Owner; owner != nil {
 		attrs = append(attrs, slog.String("owner", string(owner.Name)), slog.Float64("ownerBusy", math.Round(10*c.choice.OwnerRequests)/10))
 	}
--- a/internal/pipeline/lane.go
+++ b/internal/pipeline/lane.go
@@ -79,6 +79,7 @@
 // Write writes to the caller, or holds the bytes while earlier requests are unanswered.
 func (n *lane) Write(p []byte) (int, error) {
 	c := n.conn
+	c.listener.countRejected(p)
 	c.mu.Lock()
 	if !c.split {
 		c.mu.Unlock()
--- a/internal/pipeline/listener.go
+++ b/internal/pipeline/listener.go
@@ -1,7 +1,9 @@
 package pipeline
 
 import (
+	"bytes"
 	"context"
+	"fmt"
 	"maps"
 	"net"
 	"net/http"
@@ -231,6 +233,16 @@
 	return slices.Collect(maps.Keys(l.split))
 }
 
+// countRejected counts an answer that net/http gives without a handler, to a request whose head
+// it can't read: its head has no date.
+func (l *Listener) countRejected(answer []byte) {
+	const status = "HTTP/1.1 400"
+	if l.Metrics == nil || len(answer) < len(status) || !bytes.HasPrefix(answer, []byte("HTTP/1.1 4")) || bytes.Contains(answer, []byte("\r\nDate: ")) {
+		return
+	}
+	l.Metrics.GetOrCreateCounter(fmt.Sprintf(`shallotpier_heads_rejected_total{status=%q}`, answer[len(status)-3:len(status)])).Inc()
+}
+
 // countAhead counts a request that is handled beside others of its connection.
 func (l *Listener) countAhead() {
 	if l.Metrics != nil {
--- a/internal/pipeline/listener_test.go
+++ b/internal/pipeline/listener_test.go
@@ -16,6 +16,7 @@
 	"testing"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/matryer/is"
 
 	"github.com/shallotpier/shallotpier/internal/pipeline"
@@ -60,7 +61,7 @@
 	s.is.NoErr(err)
 	s.listener = &pipeline.Listener{Listener: tcp, Concurrent: func(r *http.Request) bool {
 		return r.Method == http.MethodGet && !s.leaving.Load()
-	}, State: s.onState}
+	}, State: s.onState, Metrics: metrics.NewSet()}
 	s.server = &http.Server{
 		Handler: s, ConnState: s.listener.OnStateChange, ConnContext: s.listener.ConnContext, ErrorLog: log.New(io.Discard, "", 0),
 	}
@@ -363,6 +364,10 @@
 			_, err = c.read.ReadByte()
 			s.is.True(err != nil)
 			s.is.True(s.notBegun("z"))
+			var counted strings.Builder
+			s.listener.Metrics.WritePrometheus(&counted)
+			rejected := fmt.Sprintf("shallotpier_heads_rejected_total{status=\"%d\"} 1\n", tt.status)
+			s.is.Equal(strings.Contains(counted.String(), rejected), tt.status/100 == 4)
 		})
 	}
 }
