forward: no length of a deadline turns a request away as malformed

A deadline over an hour, and one that had passed when the request was read, got 400, which callers don't send again. The deadline says how long the caller waits; no length of that is wrong. Over an hour it counts as an hour, and the route's timeout bounds it anyway; one that has passed is refused with 503 at once. What is no number gets 400, as before.

--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -23,7 +23,9 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
+	"math"
 	"net/http"
 	"strconv"
 	"sync"
@@ -296,8 +298,9 @@
 	return &retry.Budget{}
 }
 
-// timeLeft returns the time limit of the request: the caller's deadline or the
-// route's timeout, whichever is shorter. It returns false if the deadline is invalid.
+// timeLeft returns the time limit of the request: the caller's deadline or the route's
+// timeout, whichever is shorter, and maxDeadline at most. A caller that has already stopped
+// waiting has no time left. It returns false if the deadline is no number.
 func (c *call) timeLeft() (time.Duration, bool) {
 	left := c.route.Timeout
 	value := c.r.Header.Get(c.h.Headers.Deadline)
@@ -308,9 +311,10 @@
 		return left, true
 	}
 	ms, err := strconv.ParseFloat(value, 64)
-	if err != nil || !(ms >= 0) || ms > float64(maxDeadline/time.Millisecond) {
+	if err != nil && !errors.Is(err, strconv.ErrRange) || math.IsNaN(ms) {
 		return 0, false
 	}
+	ms = min(max(ms, 0), float64(maxDeadline/time.Millisecond))
 	requested := time.Duration(ms * float64(time.Millisecond))
 	if left == 0 || requested < left {
 		left = requested
