forward: a 3xx or 4xx without a signature isn't the server's answer

Only successes had to carry the server's signature. A redirect or a 4xx of whatever listens at a server's address, such as another program to which the address of a server that has ended was given, was forwarded, and callers take it for final. It is now a failed send: 502, and a read goes to another server. One that says that the request didn't run is treated as before.

--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -35,7 +35,7 @@
 	// defaultDeadline applies to requests without a deadline on routes without a
 	// timeout.
 	defaultDeadline = 30 * time.Second
-	// maxDeadline is the longest deadline that a caller may set.
+	// maxDeadline is the longest time for which a request is kept, whatever its deadline.
 	maxDeadline = time.Hour
 	// maxBufferedBody is the longest request body that is buffered before the
 	// request is sent, so that it can be retried if it did not run.
@@ -445,6 +445,10 @@
 		return result.ShedByServer
 	case status < http.StatusMultipleChoices && (!signed || rep.Header.Get("Content-Encoding") != ""):
 		return result.AnswerCut
+	case status < http.StatusInternalServerError && !signed && !notRun && !impliesNotRun(status):
+		// It isn't the server's, and callers would take it for final.
+		c.h.Log.Warn("answer without a signature", "request", c.id, "server", rep.member.Name, "address", rep.member.Address, "status", status)
+		return result.AnswerCut
 	case impliesNotRun(status):
 		// The status suggests that the request did not run, but the server has not
 		// confirmed it by the not-run header.
