route, forward: an encoded slash ends no prefix

Cause: routes were matched by the decoded path, in which %2F is a slash. They are matched by the path as it was sent now, also where it is decided whether a request may be handled beside others of its connection and whether it needs a key. Percent-encoded bytes are compared decoded, but for slashes and percent signs.

--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -196,7 +196,7 @@
 		c.refuse(result.NotReady)
 		return
 	}
-	if c.route = c.config.Routes.Match(r.Host, r.URL.Path); c.route == nil {
+	if c.route = c.config.Routes.Match(r.Host, r.URL.EscapedPath()); c.route == nil {
 		c.refuse(result.NoService)
 		return
 	}
@@ -252,7 +252,7 @@
 	if c == nil || h.Leaving() {
 		return false
 	}
-	matched := c.Routes.Match(r.Host, r.URL.Path)
+	matched := c.Routes.Match(r.Host, r.URL.EscapedPath())
 	return matched != nil && matched.Kind == service.Read
 }
 
--- a/internal/forward/organisation.go
+++ b/internal/forward/organisation.go
@@ -61,7 +61,7 @@
 	}
 	public := c.route.Public
 	if config != c.config {
-		if r := config.Routes.Match(c.r.Host, c.r.URL.Path); r != nil {
+		if r := config.Routes.Match(c.r.Host, c.r.URL.EscapedPath()); r != nil {
 			public = r.Public
 		}
 	}
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -14,6 +14,7 @@
 package route
 
 import (
+	"encoding/hex"
 	"encoding/json"
 	"net"
 	"slices"
@@ -34,8 +35,8 @@
 		Name string `json:"name"`
 		// Host is the host of the requests, without a port.
 		Host string `json:"host"`
-		// Prefix is the prefix of the requests' paths. It begins and ends with a
-		// slash.
+		// Prefix is the prefix of the requests' paths. It begins and ends with a slash, and
+		// may be percent-encoded.
 		Prefix string `json:"prefix"`
 		// Kind determines which requests may be retried: Read, Write or Upload.
 		Kind service.Kind `json:"kind"`
@@ -68,19 +69,25 @@
 
 	// Table matches requests to routes.
 	Table struct {
-		hosts map[string][]*Route
+		hosts map[string][]match
+	}
+
+	// match is a route with its prefix in the form in which paths are compared.
+	match struct {
+		prefix string
+		route  *Route
 	}
 )
 
 // NewTable returns a table of the routes.
 func NewTable(routes []*Route) *Table {
-	t := &Table{hosts: make(map[string][]*Route)}
+	t := &Table{hosts: make(map[string][]match)}
 	for _, r := range routes {
 		host := strings.ToLower(r.Host)
-		t.hosts[host] = append(t.hosts[host], r)
+		t.hosts[host] = append(t.hosts[host], match{comparablePath(r.Prefix), r})
 	}
 	for _, list := range t.hosts {
-		slices.SortFunc(list, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
+		slices.SortFunc(list, func(a, b match) int { return len(b.prefix) - len(a.prefix) })
 	}
 	return t
 }
@@ -89,7 +96,9 @@
 func (t *Table) MarshalJSON() ([]byte, error) {
 	all := []*Route{}
 	for _, list := range t.hosts {
-		all = append(all, list...)
+		for _, m := range list {
+			all = append(all, m.route)
+		}
 	}
 	slices.SortFunc(all, func(a, b *Route) int { return strings.Compare(a.Name, b.Name) })
 	return json.Marshal(all)
@@ -127,7 +136,8 @@
 }
 
 // Match returns the route of a request, nil if there is none. The host may include a
-// port.
+// port. The path is that of the request target, as it was sent ([net/url.URL.EscapedPath]): an
+// encoded slash is a part of a segment and doesn't end it.
 func (t *Table) Match(host, path string) *Route {
 	list, ok := t.hosts[host]
 	if !ok {
@@ -136,14 +146,43 @@
 		}
 		list = t.hosts[strings.ToLower(host)]
 	}
-	for _, r := range list {
-		if strings.HasPrefix(path, r.Prefix) {
-			return r
+	path = comparablePath(path)
+	for _, m := range list {
+		if strings.HasPrefix(path, m.prefix) {
+			return m.route
 		}
 	}
 	return nil
 }
 
+// comparablePath returns a path with its percent-encoded bytes decoded, except for slashes and
+// percent signs, without which two different paths would be equal.
+func comparablePath(path string) string {
+	if !strings.Contains(path, "%") {
+		return path
+	}
+	var b strings.Builder
+	for i := 0; i < len(path); i++ {
+		decoded, err := []byte(nil), error(nil)
+		if path[i] == '%' && i+2 < len(path) {
+			decoded, err = hex.DecodeString(path[i+1 : i+3])
+		}
+		switch {
+		case len(decoded) == 0 || err != nil:
+			b.WriteByte(path[i])
+			continue
+		case decoded[0] == '/':
+			b.WriteString("%2F")
+		case decoded[0] == '%':
+			b.WriteString("%25")
+		default:
+			b.WriteByte(decoded[0])
+		}
+		i += 2
+	}
+	return b.String()
+}
+
 // Pick returns the service for a request. The draw must be uniformly distributed.
 // Parts of weight 0 get no requests.
 func (r *Route) Pick(draw uint64) id.Service {
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -9,11 +9,17 @@
 	"github.com/shallotpier/shallotpier/pkg/id"
 )
 
+// Guards, among the rest, against a path whose encoded slash selects the route of another
+// service: a segment that contains a slash isn't two segments.
 func TestMatchByHostAndLongestPrefix(t *testing.T) {
 	table := route.NewTable([]*route.Route{
 		{Name: "all", Host: "a.example", Prefix: "/"},
 		{Name: "deep", Host: "a.example", Prefix: "/x/y/"},
 		{Name: "x", Host: "A.example", Prefix: "/x/"},
+		{Name: "space", Host: "a.example", Prefix: "/a b/"},
+		{Name: "encoded", Host: "a.example", Prefix: "/c%20d/"},
+		{Name: "slash", Host: "a.example", Prefix: "/e%2ff/"},
+		{Name: "percent", Host: "a.example", Prefix: "/g%252Fh/"},
 	})
 	tests := map[string]struct{ host, path, want string }{
 		"longest prefix":    {"a.example", "/x/y/z", "deep"},
@@ -21,6 +27,20 @@
 		"prefix by segment": {"a.example", "/xy", "all"},
 		"port and case":     {"A.EXAMPLE:8080", "/x/1", "x"},
 		"unknown host":      {"b.example", "/x/1", ""},
+
+		"encoded slash ends no prefix":   {"a.example", "/x%2F1", "all"},
+		"in lower case":                  {"a.example", "/x%2f1", "all"},
+		"encoded slash ends no segment":  {"a.example", "/x/y%2Fz", "x"},
+		"encoded slash behind a prefix":  {"a.example", "/x/1%2F2", "x"},
+		"encoded letter":                 {"a.example", "/%78/1", "x"},
+		"encoded space":                  {"a.example", "/a%20b/1", "space"},
+		"encoded prefix":                 {"a.example", "/c%20d/1", "encoded"},
+		"encoded slash in a prefix":      {"a.example", "/e%2Ff/1", "slash"},
+		"slash for an encoded one":       {"a.example", "/e/f/1", "all"},
+		"encoded percent sign":           {"a.example", "/g%252Fh/1", "percent"},
+		"encoded slash for that":         {"a.example", "/g%2Fh/1", "all"},
+		"percent sign alone":             {"a.example", "/x/%", "x"},
+		"percent sign and no hex digits": {"a.example", "/x/%zz", "x"},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
