--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -308,7 +308,7 @@
 
 // Ready reports whether the entry serves callers and is not shutting down. An entry that may
 // accept no keys is not ready if its configuration has any.
-func (n *Node) Ready() bool { return len(n.Lacks()) == 0 }
+func (n *Node) Ready() bool { return len(n.NotReady()) == 0 }
 
 // serving reports whether the entry serves at least requests that need no key.
 func (n *Node) serving() bool {
--- a/internal/node/readiness.go
+++ b/internal/node/readiness.go
@@ -7,62 +7,62 @@
 	"github.com/shallotpier/shallotpier/internal/follow"
 )
 
-// What an entry may lack to be ready.
+// Reasons why an entry isn't ready.
 const (
-	// LackConfiguration means that no configuration has been received.
-	LackConfiguration Lack = "configuration"
-	// LackServers means that no complete list of the backend servers has been received.
-	LackServers Lack = "servers"
-	// LackProof means that the configuration holds organisations, and isn't proved to be
+	// NoConfiguration means that no configuration has been received.
+	NoConfiguration NotReadyReason = "configuration"
+	// NoServers means that no complete list of the backend servers has been received.
+	NoServers NotReadyReason = "servers"
+	// NoProof means that the configuration holds organisations, and isn't proved to be
 	// recent enough to accept their keys.
-	LackProof Lack = "proof"
-	// LackStay means that the entry is shutting down.
-	LackStay Lack = "leaving"
+	NoProof NotReadyReason = "proof"
+	// Leaving means that the entry is shutting down.
+	Leaving NotReadyReason = "leaving"
 )
 
 // notReadyInterval is the interval of log lines about an entry that stays unready.
 const notReadyInterval = 5 * time.Second
 
 type (
-	// Lack is a reason why an entry isn't ready.
-	Lack string
+	// NotReadyReason is a reason why an entry isn't ready.
+	NotReadyReason string
 
 	// readinessLog holds what was logged of an entry's readiness. It is used by tick only.
 	readinessLog struct {
-		lacks []Lack
-		since time.Time // of the change before
-		at    time.Time // of the latest line
+		reasons []NotReadyReason
+		since   time.Time // of the change before
+		at      time.Time // of the latest line
 	}
 )
 
-// Lacks returns the reasons why the entry isn't ready, none if it is.
-func (n *Node) Lacks() []Lack {
-	var lacks []Lack
+// NotReady returns the reasons why the entry isn't ready, none if it is.
+func (n *Node) NotReady() []NotReadyReason {
+	var reasons []NotReadyReason
 	if n.config.Load() == nil {
-		lacks = append(lacks, LackConfiguration)
+		reasons = append(reasons, NoConfiguration)
 	}
 	if !n.serversListed.Load() {
-		lacks = append(lacks, LackServers)
+		reasons = append(reasons, NoServers)
 	}
 	if !n.confirmed() {
-		lacks = append(lacks, LackProof)
+		reasons = append(reasons, NoProof)
 	}
 	if n.leaving() {
-		lacks = append(lacks, LackStay)
+		reasons = append(reasons, Leaving)
 	}
-	return lacks
+	return reasons
 }
 
 // logReadiness logs each change of the readiness, and repeats the line while the entry isn't
 // ready.
 func (n *Node) logReadiness(now time.Time) {
-	l, lacks := &n.loggedReadiness, n.Lacks()
+	l, reasons := &n.loggedReadiness, n.NotReady()
 	first := l.at.IsZero()
 	if first {
 		l.since = n.started
 	}
-	changed := first || !slices.Equal(lacks, l.lacks)
-	if !changed && (len(lacks) == 0 || now.Sub(l.at) < notReadyInterval) {
+	changed := first || !slices.Equal(reasons, l.reasons)
+	if !changed && (len(reasons) == 0 || now.Sub(l.at) < notReadyInterval) {
 		return
 	}
 	attrs := []any{"after", now.Sub(l.since)}
@@ -75,10 +75,10 @@
 	if changed {
 		l.since = now
 	}
-	l.lacks, l.at = lacks, now
-	if len(lacks) == 0 {
+	l.reasons, l.at = reasons, now
+	if len(reasons) == 0 {
 		n.options.Log.Info("ready", attrs...)
 		return
 	}
-	n.options.Log.Warn("not ready", append(attrs, "lacks", lacks)...)
+	n.options.Log.Warn("not ready", append(attrs, "reasons", reasons)...)
 }
--- a/internal/node/readiness_test.go
+++ b/internal/node/readiness_test.go
@@ -43,16 +43,16 @@
 	}
 	got := lines(60)
 	is.Equal(len(got), 2) // at the start and 5 s later
-	is.True(strings.Contains(got[0], `msg="not ready"`) && strings.Contains(got[0], `lacks="[configuration servers]"`))
+	is.True(strings.Contains(got[0], `msg="not ready"`) && strings.Contains(got[0], `reasons="[configuration servers]"`))
 	n.Configure(keyedConfig(1, "/x/"))
 	n.MarkServersListed()
 	got = lines(20)
 	is.Equal(len(got), 1)
-	is.True(strings.Contains(got[0], "lacks=[proof]") && strings.Contains(got[0], "version=1") && strings.Contains(got[0], "revoke=4.75s"))
+	is.True(strings.Contains(got[0], "reasons=[proof]") && strings.Contains(got[0], "version=1") && strings.Contains(got[0], "revoke=4.75s"))
 	n.ConfirmConfiguration(n.Clock()(), 0, freshness.Store)
 	got = lines(200)
 	is.Equal(len(got), 1)
 	is.True(strings.Contains(got[0], "msg=ready"))
 	clock.Add(int64(6 * time.Second))
-	is.True(strings.Contains(strings.Join(lines(1), ""), "lacks=[proof]"))
+	is.True(strings.Contains(strings.Join(lines(1), ""), "reasons=[proof]"))
 }
