forward: a relay that another build can't read isn't a malformed request

An entry that couldn't read the headers of a relay, as entries of different builds may not, answered 400, which went on to the caller as final. It says that it isn't ready now, which proves that the request didn't run, so that it is passed on to the next entry, and logs what it couldn't read.

6 of 6 cases of TestRelayOfAnotherBuildIsNoBadRequest failed before.

Not what the users saw: no landed build lacks one of these headers.

--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -64,7 +64,12 @@
 		version, versionErr := strconv.ParseUint(r.Header.Get(relayVersion), 10, 64)
 		regions, regionsErr := decodeRegions(r.Header.Get(relayRegions))
 		if err != nil || versionErr != nil || regionsErr != nil || sends < 0 {
-			w.WriteHeader(http.StatusBadRequest)
+			// The entry that passes the request on is of another build, and follows with
+			// another entry. The request itself is not malformed.
+			h.Log.Warn("relayed request not taken", "request", r.Header.Get(h.Headers.RequestID), "sends", r.Header.Get(relaySends),
+				"version", r.Header.Get(relayVersion), "regions", r.Header.Get(relayRegions))
+			c := &call{h: h, w: w, r: r, id: r.Header.Get(h.Headers.RequestID)}
+			c.refuse(result.NotReady)
 			return
 		}
 		o := &relayOrigin{
--- a/internal/forward/relay_test.go
+++ b/internal/forward/relay_test.go
@@ -508,3 +508,35 @@
 		})
 	}
 }
+
+// Guards against a proper request being turned away as malformed because it was passed on
+// between entries of different builds: it is passed on to another entry.
+func TestRelayOfAnotherBuildIsNoBadRequest(t *testing.T) {
+	tests := map[string]func(http.Header){
+		"without the number of sends": func(h http.Header) { h.Del("Shallotpier-Relay-Sends") },
+		"without a version":           func(h http.Header) { h.Del("Shallotpier-Relay-Version") },
+		"odd regions":                 func(h http.Header) { h.Set("Shallotpier-Relay-Regions", "%zz") },
+	}
+	for name, change := range tests {
+		for _, kind := range []service.Kind{service.Read, service.Write} {
+			t.Run(name+", "+string(kind), func(t *testing.T) {
+				is := is.New(t)
+				cut, helper := cutPair(t, kind, true, "ok")
+				other := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+					change(r.Header)
+					helper.handler.Relayed().ServeHTTP(w, r)
+				}))
+				t.Cleanup(other.Close)
+				cut.passOnTo(true, other.Listener.Addr().String(), helper.takeRelayed(t))
+				status, _, body := cut.ask(t.Context(), "/x/1", map[service.Kind]string{service.Write: "body"}[kind])
+				is.Equal(status, http.StatusOK)
+				is.Equal(body, "one")
+				is.Equal(helper.backend.requests.Load(), int64(1))
+				cut.passOnTo(true, other.Listener.Addr().String())
+				status, header, _ := cut.ask(t.Context(), "/x/1", map[service.Kind]string{service.Write: "body"}[kind])
+				is.Equal(status, http.StatusServiceUnavailable) // nobody else
+				is.True(header.Get("Retry-After") != "")
+			})
+		}
+	}
+}
