crashcheck, forward: only silent servers can be one outage

When a server ends isn't known for requests that were given up, and clocks of entries differ, so that crashes one after another at three entries looked like one outage.

The check tells the two apart now, and the rule holds for silent servers alone; crashes of processes count as before.

--- a/internal/crashcheck/checker.go
+++ b/internal/crashcheck/checker.go
@@ -16,6 +16,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"github.com/shallotpier/shallotpier/pkg/id"
 )
@@ -27,9 +28,12 @@
 	Unknown Verdict = iota
 	// Alive means that the server takes connections.
 	Alive
-	// Ended means that the server takes no connection, and that another one does or
+	// Ended means that the server refuses connections, and that another one takes them or
 	// there is no other one.
 	Ended
+	// Silent is like Ended, but an attempt to connect got no answer: the server's machine
+	// may have lost its power or its link, which no request causes.
+	Silent
 )
 
 type (
@@ -49,6 +53,8 @@
 	Checker struct {
 		// Connect reports whether a new connection to an address is accepted.
 		Connect func(ctx context.Context, address string) bool
+		// Timeout is the time after which Connect gives up; 0 if it never does.
+		Timeout time.Duration
 
 		mu      sync.Mutex
 		running map[id.Server]*comparison
@@ -68,6 +74,8 @@
 		return "alive"
 	case Ended:
 		return "ended"
+	case Silent:
+		return "silent"
 	default:
 		return "unknown"
 	}
@@ -76,13 +84,18 @@
 // Check reports whether a server has ended. Others are servers that are thought to be
 // reachable, best on the same path.
 func (c *Checker) Check(ctx context.Context, server Target, others []Target) Verdict {
-	switch {
-	case c.Connect(ctx, server.Address):
+	start := time.Now()
+	if c.Connect(ctx, server.Address) {
 		return Alive
-	case len(others) == 0, c.anyReached(ctx, server.Name, others):
-		return Ended
-	default:
+	}
+	silent := c.Timeout > 0 && time.Since(start) >= c.Timeout
+	switch {
+	case len(others) > 0 && !c.anyReached(ctx, server.Name, others):
 		return Unknown
+	case silent:
+		return Silent
+	default:
+		return Ended
 	}
 }
 
--- a/internal/crashcheck/checker_test.go
+++ b/internal/crashcheck/checker_test.go
@@ -85,3 +85,34 @@
 	}
 	return out
 }
+
+// Guards against a machine that is silent being taken for a process that has ended, and the
+// reverse.
+func TestSilentServers(t *testing.T) {
+	tests := map[string]struct {
+		took   time.Duration // an attempt to connect to the server
+		others []string
+		want   crashcheck.Verdict
+	}{
+		"refused at once":         {0, []string{"b"}, crashcheck.Ended},
+		"refused later":           {connectTime - 1, []string{"b"}, crashcheck.Ended},
+		"no answer":               {connectTime, []string{"b"}, crashcheck.Silent},
+		"no answer, no other one": {connectTime, nil, crashcheck.Silent},
+		"no answer of any":        {connectTime, []string{"c"}, crashcheck.Unknown},
+		"refused, others silent":  {0, []string{"c"}, crashcheck.Unknown},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				c := &crashcheck.Checker{Timeout: connectTime, Connect: func(_ context.Context, address string) bool {
+					if address == "a" {
+						time.Sleep(tt.took)
+					}
+					return address == "b"
+				}}
+				is.Equal(c.Check(t.Context(), target("a"), targets(tt.others)), tt.want)
+			})
+		})
+	}
+}
--- a/internal/forward/crash.go
+++ b/internal/forward/crash.go
@@ -80,15 +80,18 @@
 		defer close(checked)
 		time.Sleep(crashCheckDelay)
 		verdict := c.h.CrashChecks.Check(context.Background(), checkTarget(m), c.h.comparedWith(m))
-		if verdict != crashcheck.Ended {
+		if !ended(verdict) {
 			c.h.Log.Info("backend server broke off, no crash recorded", "request", s.request, "server", m.Name, "fingerprint", s.own, "verdict", verdict, "after", time.Since(s.origin.Ended))
 			return
 		}
 		c.h.Dispatcher.Roster.RecordEnd(time.Now(), m)
-		c.h.recordCrash(s)
+		c.h.recordCrash(s, verdict)
 	}()
 }
 
+// ended reports whether a verdict says that a server has ended.
+func ended(v crashcheck.Verdict) bool { return v == crashcheck.Ended || v == crashcheck.Silent }
+
 // watchFailed checks whether a server ends right behind an error with which it has answered the
 // request: it may have failed because it was about to crash.
 func (c *call) watchFailed(m *roster.Member) {
@@ -105,14 +108,18 @@
 	}
 }
 
-// recordCrash records that a request's server has crashed.
-func (h *Handler) recordCrash(s *suspect) {
+// recordCrash records that a request's server has ended, with the verdict on it. Servers that
+// fall silent while they run the request may do so together, which the times of the sends tell.
+func (h *Handler) recordCrash(s *suspect, verdict crashcheck.Verdict) {
+	if verdict != crashcheck.Silent {
+		s.origin.Began = time.Time{}
+	}
 	list, now, shared := h.Quarantine, time.Now(), s.origin
 	shared.Of = s.own
 	list.RecordCrash(now, s.own, s.origin)
 	list.RecordCrash(now, s.shared, shared)
 	h.Metrics.GetOrCreateCounter(`shallotpier_crash_reports_total{from="own"}`).Inc()
-	h.Log.Warn("backend server crashed during a request", "request", s.request, "server", s.origin.Server, "fingerprint", s.own,
+	h.Log.Warn("backend server crashed during a request", "request", s.request, "server", s.origin.Server, "verdict", verdict, "fingerprint", s.own,
 		"crashes", list.Crashes(now, s.own), "quarantined", list.Quarantined(now, s.own),
 		"shared", s.shared, "sharedCrashes", list.Crashes(now, s.shared), "sharedQuarantined", list.Quarantined(now, s.shared))
 }
--- a/internal/forward/suspects.go
+++ b/internal/forward/suspects.go
@@ -56,19 +56,19 @@
 		return
 	case m.StartedAt != 0 && current.StartedAt != m.StartedAt:
 		// Connections are those of a later process of the server.
-		h.recordCrashes(of)
+		h.recordCrashes(of, crashcheck.Ended)
 		return
 	}
 	verdict := crashcheck.Alive
 	if !h.Upstream.HasOpen(m.Address) {
 		verdict = h.CrashChecks.Check(context.Background(), checkTarget(m), h.comparedWith(m))
 	}
-	switch verdict {
-	case crashcheck.Ended:
+	switch {
+	case ended(verdict):
 		h.Dispatcher.Roster.RecordEnd(time.Now(), m)
-		h.recordCrashes(of)
+		h.recordCrashes(of, verdict)
 		return
-	case crashcheck.Unknown:
+	case verdict == crashcheck.Unknown:
 		h.Log.Info("backend server out of reach, no crash recorded for its requests", "server", m.Name, "requests", h.suspects.count(of), "verdict", verdict)
 	}
 	if h.suspects.expire(time.Now(), of) {
@@ -76,10 +76,10 @@
 	}
 }
 
-// recordCrashes records a crash for the suspects of a process.
-func (h *Handler) recordCrashes(of process) {
+// recordCrashes records a crash for the suspects of a process, with the verdict on it.
+func (h *Handler) recordCrashes(of process, verdict crashcheck.Verdict) {
 	for _, s := range h.suspects.remove(of) {
-		h.recordCrash(s)
+		h.recordCrash(s, verdict)
 	}
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -247,7 +247,7 @@
 	n.Heartbeats.EvenLoad = n.evenLoadNotices
 	n.handler = &forward.Handler{
 		Config: n.forwardConfig, Dispatcher: n.dispatcher, Upstream: n.upstream,
-		Quarantine: n.Quarantine, CrashChecks: &crashcheck.Checker{Connect: n.upstream.CanConnect}, RetryLimits: n.retryLimits, Leaving: n.leaving, EndBy: n.endBy, Headers: o.Headers, Load: o.Load, Limit: o.Limit,
+		Quarantine: n.Quarantine, CrashChecks: &crashcheck.Checker{Connect: n.upstream.CanConnect, Timeout: connectTimeout}, RetryLimits: n.retryLimits, Leaving: n.leaving, EndBy: n.endBy, Headers: o.Headers, Load: o.Load, Limit: o.Limit,
 		ServerLeaving: o.ServerLeaving, StayAway: o.StayAway, StoreAge: n.storeAge, Log: o.Log, Metrics: o.Metrics, RelayClient: n.relays, Location: forward.Location{Zone: o.Self.Zone, Region: o.Self.Region},
 		Relays: &relay.Selector{Region: o.Self.Region, Unreached: n.unreachedServers, Others: n.recentlyHeard},
 	}
--- a/internal/quarantine/list.go
+++ b/internal/quarantine/list.go
@@ -46,7 +46,7 @@
 		Service id.Service `json:"service,omitempty"`
 		// Class is the request's class.
 		Class id.Class `json:"class,omitempty"`
-		// Began is the time at which the send was begun, zero if unknown.
+		// Began is the time at which the send was begun; zero if that doesn't matter.
 		Began time.Time `json:"began,omitzero"`
 		// Ended is the time at which the server ended, zero if unknown: At at the latest.
 		Ended time.Time `json:"ended,omitzero"`
@@ -70,7 +70,8 @@
 		// Incarnation is the server's process, 0 if unknown. A server may be started again
 		// under its name.
 		Incarnation id.Incarnation
-		// Began is the time at which it was begun.
+		// Began is the time at which it was begun; zero if the crash counts whichever other
+		// sends were under way.
 		Began time.Time
 		// Ended is the time at which the server ended, zero if unknown.
 		Ended time.Time
