forward: the test of kept memory leaves out what the collector hasn't seen

What is allocated while the garbage collector runs counts as used until its next run, and callers and servers go on meanwhile. The least of three runs counts now; bound and forms are the same. It still fails without the limit of the buffer (148 to 1,794 MB).

--- a/internal/forward/endless_test.go
+++ b/internal/forward/endless_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"runtime"
@@ -106,10 +107,15 @@
 	_, _ = io.Copy(io.Discard, c)
 }
 
-// keptMemory returns the bytes of the heap that aren't garbage.
+// keptMemory returns the bytes of the heap that aren't garbage. What is allocated while the
+// garbage collector runs counts as used until the next run, so the least of several runs counts.
 func keptMemory() uint64 {
-	runtime.GC()
-	var m runtime.MemStats
-	runtime.ReadMemStats(&m)
-	return m.HeapAlloc
+	least := uint64(math.MaxUint64)
+	for range 3 {
+		runtime.GC()
+		var m runtime.MemStats
+		runtime.ReadMemStats(&m)
+		least = min(least, m.HeapAlloc)
+	}
+	return least
 }
