roster, forward: logs and metrics tell which servers are held for cold

The output of the entries can't tell whether none of them knew that the server was cold, whether they knew and their parts exceeded the rate in sum, or whether only some knew.

A line for each server that begins to count as cold, with the source; the time left in the line of each request that is sent to such a server; a gauge of their number.

--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -44,7 +44,7 @@
 	// forwarded, so that a request whose answer is truncated can be retried.
 	maxBufferedAnswer = 256 << 10
 	// maxLogAttrs is the greatest number of attributes of a request's log line.
-	maxLogAttrs = 44
+	maxLogAttrs = 45
 	// maxLoggedDeadline is how much of a malformed deadline is logged, in characters.
 	maxLoggedDeadline = 40
 	// maxConnectFailures is how many servers may fail to accept a connection
--- a/internal/forward/timing.go
+++ b/internal/forward/timing.go
@@ -22,6 +22,7 @@
 	timing struct {
 		first, last time.Time // first and last send, zero if there was none
 		server      *roster.Member
+		cold        time.Duration // for how much longer the entry held the server for cold
 		connect     time.Duration // 0 if the last send used an open connection
 		pace        float64       // according to the last answer, 0 if unknown
 	}
@@ -32,7 +33,7 @@
 	if t.first.IsZero() {
 		t.first = now
 	}
-	t.last, t.server, t.connect, t.pace = now, m, 0, 0
+	t.last, t.server, t.cold, t.connect, t.pace = now, m, m.ColdLeft(now), 0, 0
 }
 
 // observe records the load report of an answer, nil if there was none.
@@ -59,6 +60,9 @@
 	if t.last.After(t.first) {
 		attrs = append(attrs, slog.Duration("resending", t.last.Sub(t.first)))
 	}
+	if t.cold > 0 {
+		attrs = append(attrs, slog.Duration("cold", t.cold))
+	}
 	if t.connect > 0 {
 		attrs = append(attrs, slog.Duration("connect", t.connect))
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -430,6 +430,7 @@
 		n.loadGauges(name)
 		n.serverGauge(name, "usable", func(time.Time, *roster.Member) bool { return true })
 		n.serverGauge(name, "outlier", func(_ time.Time, m *roster.Member) bool { return m.Outlier() })
+		n.serverGauge(name, "cold", func(now time.Time, m *roster.Member) bool { return m.Cold(now) })
 		n.serverGauge(name, "limited", func(now time.Time, m *roster.Member) bool { return m.Limit(now) > 0 })
 		n.serverGauge(name, "away", func(now time.Time, m *roster.Member) bool { return m.Away(now) > 0 })
 	}
--- a/internal/roster/member.go
+++ b/internal/roster/member.go
@@ -30,7 +30,16 @@
 	missedFor = 3 * time.Second
 )
 
+// Sources of the knowledge that a server is cold, in logs.
+const (
+	registered     coldSource = "registration"
+	evacuationOver coldSource = "evacuationEnded"
+	reachedAgain   coldSource = "reachedAgain"
+)
+
 type (
+	coldSource string
+
 	// Member is a backend server in a view.
 	Member struct {
 		Server
@@ -193,8 +202,8 @@
 	return now.Before(m.state.coldUntil)
 }
 
-// coldLeft returns how much longer the server is cold.
-func (m *Member) coldLeft(now time.Time) time.Duration {
+// ColdLeft returns how much longer the server is cold, 0 if it is not.
+func (m *Member) ColdLeft(now time.Time) time.Duration {
 	m.state.mu.Lock()
 	defer m.state.mu.Unlock()
 	return max(m.state.coldUntil.Sub(now), 0)
@@ -305,7 +314,7 @@
 	s.inFlight--
 	if o.Event == health.Answered && s.health.Ejected() {
 		// An unreachable server may have been restarted and is cold again.
-		s.coldUntil = later(s.coldUntil, now.Add(m.config.ColdTime))
+		m.extendCold(now, now.Add(m.config.ColdTime), reachedAgain)
 	}
 	switch {
 	case o.Reached, o.Event == health.Answered:
@@ -375,9 +384,19 @@
 	return v, wait
 }
 
-func (s *state) extendCold(until time.Time) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
+// setCold treats the server as cold until a time.
+func (m *Member) setCold(now, until time.Time, from coldSource) {
+	m.state.mu.Lock()
+	defer m.state.mu.Unlock()
+	m.extendCold(now, until, from)
+}
+
+// extendCold is like setCold. The caller holds the state's lock.
+func (m *Member) extendCold(now, until time.Time, from coldSource) {
+	s := m.state
+	if !now.Before(s.coldUntil) && until.After(now) {
+		m.zone.log.Info("backend server cold", "server", m.Name, "service", m.Service, "for", until.Sub(now), "source", from)
+	}
 	s.coldUntil = later(s.coldUntil, until)
 }
 
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -156,7 +156,7 @@
 	out := make([]Server, 0, len(r.members))
 	for _, m := range r.members {
 		s := m.Server
-		s.Cold = m.coldLeft(now)
+		s.Cold = m.ColdLeft(now)
 		out = append(out, s)
 	}
 	slices.SortFunc(out, func(a, b Server) int { return strings.Compare(string(a.Name), string(b.Name)) })
@@ -311,7 +311,7 @@
 	}
 	for _, m := range r.members {
 		if r.evacuated[m.Zone] && !zones[m.Zone] {
-			m.state.extendCold(now.Add(r.services[m.Service].ColdTime))
+			m.setCold(now, now.Add(r.services[m.Service].ColdTime), evacuationOver)
 		}
 	}
 	r.Log.Info("evacuated zones changed", "before", zoneNames(r.evacuated), "now", zoneNames(zones))
@@ -387,7 +387,7 @@
 	m.restores = r.restores
 	m.takeOver(old, before)
 	if s.Cold > 0 {
-		m.state.extendCold(now.Add(s.Cold))
+		m.setCold(now, now.Add(s.Cold), registered)
 	}
 	r.members[s.Name] = m
 	r.Log.Info("backend server known", "server", s.Name, "service", s.Service, "zone", s.Zone,
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -1,6 +1,7 @@
 package roster_test
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"log/slog"
@@ -8,6 +9,7 @@
 	"math"
 	"net/netip"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -172,6 +174,26 @@
 	}
 }
 
+// Logs must tell whether an entry held a server for cold, since when and why.
+func TestColdServersAreLogged(t *testing.T) {
+	is := is.New(t)
+	var logged bytes.Buffer
+	r := newRoster()
+	r.Log = slog.New(slog.NewTextHandler(&logged, nil))
+	s := server("i-1")
+	s.Cold = 2 * time.Second
+	r.Put(start, s)
+	s.Sequence = 2
+	r.Put(start.Add(time.Second), s)
+	r.SetEvacuated(start.Add(time.Minute), map[id.Zone]bool{"a-1": true})
+	r.SetEvacuated(start.Add(time.Minute), nil)
+	r.SetEvacuated(start.Add(time.Minute), map[id.Zone]bool{"a-1": true})
+	r.SetEvacuated(start.Add(time.Minute), nil)
+	is.Equal(strings.Count(logged.String(), `msg="backend server cold" server=i-1 service=registry for=2s source=registration`), 1)
+	is.Equal(strings.Count(logged.String(), `msg="backend server cold" server=i-1 service=registry for=3s source=evacuationEnded`), 1)
+	is.Equal(strings.Count(logged.String(), `msg="backend server cold"`), 2)
+}
+
 func TestBusyCountsOtherEntries(t *testing.T) {
 	is := is.New(t)
 	r := newRoster()
