coldcheck: servers are asked whether they are cold while the store is silent

Callers' requests flooded servers that had become cold again while the platform's store was unavailable: 32 in one second, 30.5 allowed.

Cause: entries learn that a server is cold from its registration, from the end of its zone's evacuation, or when they reach it again. The first two come from the store alone. While no entry hears from it, a server that becomes cold keeps the load of a warm one. Its health checks say so, but no entry made any.

Entries send each other the age of the store's latest answer to any of them. Once it is older than the stable time, two entries near each server check it five times a second. What they find is told to all entries at once; these send the server nothing for a second, in which what was sent before counts, and then their parts of its rate. A check waits for a slot like any request, longest at a busy server that has just become cold: while its answer is overdue the server gets nothing either.

--- a/internal/heartbeat/detector.go
+++ b/internal/heartbeat/detector.go
@@ -105,6 +105,9 @@
 		// Relay is its address for requests that other entries pass on, invalid if it
 		// takes none. In contrast to the fields before, it is relayed.
 		Relay netip.AddrPort `cbor:"16,keyasint,omitzero"`
+		// StoreAge is the time since the latest answer of the store to any entry that the
+		// sender knows of, 0 if it sends none.
+		StoreAge time.Duration `cbor:"22,keyasint,omitempty"`
 		// Objects and Paces are notices for an even load. They are not relayed.
 		Objects []byte `cbor:"20,keyasint,omitempty"`
 		Paces   []byte `cbor:"21,keyasint,omitempty"`
@@ -124,6 +127,9 @@
 		CrashDigest quarantine.Digest
 		// Limits holds reports of limits that servers have named.
 		Limits []serverlimit.Report
+		// StoreAge is the time since the latest answer of the store to any entry that the
+		// sender knows of, 0 if it sends none.
+		StoreAge time.Duration
 		// Objects and Paces are notices for an even load.
 		Objects, Paces []byte
 	}
@@ -425,7 +431,7 @@
 	}
 	d.mu.Unlock()
 	if d.OnUpdate != nil {
-		d.OnUpdate(now, Update{From: m.From.Instance, Changes: m.Invalidations, Crashes: m.From.Crashes, CrashDigest: m.From.CrashDigest, Limits: m.From.Limits, Objects: m.From.Objects, Paces: m.From.Paces})
+		d.OnUpdate(now, Update{From: m.From.Instance, Changes: m.Invalidations, Crashes: m.From.Crashes, CrashDigest: m.From.CrashDigest, Limits: m.From.Limits, StoreAge: m.From.StoreAge, Objects: m.From.Objects, Paces: m.From.Paces})
 	}
 	return true
 }
--- /dev/null
+++ b/internal/node/cold.go
@@ -0,0 +1,232 @@
+package node
+
+import (
+	"cmp"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/shallotpier/shallotpier/internal/coldcheck"
+	"github.com/shallotpier/shallotpier/internal/datagram"
+	"github.com/shallotpier/shallotpier/internal/follow"
+	"github.com/shallotpier/shallotpier/internal/heartbeat"
+	"github.com/shallotpier/shallotpier/internal/owner"
+	"github.com/shallotpier/shallotpier/internal/roster"
+	"github.com/shallotpier/shallotpier/internal/sockopt"
+	"github.com/shallotpier/shallotpier/pkg/id"
+)
+
+const (
+	// coldCheckInterval is the time between two checks of a server by one entry. With the
+	// requests that a busy server gets in that time and the ones until the finding is known,
+	// a second holds fewer than a cold server takes.
+	coldCheckInterval = 200 * time.Millisecond
+	// coldCheckers is the number of entries that check a server. If one is lost, the other goes
+	// on until the loss is noticed.
+	coldCheckers = 2
+	// coldCheckPatience is the time after which the answer to a check is overdue, longer than
+	// requests wait at a server that keeps up. Cold servers work more slowly and get a queue.
+	coldCheckPatience = 200 * time.Millisecond
+	// overdueHold is for how long a server gets no requests whose answer is overdue, longer than
+	// it takes until the entries are told again.
+	overdueHold = 250 * time.Millisecond
+	// coldCheckTimeout bounds a check.
+	coldCheckTimeout = 3 * time.Second
+	// maxHealthHead bounds the head of the answer to a health check in bytes.
+	maxHealthHead = 64 << 10
+	// maxHealthBody bounds what is read of its body.
+	maxHealthBody = 4 << 10
+	// healthIdleTimeout is how long the connection of a check is kept for the next one. A server
+	// with a long queue accepts no new connections.
+	healthIdleTimeout = 2 * time.Second
+	// coldRecheck is how long before the end of its slow start a server is checked again, since
+	// it may have become cold anew meanwhile.
+	coldRecheck = time.Second
+	// coldTargetsTTL is for how long the targets of the checks are kept.
+	coldTargetsTTL = 500 * time.Millisecond
+)
+
+// coldChecks finds servers that become cold while the store is unavailable to all entries.
+type coldChecks struct {
+	coldcheck.Checker
+	client http.Client
+
+	// The fields below are used by tick only.
+
+	// answered is the time of the store's latest answer to this entry.
+	answered time.Time
+	// until is the end of the checks after the store is available again.
+	until   time.Time
+	running bool
+	// targets are the servers that this entry checks, as of a time.
+	targets     []coldcheck.Target
+	targetsFrom time.Time
+}
+
+// prepareColdChecks sets up the checks of servers that may have become cold.
+func (n *Node) prepareColdChecks() {
+	n.storeContact.Clock = n.clock
+	n.cold.client = http.Client{
+		Timeout:       coldCheckTimeout,
+		Transport:     &http.Transport{DialContext: dialForCheck, MaxIdleConnsPerHost: 1, IdleConnTimeout: healthIdleTimeout, MaxResponseHeaderBytes: maxHealthHead},
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+	n.cold.Checker = coldcheck.Checker{
+		Interval: coldCheckInterval, Patience: coldCheckPatience, Ask: n.askHealth, Apply: n.applyCold, Tell: n.tellCold, Log: n.options.Log, Metrics: n.options.Metrics,
+	}
+	n.questions.Handle(datagram.Cold, func(_ netip.AddrPort, message []byte) []byte {
+		n.cold.Receive(message)
+		return nil
+	})
+}
+
+// dialForCheck connects to a server. The connection ends before its answer is overdue if the
+// path to the server is cut, as then the server doesn't acknowledge the check.
+func dialForCheck(ctx context.Context, network, address string) (net.Conn, error) {
+	d := net.Dialer{Timeout: connectTimeout, Control: sockopt.LimitUnacked(coldCheckPatience)}
+	return d.DialContext(ctx, network, address)
+}
+
+// checkCold checks servers while the store has been silent to all entries for longer than
+// [Options.StoreSilence], and after that until their registrations are up to date again.
+func (n *Node) checkCold(ctx context.Context, now time.Time) {
+	c := &n.cold
+	n.observeStore(now)
+	if n.options.StoreSilence <= 0 || n.options.Health == nil {
+		return
+	}
+	silent := n.storeSilentFor(now)
+	if silent > n.options.StoreSilence {
+		c.until = now.Add(n.options.MissingServerGrace)
+	}
+	if running := now.Before(c.until); running != c.running {
+		c.running = running
+		n.options.Log.Info("checks of servers that may have become cold", "running", running, "storeSilent", silent)
+	}
+	if !c.running || n.leaving() {
+		c.Step(ctx, nil)
+		return
+	}
+	if now.Sub(c.targetsFrom) >= coldTargetsTTL {
+		c.targets, c.targetsFrom = n.coldTargets(now), now
+	}
+	c.Step(ctx, c.targets)
+}
+
+// observeStore records the store's latest answer to this entry. Evacuations and registrations
+// both tell of cold servers.
+func (n *Node) observeStore(now time.Time) {
+	s := n.options.Store
+	if s[follow.Servers] == nil || s[follow.EvacuatedZones] == nil {
+		return
+	}
+	age := max(s.Age(follow.Servers, now), s.Age(follow.EvacuatedZones, now))
+	if answered := now.Add(-age); answered.After(n.started) && answered.After(n.cold.answered) {
+		n.cold.answered = answered
+		n.storeContact.Observe(age)
+	}
+}
+
+// storeSilentFor returns the time since the store's latest answer to any entry, or since the
+// start if there was none.
+func (n *Node) storeSilentFor(now time.Time) time.Duration {
+	if age, known := n.storeContact.Age(); known {
+		return age
+	}
+	return now.Sub(n.started)
+}
+
+// coldTargets returns the servers that this entry checks. Each server is checked by a few of the
+// entries that are ready, if possible of its own region.
+func (n *Node) coldTargets(now time.Time) []coldcheck.Target {
+	entries := slices.DeleteFunc(n.Heartbeats.Alive(now), func(other heartbeat.Node) bool { return !other.Ready })
+	seeds := make([]uint64, len(entries))
+	for i := range entries {
+		seeds[i] = owner.Seed(id.Server(entries[i].Instance))
+	}
+	self := owner.Seed(id.Server(n.options.Self.Instance))
+	c, view := n.config.Load(), n.Roster.View()
+	if c == nil {
+		return nil
+	}
+	var out []coldcheck.Target
+	for _, svc := range view.Services() {
+		path := c.Services[svc].HealthPath
+		if !strings.HasPrefix(path, "/") {
+			continue
+		}
+		for _, m := range view.Members(svc) {
+			if m.ColdLeft(now) > coldRecheck {
+				continue
+			}
+			before := 0
+			for i := range entries {
+				if prefersCheck(m, entries[i].Region, seeds[i], n.options.Self.Region, self) {
+					before++
+				}
+			}
+			if before < coldCheckers {
+				out = append(out, coldcheck.Target{Server: m.Name, StartedAt: m.StartedAt, Address: m.Address, Path: path})
+			}
+		}
+	}
+	return out
+}
+
+// prefersCheck reports whether an entry is preferred to this one for checks of a server.
+func prefersCheck(m *roster.Member, region id.Region, seed uint64, ownRegion id.Region, own uint64) bool {
+	near := func(r id.Region) int {
+		if r == m.Region {
+			return 1
+		}
+		return 0
+	}
+	return cmp.Or(cmp.Compare(near(region), near(ownRegion)), cmp.Compare(owner.Score(seed, m.Seed), owner.Score(own, m.Seed))) > 0
+}
+
+// askHealth makes one health check.
+func (n *Node) askHealth(ctx context.Context, t coldcheck.Target) (time.Duration, error) {
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+t.Address+t.Path, nil)
+	if err != nil {
+		return 0, eris.Wrap(err, "create health check")
+	}
+	resp, err := n.cold.client.Do(r)
+	if err != nil {
+		return 0, eris.Wrap(err, "health check")
+	}
+	_, _ = io.CopyN(io.Discard, resp.Body, maxHealthBody) // so that the connection can be used again
+	_ = resp.Body.Close()
+	name, left, err := n.options.Health(resp.Header)
+	switch {
+	case err != nil:
+		return 0, eris.Wrap(err, "health check")
+	case name != t.Server:
+		return 0, eris.Errorf("health check of %s answered by %.40q", t.Server, name)
+	}
+	return left, nil
+}
+
+// applyCold applies what a health check has found.
+func (n *Node) applyCold(now time.Time, f coldcheck.Finding) bool {
+	if f.Overdue {
+		return n.Roster.ObserveOverdue(now, f.Server, f.StartedAt, overdueHold)
+	}
+	return n.Roster.ObserveCold(now, f.Server, f.StartedAt, f.Left)
+}
+
+// tellCold tells all other entries.
+func (n *Node) tellCold(message []byte) {
+	for _, other := range n.Heartbeats.Alive(time.Now()) {
+		if other.Relay.IsValid() {
+			// A datagram that is lost is sent again.
+			_ = n.questions.Tell(other.Relay, datagram.Cold, message)
+		}
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -53,6 +53,7 @@
 	"github.com/shallotpier/shallotpier/internal/retry"
 	"github.com/shallotpier/shallotpier/internal/roster"
 	"github.com/shallotpier/shallotpier/internal/serverlimit"
+	"github.com/shallotpier/shallotpier/internal/storecontact"
 	"github.com/shallotpier/shallotpier/internal/upstream"
 	"github.com/shallotpier/shallotpier/pkg/id"
 	"github.com/shallotpier/shallotpier/pkg/unit"
@@ -164,6 +165,12 @@
 		// StayAway extracts the time for which a server that turns a request away wants
 		// no others, 0 if it names none; nil if servers name none.
 		StayAway func(http.Header) (time.Duration, error)
+		// Health extracts the name of the server and the rest of its slow start from the header
+		// of the answer to a health check; nil if servers have none.
+		Health func(http.Header) (id.Server, time.Duration, error)
+		// StoreSilence is the time without an answer of the store to any entry after which
+		// servers may have become cold unnoticed; 0 if that is not to be considered.
+		StoreSilence time.Duration
 		// Clock is the clock of the configuration's proofs; nil for that of the machine.
 		Clock boottime.Clock
 		// Log receives a line per event.
@@ -215,6 +222,9 @@
 		configuredAt atomic.Pointer[time.Time]
 		freshness    *freshness.Loop
 		clock        boottime.Clock
+		// storeContact keeps the age of the store's latest answer to any entry.
+		storeContact storecontact.Tracker
+		cold         coldChecks
 		crashReports crashreports.Exchange
 		limits       *serverlimit.Table
 		quotas       *quotas
@@ -259,6 +269,7 @@
 	n.crashReports.Register(&n.peers)
 	n.questions.Log = o.Log
 	n.prepareFreshness()
+	n.prepareColdChecks()
 	n.quotas = n.newQuotas()
 	n.handler.Order = &n.order
 	n.gauges(o.Metrics)
@@ -335,6 +346,7 @@
 	self.Unreached = n.unreachedServers()
 	self.Changes = n.options.Store.Changes()
 	self.StoreAvailableFor = n.options.Store.AvailableFor(follow.Servers, time.Now())
+	self.StoreAge, _ = n.storeContact.Age()
 	self.CrashDigest = n.Quarantine.Digest(time.Now())
 	if n.Quarantine.Active() {
 		self.Crashes = n.Quarantine.Reports(time.Now(), heartbeat.MaxCrashReports)
@@ -351,6 +363,9 @@
 		}
 	}
 	n.applyLimits(now, &update)
+	if update.StoreAge > 0 {
+		n.storeContact.Observe(update.StoreAge)
+	}
 	n.dispatcher.LearnObjects(now, update.Objects)
 	n.Roster.LearnPaces(now, update.Paces)
 	n.crashReports.Compare(update.From, update.CrashDigest)
@@ -607,6 +622,7 @@
 			n.stepQuotas(now)
 			n.stepOrder(now)
 			n.checkConnections(ctx, now)
+			n.checkCold(ctx, now)
 			n.upstream.CloseIdle(now)
 			n.relays.CloseIdle(now)
 			n.idleConns.close(now, n.callerIdleTimeout())
--- a/internal/roster/member.go
+++ b/internal/roster/member.go
@@ -30,16 +30,7 @@
 	missedFor = 3 * time.Second
 )
 
-// Sources of the knowledge that a server is cold, in logs.
-const (
-	registered     coldSource = "registration"
-	evacuationOver coldSource = "evacuationEnded"
-	reachedAgain   coldSource = "reachedAgain"
-)
-
 type (
-	coldSource string
-
 	// Member is a backend server in a view.
 	Member struct {
 		Server
@@ -102,6 +93,9 @@
 		record    outlier.Record
 		outlier   bool
 		coldUntil time.Time
+		// heldUntil is the end of the time without requests after a server that all entries
+		// took for warm has become cold.
+		heldUntil time.Time
 		// leaving is set once an answer has said that the server is leaving.
 		leaving bool
 		// awayUntil is the end of the time in which the server wants no requests.
@@ -364,7 +358,7 @@
 // ready reports whether the server's health and its cold rate allow a request.
 func (s *state) ready(now time.Time, m *Member) bool {
 	v, _ := s.verdict(now)
-	if s.leaving || v == health.No || v == health.Trial && !s.connectFailed.IsZero() || !m.zone.ok() {
+	if s.leaving || now.Before(s.heldUntil) || v == health.No || v == health.Trial && !s.connectFailed.IsZero() || !m.zone.ok() {
 		return false
 	}
 	return !now.Before(s.coldUntil) || s.limiter.Available(now, m.coldShare())
@@ -384,22 +378,6 @@
 	return v, wait
 }
 
-// setCold treats the server as cold until a time.
-func (m *Member) setCold(now, until time.Time, from coldSource) {
-	m.state.mu.Lock()
-	defer m.state.mu.Unlock()
-	m.extendCold(now, until, from)
-}
-
-// extendCold is like setCold. The caller holds the state's lock.
-func (m *Member) extendCold(now, until time.Time, from coldSource) {
-	s := m.state
-	if !now.Before(s.coldUntil) && until.After(now) {
-		m.zone.log.Info("backend server cold", "server", m.Name, "service", m.Service, "for", until.Sub(now), "source", from)
-	}
-	s.coldUntil = later(s.coldUntil, until)
-}
-
 func later(a, b time.Time) time.Time {
 	if b.After(a) {
 		return b
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -75,6 +75,8 @@
 		// ColdRate is the number of requests per second that a cold server handles
 		// from all entries together.
 		ColdRate float64 `json:"coldRate"`
+		// HealthPath is the path of the servers' health check, empty if they have none.
+		HealthPath string `json:"healthPath,omitempty"`
 	}
 
 	// ColdBound is the permitted excess of all entries' requests over a cold server's
@@ -387,6 +389,9 @@
 	m.restores = r.restores
 	m.takeOver(old, before)
 	if s.Cold > 0 {
+		if old != nil && m.state == old.state {
+			m.hold(now)
+		}
 		m.setCold(now, now.Add(s.Cold), registered)
 	}
 	r.members[s.Name] = m
