coldcheck: findings are checked when they are decoded; overdue ones aren't repeated

A repeated message could hold a server for 0.2 s after its check was answered where it also told of a cold one. The body of a health check is read only if it is short, so that a body without end doesn't make the check overdue.

--- a/internal/coldcheck/checker.go
+++ b/internal/coldcheck/checker.go
@@ -3,19 +3,22 @@
 //
 // A server may become cold at any moment, after which it takes few requests from all entries
 // together. Its registration says so, but can't be read while the store is unavailable. Its
-// health checks say so too; one that isn't answered in time may be that of a cold server. Entries share the servers among them, each of which is checked by
-// a few of them several times a second. What they find is told to all entries at once, since
-// each of them sends to the server.
+// health checks say so too. They wait for a slot like requests, so that a check which isn't
+// answered in time may be that of a cold server with a queue.
+//
+// Each server is checked by a few entries several times a second. What they find is told to all
+// entries at once, since each of them sends to the server.
 //
 // # Usage
 //
-//	c := &coldcheck.Checker{Interval: interval, Ask: ask, Apply: apply, Tell: tell, Log: log}
+//	c := &coldcheck.Checker{
+//		Interval: interval, Patience: patience, Ask: ask, Apply: apply, Tell: tell, Log: log, Metrics: set,
+//	}
 //	c.Step(ctx, targets)  // whenever the servers to check may have changed
 //	c.Receive(message)    // of another entry
 package coldcheck
 
 import (
-	"cmp"
 	"context"
 	"log/slog"
 	"math/rand/v2"
@@ -43,6 +46,8 @@
 	// maxFindings is the maximum number of findings in a message, which then fits into a
 	// packet.
 	maxFindings = 16
+	// maxLeft is the longest slow start that another entry may tell of.
+	maxLeft = 24 * time.Hour
 )
 
 type (
@@ -239,7 +244,12 @@
 	found := c.found
 	c.found = nil
 	c.mu.Unlock()
-	slices.SortStableFunc(found, func(a, b Finding) int { return cmp.Compare(b.Left, a.Left) })
+	c.send(slices.DeleteFunc(slices.Clone(found), func(f Finding) bool { return f.Overdue }), repeats)
+	c.send(slices.DeleteFunc(found, func(f Finding) bool { return !f.Overdue }), 1)
+}
+
+// send sends findings to the other entries a number of times.
+func (c *Checker) send(found []Finding, times int) {
 	for part := range slices.Chunk(found, maxFindings) {
 		message, err := cbor.Marshal(part)
 		if err != nil {
@@ -247,15 +257,15 @@
 			return
 		}
 		c.Tell(message)
-		if part[0].Overdue {
-			continue
-		}
-		for n := 1; n < repeats; n++ {
+		for n := 1; n < times; n++ {
 			time.AfterFunc(time.Duration(n)*repeatTime, func() { c.Tell(message) })
 		}
 	}
 }
 
+// valid reports whether the finding says that its server is cold, for a plausible time, or may be.
+func (f *Finding) valid() bool { return f.Overdue || f.Left > 0 && f.Left <= maxLeft }
+
 // Receive applies the findings in a message of another entry.
 func (c *Checker) Receive(message []byte) {
 	var found []Finding
@@ -265,7 +275,7 @@
 	}
 	now := time.Now()
 	for _, f := range found {
-		if (f.Left > 0 || f.Overdue) && c.Apply(now, f) {
+		if f.valid() && c.Apply(now, f) {
 			c.Metrics.GetOrCreateCounter(`shallotpier_cold_reports_total`).Inc()
 		}
 	}
--- a/internal/node/cold.go
+++ b/internal/node/cold.go
@@ -41,7 +41,7 @@
 	coldCheckTimeout = 3 * time.Second
 	// maxHealthHead bounds the head of the answer to a health check in bytes.
 	maxHealthHead = 64 << 10
-	// maxHealthBody bounds what is read of its body.
+	// maxHealthBody is the longest body of that answer that is read, in bytes.
 	maxHealthBody = 4 << 10
 	// healthIdleTimeout is how long the connection of a check is kept for the next one. A server
 	// with a long queue accepts no new connections.
@@ -201,8 +201,10 @@
 	if err != nil {
 		return 0, eris.Wrap(err, "health check")
 	}
-	_, _ = io.CopyN(io.Discard, resp.Body, maxHealthBody) // so that the connection can be used again
-	_ = resp.Body.Close()
+	defer func() { _ = resp.Body.Close() }()
+	if 0 <= resp.ContentLength && resp.ContentLength <= maxHealthBody {
+		_, _ = io.Copy(io.Discard, resp.Body) // so that the connection can be used again
+	}
 	name, left, err := n.options.Health(resp.Header)
 	switch {
 	case err != nil:
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -432,6 +432,7 @@
 		}
 		return 0
 	})
+	set.GetOrCreateGauge(`shallotpier_store_silent_seconds`, func() float64 { return n.storeSilentFor(time.Now()).Seconds() })
 	// Entries with equal lists of crash reports have equal sizes.
 	set.GetOrCreateGauge(`shallotpier_crash_reports`, func() float64 { return float64(n.Quarantine.Size()) })
 	set.GetOrCreateGauge(`shallotpier_requests_running`, func() float64 { return float64(n.handler.Running()) })
--- a/internal/roster/cold.go
+++ b/internal/roster/cold.go
@@ -34,9 +34,9 @@
 	return true
 }
 
-// ObserveOverdue records that a server has not answered a health check in time. It gets no
-// requests for a moment, since it may be cold, unless that is known or it is held already. It
-// reports whether it is held from now on.
+// ObserveOverdue records that a server has not answered a health check in time. As it may be cold,
+// it gets no requests for a moment. ObserveOverdue returns false, and does nothing, if the server is
+// known to be cold or is not known at all.
 func (r *Roster) ObserveOverdue(now time.Time, name id.Server, startedAt int64, moment time.Duration) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
