coldcheck, storecontact: checks begin as soon as a call fails, and hold no warm server

- The age of the store's answer got younger with each heartbeat, by the time of its transmission, and by seconds where an entry had been frozen and read old ones.
Reports now name the answer by its origin, so that one is counted once, and the time at which they were sent.
- Servers whose checks were overdue got nothing.
Overdue checks hold nothing any more.
Entries say whether they make checks.
- Findings with long server names didn't fit into a message and were lost; repeated ones counted as new.

--- a/internal/coldcheck/checker.go
+++ b/internal/coldcheck/checker.go
@@ -3,17 +3,12 @@
 //
 // A server may become cold at any moment, after which it takes few requests from all entries
 // together. Its registration says so, but can't be read while the store is unavailable. Its
-// health checks say so too. They wait for a slot like requests, so that a check which isn't
-// answered in time may be that of a cold server with a queue.
-//
-// Each server is checked by a few entries several times a second. What they find is told to all
-// entries at once, since each of them sends to the server.
+// health checks say so too. Each server is checked by a few entries several times a second. All
+// entries are notified at once of what they find, since each of them sends to the server.
 //
 // # Usage
 //
-//	c := &coldcheck.Checker{
-//		Interval: interval, Patience: patience, Ask: ask, Apply: apply, Tell: tell, Log: log, Metrics: set,
-//	}
+//	c := &coldcheck.Checker{Interval: interval, Check: check, Apply: apply, Notify: notify, MaxMessage: size, Log: log, Metrics: set}
 //	c.Step(ctx, targets)  // whenever the servers to check may have changed
 //	c.Receive(message)    // of another entry
 package coldcheck
@@ -22,7 +17,6 @@
 	"context"
 	"log/slog"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"time"
 
@@ -36,17 +30,14 @@
 	// maxRunning is the maximum number of checks at the same time. Where there are more
 	// servers to check, the others wait.
 	maxRunning = 64
-	// gatherTime is how long a finding waits for others before it is told: servers of a zone
+	// gatherTime is how long a finding waits for others to be sent with it: servers of a zone
 	// become cold together.
 	gatherTime = 10 * time.Millisecond
-	// repeats is how often a finding is told, since datagrams may be lost, and repeatTime the
+	// repeats is how often a finding is sent, since datagrams may be lost, and repeatTime the
 	// time between two of them.
 	repeats    = 3
 	repeatTime = 100 * time.Millisecond
-	// maxFindings is the maximum number of findings in a message, which then fits into a
-	// packet.
-	maxFindings = 16
-	// maxLeft is the longest slow start that another entry may tell of.
+	// maxLeft is the longest slow start in a finding of another entry.
 	maxLeft = 24 * time.Hour
 )
 
@@ -63,17 +54,14 @@
 		Path string
 	}
 
-	// Finding says that a server is cold, or may be.
+	// Finding says that a server is cold.
 	Finding struct {
 		// Server is the server's name.
 		Server id.Server `cbor:"1,keyasint"`
 		// StartedAt is the Unix time of its start in milliseconds, 0 if unknown.
 		StartedAt int64 `cbor:"2,keyasint,omitempty"`
-		// Left is for how much longer the server is cold, 0 if Overdue is set.
-		Left time.Duration `cbor:"3,keyasint,omitempty"`
-		// Overdue is set if the server has not answered a check in time. It may be cold: such
-		// a server takes longer, and checks wait for a slot like requests.
-		Overdue bool `cbor:"4,keyasint,omitempty"`
+		// Left is for how much longer the server is cold.
+		Left time.Duration `cbor:"3,keyasint"`
 	}
 
 	// Checker checks servers. Its exported fields must be set before its first use and must
@@ -81,16 +69,16 @@
 	Checker struct {
 		// Interval is the time between two checks of a server.
 		Interval time.Duration
-		// Ask makes one check and returns for how much longer the server is cold, 0 if it is
+		// Check makes one check and returns for how much longer the server is cold, 0 if it is
 		// not.
-		Ask func(ctx context.Context, t Target) (time.Duration, error)
-		// Patience is the time after which the answer to a check is overdue.
-		Patience time.Duration
-		// Apply records a finding of this entry or another. It reports whether the finding
-		// was new.
+		Check func(ctx context.Context, t Target) (time.Duration, error)
+		// Apply records a finding of this entry or another. It reports whether the finding was
+		// new.
 		Apply func(now time.Time, f Finding) bool
-		// Tell sends a message to all other entries, which pass it to Receive.
-		Tell func(message []byte)
+		// Notify sends a message to all other entries, which pass it to Receive.
+		Notify func(message []byte)
+		// MaxMessage is the length of the longest message with several findings in bytes.
+		MaxMessage int
 		// Log receives a line for each message that can't be read.
 		Log *slog.Logger
 		// Metrics receives the counters.
@@ -100,14 +88,7 @@
 		loops map[id.Server]*loop
 		// free has one element for each running check; nil before the first.
 		free  chan struct{}
-		found []Finding // not told yet
-		// answered is the time of the latest answer of any server.
-		answered time.Time
-	}
-
-	answer struct {
-		left time.Duration
-		err  error
+		found []Finding // that the others have not been notified of
 	}
 
 	// loop checks one server again and again.
@@ -163,69 +144,34 @@
 		case <-ctx.Done():
 			return
 		}
-		c.check(ctx, t)
+		if ctx.Err() == nil { // select may choose any of its cases
+			c.check(ctx, t)
+		}
 		<-c.free
 	}
 }
 
-// check makes one check. While its answer is overdue, the server counts as one that may be cold.
+// check makes one check.
 func (c *Checker) check(ctx context.Context, t Target) {
-	began := time.Now()
-	answers := make(chan answer, 1)
-	go func() {
-		left, err := c.Ask(ctx, t)
-		answers <- answer{left, err}
-	}()
-	timer := time.NewTimer(c.Patience)
-	defer timer.Stop()
-	for {
-		select {
-		case a := <-answers:
-			if ctx.Err() == nil {
-				c.finish(t, a)
-			}
-			return
-		case <-timer.C:
-			if c.answeredSince(began) {
-				c.count("overdue")
-				c.note(Finding{Server: t.Server, StartedAt: t.StartedAt, Overdue: true})
-			}
-			timer.Reset(repeatTime)
-		}
-	}
-}
-
-// finish records the answer to a check.
-func (c *Checker) finish(t Target, a answer) {
-	if a.err != nil {
+	left, err := c.Check(ctx, t)
+	switch {
+	case ctx.Err() != nil:
+	case err != nil:
 		c.count("failed")
-		return
-	}
-	c.mu.Lock()
-	c.answered = time.Now()
-	c.mu.Unlock()
-	if a.left <= 0 {
+	case left <= 0:
 		c.count("warm")
-		return
+	default:
+		c.count("cold")
+		c.note(Finding{Server: t.Server, StartedAt: t.StartedAt, Left: left})
 	}
-	c.count("cold")
-	c.note(Finding{Server: t.Server, StartedAt: t.StartedAt, Left: a.left})
-}
-
-// answeredSince reports whether any server has answered since a time. If none has, it is this
-// entry that the answers don't reach.
-func (c *Checker) answeredSince(at time.Time) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.answered.After(at)
 }
 
 func (c *Checker) count(result string) {
 	c.Metrics.GetOrCreateCounter(`shallotpier_cold_checks_total{result="` + result + `"}`).Inc()
 }
 
-// note applies a finding of this entry, and tells the others of it soon unless they have told
-// this one.
+// note applies a finding of this entry, and soon notifies the others unless they have notified this
+// one.
 func (c *Checker) note(f Finding) {
 	if !c.Apply(time.Now(), f) {
 		return
@@ -233,38 +179,38 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.found = append(c.found, f); len(c.found) == 1 {
-		time.AfterFunc(gatherTime, c.tell)
+		time.AfterFunc(gatherTime, c.notify)
 	}
 }
 
-// tell tells the other entries of all findings that were not told yet. Those that are overdue are
-// found again soon, the others are repeated.
-func (c *Checker) tell() {
+// notify notifies the other entries of the findings that they have not been notified of.
+func (c *Checker) notify() {
 	c.mu.Lock()
 	found := c.found
 	c.found = nil
 	c.mu.Unlock()
-	c.send(slices.DeleteFunc(slices.Clone(found), func(f Finding) bool { return f.Overdue }), repeats)
-	c.send(slices.DeleteFunc(found, func(f Finding) bool { return !f.Overdue }), 1)
+	c.send(found)
 }
 
-// send sends findings to the other entries a number of times.
-func (c *Checker) send(found []Finding, times int) {
-	for part := range slices.Chunk(found, maxFindings) {
-		message, err := cbor.Marshal(part)
-		if err != nil {
-			c.Log.Error("findings not encoded", "err", err)
-			return
-		}
-		c.Tell(message)
-		for n := 1; n < times; n++ {
-			time.AfterFunc(time.Duration(n)*repeatTime, func() { c.Tell(message) })
-		}
+// send sends findings to the other entries, in as many messages as it takes.
+func (c *Checker) send(found []Finding) {
+	message, err := cbor.Marshal(found)
+	switch {
+	case err != nil:
+		c.Log.Error("findings not encoded", "err", err)
+		return
+	case len(message) > c.MaxMessage && len(found) > 1:
+		c.send(found[:len(found)/2])
+		c.send(found[len(found)/2:])
+		return
+	}
+	for n := range repeats {
+		time.AfterFunc(time.Duration(n)*repeatTime, func() { c.Notify(message) })
 	}
 }
 
-// valid reports whether the finding says that its server is cold, for a plausible time, or may be.
-func (f *Finding) valid() bool { return f.Overdue || f.Left > 0 && f.Left <= maxLeft }
+// valid reports whether the time of the finding is plausible.
+func (f *Finding) valid() bool { return f.Left > 0 && f.Left <= maxLeft }
 
 // Receive applies the findings in a message of another entry.
 func (c *Checker) Receive(message []byte) {
--- a/internal/datagram/exchange.go
+++ b/internal/datagram/exchange.go
@@ -10,7 +10,7 @@
 //	x.Handle(kind, func(from netip.AddrPort, question []byte) []byte { return answer })
 //	go x.Run(ctx, packetConn)
 //	answer, err := x.Ask(ctx, addr, kind, question)
-//	err = x.Tell(addr, kind, message) // gets no answer
+//	err = x.Send(addr, kind, message) // gets no answer
 package datagram
 
 import (
@@ -39,7 +39,7 @@
 	Freshness Kind = 1
 	// Quota asks for grants of organisations' quotas.
 	Quota Kind = 2
-	// Cold tells of servers that are cold. It gets no answer.
+	// Cold notifies of servers that are cold. It gets no answer.
 	Cold Kind = 3
 )
 
@@ -159,8 +159,8 @@
 	}
 }
 
-// Tell sends a message that gets no answer to another entry, once. It may be lost.
-func (x *Exchange) Tell(to netip.AddrPort, kind Kind, payload []byte) error {
+// Send sends a message that gets no answer to another entry, once. It may be lost.
+func (x *Exchange) Send(to netip.AddrPort, kind Kind, payload []byte) error {
 	if len(payload) > MaxPayload {
 		return eris.Errorf("message has %d bytes, want at most %d", len(payload), MaxPayload)
 	}
--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -247,6 +247,13 @@
 	}
 }
 
+// Unavailable reports whether the latest call has failed.
+func (f *Follower) Unavailable() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.unavailable
+}
+
 // Age returns the time since the store's last answer.
 func (f *Follower) Age(now time.Time) time.Duration {
 	f.mu.Lock()
--- a/internal/heartbeat/detector.go
+++ b/internal/heartbeat/detector.go
@@ -43,6 +43,7 @@
 	"github.com/shallotpier/shallotpier/internal/quarantine"
 	"github.com/shallotpier/shallotpier/internal/serverlimit"
 	"github.com/shallotpier/shallotpier/internal/store"
+	"github.com/shallotpier/shallotpier/internal/storecontact"
 	"github.com/shallotpier/shallotpier/pkg/id"
 )
 
@@ -105,9 +106,9 @@
 		// Relay is its address for requests that other entries pass on, invalid if it
 		// takes none. In contrast to the fields before, it is relayed.
 		Relay netip.AddrPort `cbor:"16,keyasint,omitzero"`
-		// StoreAge is the time since the latest answer of the store to any entry that the
-		// sender knows of, 0 if it sends none.
-		StoreAge time.Duration `cbor:"22,keyasint,omitempty"`
+		// StoreContact tells of the store's latest answer to any entry; nil if the sender
+		// knows of none.
+		StoreContact *storecontact.Report `cbor:"22,keyasint,omitempty"`
 		// Objects and Paces are notices for an even load. They are not relayed.
 		Objects []byte `cbor:"20,keyasint,omitempty"`
 		Paces   []byte `cbor:"21,keyasint,omitempty"`
@@ -115,8 +116,9 @@
 
 	// Update is the content of a heartbeat beside the liveness of entries.
 	Update struct {
-		// From is the sender.
-		From id.Instance
+		// From is the sender, and Incarnation its process.
+		From        id.Instance
+		Incarnation id.Incarnation
 		// Changes holds the versions of the newest store changes known to the
 		// sender, received from the store or from other entries.
 		Changes map[follow.Kind]store.Version
@@ -127,9 +129,9 @@
 		CrashDigest quarantine.Digest
 		// Limits holds reports of limits that servers have named.
 		Limits []serverlimit.Report
-		// StoreAge is the time since the latest answer of the store to any entry that the
-		// sender knows of, 0 if it sends none.
-		StoreAge time.Duration
+		// StoreContact tells of the store's latest answer to any entry; nil if the sender
+		// knows of none.
+		StoreContact *storecontact.Report
 		// Objects and Paces are notices for an even load.
 		Objects, Paces []byte
 	}
@@ -431,7 +433,7 @@
 	}
 	d.mu.Unlock()
 	if d.OnUpdate != nil {
-		d.OnUpdate(now, Update{From: m.From.Instance, Changes: m.Invalidations, Crashes: m.From.Crashes, CrashDigest: m.From.CrashDigest, Limits: m.From.Limits, StoreAge: m.From.StoreAge, Objects: m.From.Objects, Paces: m.From.Paces})
+		d.OnUpdate(now, Update{From: m.From.Instance, Incarnation: m.From.Incarnation, Changes: m.Invalidations, Crashes: m.From.Crashes, CrashDigest: m.From.CrashDigest, Limits: m.From.Limits, StoreContact: m.From.StoreContact, Objects: m.From.Objects, Paces: m.From.Paces})
 	}
 	return true
 }
--- a/internal/heartbeat/zone.go
+++ b/internal/heartbeat/zone.go
@@ -258,5 +258,6 @@
 // relayed returns the state of an entry without the fields that are not relayed.
 func relayed(n Node) Node {
 	n.Changes, n.StoreAvailableFor, n.Crashes, n.CrashDigest, n.Limits, n.Unreached = nil, 0, nil, 0, nil, nil
+	n.StoreContact = nil
 	return n
 }
--- a/internal/node/cold.go
+++ b/internal/node/cold.go
@@ -13,11 +13,13 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/shallotpier/shallotpier/internal/boottime"
 	"github.com/shallotpier/shallotpier/internal/coldcheck"
 	"github.com/shallotpier/shallotpier/internal/datagram"
 	"github.com/shallotpier/shallotpier/internal/follow"
 	"github.com/shallotpier/shallotpier/internal/heartbeat"
 	"github.com/shallotpier/shallotpier/internal/owner"
+	"github.com/shallotpier/shallotpier/internal/peer"
 	"github.com/shallotpier/shallotpier/internal/roster"
 	"github.com/shallotpier/shallotpier/internal/sockopt"
 	"github.com/shallotpier/shallotpier/pkg/id"
@@ -31,14 +33,12 @@
 	// coldCheckers is the number of entries that check a server. If one is lost, the other goes
 	// on until the loss is noticed.
 	coldCheckers = 2
-	// coldCheckPatience is the time after which the answer to a check is overdue, longer than
-	// requests wait at a server that keeps up. Cold servers work more slowly and get a queue.
-	coldCheckPatience = 200 * time.Millisecond
-	// overdueHold is for how long a server gets no requests whose answer is overdue, longer than
-	// it takes until the entries are told again.
-	overdueHold = 250 * time.Millisecond
-	// coldCheckTimeout bounds a check.
+	// coldCheckTimeout bounds a check. A check that is given up waits at the end of the server's
+	// queue again.
 	coldCheckTimeout = 3 * time.Second
+	// maxUnreached is the share of a service's servers out of reach from which an entry makes no
+	// checks.
+	maxUnreached = 0.5
 	// maxHealthHead bounds the head of the answer to a health check in bytes.
 	maxHealthHead = 64 << 10
 	// maxHealthBody is the longest body of that answer that is read, in bytes.
@@ -49,6 +49,9 @@
 	// coldRecheck is how long before the end of its slow start a server is checked again, since
 	// it may have become cold anew meanwhile.
 	coldRecheck = time.Second
+	// stallTime is the time without a step from which the process counts as having been paused,
+	// and the time after a pause for which what it reads may be old.
+	stallTime = 500 * time.Millisecond
 	// coldTargetsTTL is for how long the targets of the checks are kept.
 	coldTargetsTTL = 500 * time.Millisecond
 )
@@ -62,9 +65,13 @@
 
 	// answered is the time of the store's latest answer to this entry.
 	answered time.Time
+	// stepped is the time of the latest step, and stalled that of the latest one that came
+	// late, since the process was paused.
+	stepped, stalled boottime.Instant
 	// until is the end of the checks after the store is available again.
 	until   time.Time
 	running bool
+	failing bool // calls to the store fail, as of the latest step
 	// targets are the servers that this entry checks, as of a time.
 	targets     []coldcheck.Target
 	targetsFrom time.Time
@@ -72,6 +79,7 @@
 
 // prepareColdChecks sets up the checks of servers that may have become cold.
 func (n *Node) prepareColdChecks() {
+	n.storeContact.Self = peer.Sender{Instance: n.options.Self.Instance, Incarnation: n.options.Self.Incarnation}
 	n.storeContact.Clock = n.clock
 	n.cold.client = http.Client{
 		Timeout:       coldCheckTimeout,
@@ -79,7 +87,7 @@
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 	n.cold.Checker = coldcheck.Checker{
-		Interval: coldCheckInterval, Patience: coldCheckPatience, Ask: n.askHealth, Apply: n.applyCold, Tell: n.tellCold, Log: n.options.Log, Metrics: n.options.Metrics,
+		Interval: coldCheckInterval, Check: n.checkHealth, Apply: n.applyCold, Notify: n.notifyCold, MaxMessage: datagram.MaxPayload, Log: n.options.Log, Metrics: n.options.Metrics,
 	}
 	n.questions.Handle(datagram.Cold, func(_ netip.AddrPort, message []byte) []byte {
 		n.cold.Receive(message)
@@ -87,30 +95,35 @@
 	})
 }
 
-// dialForCheck connects to a server. The connection ends before its answer is overdue if the
-// path to the server is cut, as then the server doesn't acknowledge the check.
+// dialForCheck connects to a server. The connection ends soon if the path to the server is cut, so
+// that the next check uses another one.
 func dialForCheck(ctx context.Context, network, address string) (net.Conn, error) {
-	d := net.Dialer{Timeout: connectTimeout, Control: sockopt.LimitUnacked(coldCheckPatience)}
+	d := net.Dialer{Timeout: connectTimeout, Control: sockopt.LimitUnacked(connectTimeout)}
 	return d.DialContext(ctx, network, address)
 }
 
-// checkCold checks servers while the store has been silent to all entries for longer than
-// [Options.StoreSilence], and after that until their registrations are up to date again.
+// checkCold checks servers while calls of this entry or another to the store fail, or it has been
+// silent to all entries for longer than [Options.StoreSilence], and after that until their
+// registrations are up to date again.
 func (n *Node) checkCold(ctx context.Context, now time.Time) {
 	c := &n.cold
 	n.observeStore(now)
 	if n.options.StoreSilence <= 0 || n.options.Health == nil {
 		return
 	}
-	silent := n.storeSilentFor(now)
-	if silent > n.options.StoreSilence {
+	silent, fails := n.storeSilentFor(now), n.storeFails()
+	if fails && !c.failing {
+		n.Heartbeats.AnnounceSoon()
+	}
+	c.failing = fails
+	if silent > n.options.StoreSilence || fails || n.storeContact.OthersFail() {
 		c.until = now.Add(n.options.MissingServerGrace)
 	}
 	if running := now.Before(c.until); running != c.running {
 		c.running = running
 		n.options.Log.Info("checks of servers that may have become cold", "running", running, "storeSilent", silent)
 	}
-	if !c.running || n.leaving() {
+	if !c.running || !n.checksServers() {
 		c.Step(ctx, nil)
 		return
 	}
@@ -120,18 +133,42 @@
 	c.Step(ctx, c.targets)
 }
 
-// observeStore records the store's latest answer to this entry. Evacuations and registrations
-// both tell of cold servers.
+// checksServers reports whether this entry makes checks: it is not shutting down, and reaches most
+// servers.
+func (n *Node) checksServers() bool {
+	for _, unreached := range n.unreachedServers() {
+		if unreached > maxUnreached {
+			return false
+		}
+	}
+	return n.serving()
+}
+
+// storeFails reports whether the latest call to the store that tells of cold servers has failed:
+// registrations and evacuations both do.
+func (n *Node) storeFails() bool {
+	servers, zones := n.options.Store[follow.Servers], n.options.Store[follow.EvacuatedZones]
+	return servers != nil && zones != nil && (servers.Unavailable() || zones.Unavailable())
+}
+
+// observeStore records the store's latest answer to this entry. After a pause of the process an
+// answer may have been read that arrived before it; such answers are left out.
 func (n *Node) observeStore(now time.Time) {
-	s := n.options.Store
-	if s[follow.Servers] == nil || s[follow.EvacuatedZones] == nil {
+	c, s, clock := &n.cold, n.options.Store, n.clock()
+	if c.stepped > 0 && clock.Sub(c.stepped) > stallTime {
+		c.stalled = clock
+	}
+	c.stepped = clock
+	if s[follow.Servers] == nil || s[follow.EvacuatedZones] == nil || c.stalled > 0 && clock.Sub(c.stalled) < stallTime {
 		return
 	}
 	age := max(s.Age(follow.Servers, now), s.Age(follow.EvacuatedZones, now))
-	if answered := now.Add(-age); answered.After(n.started) && answered.After(n.cold.answered) {
-		n.cold.answered = answered
-		n.storeContact.Observe(age)
+	answered := now.Add(-age)
+	if c.stalled > 0 && clock.Add(-age) < c.stalled.Add(stallTime) || !answered.After(n.started) || !answered.After(c.answered) {
+		return
 	}
+	c.answered = answered
+	n.storeContact.Observe(age)
 }
 
 // storeSilentFor returns the time since the store's latest answer to any entry, or since the
@@ -144,9 +181,11 @@
 }
 
 // coldTargets returns the servers that this entry checks. Each server is checked by a few of the
-// entries that are ready, if possible of its own region.
+// live entries, if possible of its own region.
 func (n *Node) coldTargets(now time.Time) []coldcheck.Target {
-	entries := slices.DeleteFunc(n.Heartbeats.Alive(now), func(other heartbeat.Node) bool { return !other.Ready })
+	entries := slices.DeleteFunc(n.Heartbeats.Alive(now), func(other heartbeat.Node) bool {
+		return n.storeContact.Declines(peer.Sender{Instance: other.Instance, Incarnation: other.Incarnation})
+	})
 	seeds := make([]uint64, len(entries))
 	for i := range entries {
 		seeds[i] = owner.Seed(id.Server(entries[i].Instance))
@@ -191,8 +230,8 @@
 	return cmp.Or(cmp.Compare(near(region), near(ownRegion)), cmp.Compare(owner.Score(seed, m.Seed), owner.Score(own, m.Seed))) > 0
 }
 
-// askHealth makes one health check.
-func (n *Node) askHealth(ctx context.Context, t coldcheck.Target) (time.Duration, error) {
+// checkHealth makes one health check.
+func (n *Node) checkHealth(ctx context.Context, t coldcheck.Target) (time.Duration, error) {
 	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+t.Address+t.Path, nil)
 	if err != nil {
 		return 0, eris.Wrap(err, "create health check")
@@ -217,18 +256,15 @@
 
 // applyCold applies what a health check has found.
 func (n *Node) applyCold(now time.Time, f coldcheck.Finding) bool {
-	if f.Overdue {
-		return n.Roster.ObserveOverdue(now, f.Server, f.StartedAt, overdueHold)
-	}
 	return n.Roster.ObserveCold(now, f.Server, f.StartedAt, f.Left)
 }
 
-// tellCold tells all other entries.
-func (n *Node) tellCold(message []byte) {
+// notifyCold sends findings to all other entries.
+func (n *Node) notifyCold(message []byte) {
 	for _, other := range n.Heartbeats.Alive(time.Now()) {
 		if other.Relay.IsValid() {
 			// A datagram that is lost is sent again.
-			_ = n.questions.Tell(other.Relay, datagram.Cold, message)
+			_ = n.questions.Send(other.Relay, datagram.Cold, message)
 		}
 	}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -346,7 +346,7 @@
 	self.Unreached = n.unreachedServers()
 	self.Changes = n.options.Store.Changes()
 	self.StoreAvailableFor = n.options.Store.AvailableFor(follow.Servers, time.Now())
-	self.StoreAge, _ = n.storeContact.Age()
+	self.StoreContact = n.storeContact.Report(n.storeFails(), n.checksServers())
 	self.CrashDigest = n.Quarantine.Digest(time.Now())
 	if n.Quarantine.Active() {
 		self.Crashes = n.Quarantine.Reports(time.Now(), heartbeat.MaxCrashReports)
@@ -363,9 +363,7 @@
 		}
 	}
 	n.applyLimits(now, &update)
-	if update.StoreAge > 0 {
-		n.storeContact.Observe(update.StoreAge)
-	}
+	n.storeContact.Receive(peer.Sender{Instance: update.From, Incarnation: update.Incarnation}, update.StoreContact)
 	n.dispatcher.LearnObjects(now, update.Objects)
 	n.Roster.LearnPaces(now, update.Paces)
 	n.crashReports.Compare(update.From, update.CrashDigest)
--- a/internal/roster/cold.go
+++ b/internal/roster/cold.go
@@ -15,8 +15,8 @@
 )
 
 // coldTolerance is by how much statements of the rest of a slow start differ because of the time
-// that they take.
-const coldTolerance = 100 * time.Millisecond
+// that they take, those that are repeated included.
+const coldTolerance = 300 * time.Millisecond
 
 type coldSource string
 
@@ -34,29 +34,6 @@
 	return true
 }
 
-// ObserveOverdue records that a server has not answered a health check in time. As it may be cold,
-// it gets no requests for a moment. ObserveOverdue returns false, and does nothing, if the server is
-// known to be cold or is not known at all.
-func (r *Roster) ObserveOverdue(now time.Time, name id.Server, startedAt int64, moment time.Duration) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	m := r.members[name]
-	if m == nil || m.StartedAt != startedAt {
-		return false
-	}
-	s := m.state
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if now.Before(s.coldUntil) {
-		return false
-	}
-	if !now.Before(s.heldUntil) {
-		r.Log.Info("backend server held", "server", m.Name, "service", m.Service, "for", moment, "cause", "health check overdue")
-	}
-	s.heldUntil = later(s.heldUntil, now.Add(moment))
-	return true
-}
-
 // hold keeps requests from a server that is found to be cold, but was not known to be so. All
 // entries have sent it requests as to a warm server until now, which count toward the rate of
 // a cold one for the length of a window.
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -389,7 +389,7 @@
 	m.restores = r.restores
 	m.takeOver(old, before)
 	if s.Cold > 0 {
-		if old != nil && m.state == old.state {
+		if old != nil && m.state == old.state && s.Cold > coldTolerance {
 			m.hold(now)
 		}
 		m.setCold(now, now.Add(s.Cold), registered)
