--- a/internal/datagram/exchange_test.go
+++ b/internal/datagram/exchange_test.go
@@ -110,3 +110,26 @@
 	_, err := ask(t, &asker, to, "q")
 	is.True(err != nil)
 }
+
+// Guards against messages that are not sent, or sent more than once, without an error.
+func TestSend(t *testing.T) {
+	is := is.New(t)
+	var sender, receiver datagram.Exchange
+	got := make(chan int, 10)
+	receiver.Handle(kind, func(_ netip.AddrPort, m []byte) []byte { return m })
+	receiver.Handle(kind+1, func(_ netip.AddrPort, m []byte) []byte {
+		got <- len(m)
+		return nil
+	})
+	to := start(t, &receiver)
+	is.Equal(sender.Send(to, kind+1, nil).Error(), "exchange is not running")
+	start(t, &sender)
+	_, err := ask(t, &sender, to, "q") // so that it runs
+	is.NoErr(err)
+	is.Equal(sender.Send(to, kind+1, make([]byte, datagram.MaxPayload+1)).Error(), "message has 1201 bytes, want at most 1200")
+	is.NoErr(sender.Send(to, kind+1, make([]byte, datagram.MaxPayload)))
+	is.Equal(<-got, datagram.MaxPayload)
+	_, err = ask(t, &sender, to, "q") // on loopback, datagrams keep their order
+	is.NoErr(err)
+	is.Equal(len(got), 0)
+}
--- a/internal/heartbeat/detector.go
+++ b/internal/heartbeat/detector.go
@@ -106,8 +106,8 @@
 		// Relay is its address for requests that other entries pass on, invalid if it
 		// takes none. In contrast to the fields before, it is relayed.
 		Relay netip.AddrPort `cbor:"16,keyasint,omitzero"`
-		// StoreContact tells of the store's latest answer to any entry; nil if the sender
-		// knows of none.
+		// StoreContact tells of the store's latest answer to any entry; nil from builds that
+		// don't send it.
 		StoreContact *storecontact.Report `cbor:"22,keyasint,omitempty"`
 		// Objects and Paces are notices for an even load. They are not relayed.
 		Objects []byte `cbor:"20,keyasint,omitempty"`
@@ -129,8 +129,8 @@
 		CrashDigest quarantine.Digest
 		// Limits holds reports of limits that servers have named.
 		Limits []serverlimit.Report
-		// StoreContact tells of the store's latest answer to any entry; nil if the sender
-		// knows of none.
+		// StoreContact tells of the store's latest answer to any entry; nil from builds that
+		// don't send it.
 		StoreContact *storecontact.Report
 		// Objects and Paces are notices for an even load.
 		Objects, Paces []byte
--- a/internal/node/cold.go
+++ b/internal/node/cold.go
@@ -49,6 +49,9 @@
 	// coldRecheck is how long before the end of its slow start a server is checked again, since
 	// it may have become cold anew meanwhile.
 	coldRecheck = time.Second
+	// failureMargin is how much longer than [Options.StoreSilence] it takes until the age of the
+	// store's latest answer tells whether calls fail for all entries.
+	failureMargin = time.Second
 	// stallTime is the time without a step from which the process counts as having been paused,
 	// and the time after a pause for which what it reads may be old.
 	stallTime = 500 * time.Millisecond
@@ -71,7 +74,10 @@
 	// until is the end of the checks after the store is available again.
 	until   time.Time
 	running bool
-	failing bool // calls to the store fail, as of the latest step
+	// failing is the time since which calls of any entry to the store fail, zero if none do, and
+	// ownFailing is set while this entry's do.
+	failing    time.Time
+	ownFailing bool
 	// targets are the servers that this entry checks, as of a time.
 	targets     []coldcheck.Target
 	targetsFrom time.Time
@@ -102,24 +108,23 @@
 	return d.DialContext(ctx, network, address)
 }
 
-// checkCold checks servers while calls of this entry or another to the store fail, or it has been
-// silent to all entries for longer than [Options.StoreSilence], and after that until their
-// registrations are up to date again.
+// checkCold checks servers while the store has been silent to all entries for longer than
+// [Options.StoreSilence], and after that until their registrations are up to date again. It does so
+// too from when calls of this entry or another to the store begin to fail until it is known whether
+// they fail for all.
 func (n *Node) checkCold(ctx context.Context, now time.Time) {
 	c := &n.cold
 	n.observeStore(now)
 	if n.options.StoreSilence <= 0 || n.options.Health == nil {
 		return
 	}
-	silent, fails := n.storeSilentFor(now), n.storeFails()
-	if fails && !c.failing {
-		n.Heartbeats.AnnounceSoon()
-	}
-	c.failing = fails
-	if silent > n.options.StoreSilence || fails || n.storeContact.OthersFail() {
+	silent := n.storeSilentFor(now)
+	if silent > n.options.StoreSilence {
 		c.until = now.Add(n.options.MissingServerGrace)
 	}
-	if running := now.Before(c.until); running != c.running {
+	n.observeFailures(now)
+	mayFail := !c.failing.IsZero() && now.Sub(c.failing) < n.options.StoreSilence+failureMargin
+	if running := mayFail || now.Before(c.until); running != c.running {
 		c.running = running
 		n.options.Log.Info("checks of servers that may have become cold", "running", running, "storeSilent", silent)
 	}
@@ -151,6 +156,22 @@
 	return servers != nil && zones != nil && (servers.Unavailable() || zones.Unavailable())
 }
 
+// observeFailures records since when calls of any entry to the store fail, and tells the others of
+// those of this one.
+func (n *Node) observeFailures(now time.Time) {
+	c, own := &n.cold, n.storeFails()
+	if own && !c.ownFailing {
+		n.Heartbeats.AnnounceSoon()
+	}
+	c.ownFailing = own
+	switch {
+	case !own && !n.storeContact.OthersFail():
+		c.failing = time.Time{}
+	case c.failing.IsZero():
+		c.failing = now
+	}
+}
+
 // observeStore records the store's latest answer to this entry. After a pause of the process an
 // answer may have been read that arrived before it; such answers are left out.
 func (n *Node) observeStore(now time.Time) {
--- a/internal/node/export_test.go
+++ b/internal/node/export_test.go
@@ -1,6 +1,9 @@
 package node
 
 import (
+	"context"
+	"net"
+	"net/http"
 	"time"
 
 	"github.com/shallotpier/shallotpier/internal/forward"
@@ -17,3 +20,17 @@
 
 // LogReadiness logs the readiness as the entry does ten times a second.
 func (n *Node) LogReadiness(now time.Time) { n.logReadiness(now) }
+
+// RunColdChecks runs the checks of cold servers, whose requests are sent through transport, and
+// what they need of the entry.
+func (n *Node) RunColdChecks(ctx context.Context, heartbeats, questions net.PacketConn, transport http.RoundTripper) {
+	n.cold.client.Transport = transport
+	go func() { _ = n.Heartbeats.Run(ctx, heartbeats) }()
+	go func() { _ = n.questions.Run(ctx, questions) }()
+	for ; ctx.Err() == nil; time.Sleep(tickInterval) {
+		n.checkCold(ctx, time.Now())
+	}
+}
+
+// StoreSilentFor returns the time since the store's latest answer to any entry.
+func (n *Node) StoreSilentFor() time.Duration { return n.storeSilentFor(time.Now()) }
--- a/internal/storecontact/tracker.go
+++ b/internal/storecontact/tracker.go
@@ -52,7 +52,7 @@
 		_ struct{} `cbor:",toarray"`
 
 		// Origin identifies the process of the entry that had the answer, and AnsweredMs the
-		// answer among those that it had.
+		// answer among those that it had. Origin is 0 if the sender knows of no answer.
 		Origin     uint32
 		AnsweredMs uint64
 		// AgeMs is the age of the answer in milliseconds.
@@ -125,27 +125,25 @@
 	}
 }
 
-// Report returns the report for other entries, nil if no answer is known. Failing and checks are
-// the report's fields of these names.
+// Report returns the report for other entries. Failing and checks are the report's fields of these
+// names.
 func (t *Tracker) Report(failing, checks bool) *Report {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.latest == nil {
-		return nil
-	}
 	now := t.Clock()
-	return &Report{
-		Origin: t.latest.origin, AnsweredMs: t.latest.answered,
-		AgeMs:  uint32(min(now.Sub(t.latest.at).Milliseconds(), math.MaxUint32)),
-		SentMs: milliseconds(time.Duration(now)), Failing: failing, Checks: checks,
+	r := &Report{SentMs: milliseconds(time.Duration(now)), Failing: failing, Checks: checks}
+	if t.latest != nil {
+		r.Origin, r.AnsweredMs = t.latest.origin, t.latest.answered
+		r.AgeMs = uint32(min(milliseconds(now.Sub(t.latest.at)), math.MaxUint32))
 	}
+	return r
 }
 
 func milliseconds(d time.Duration) uint64 { return uint64(max(d.Milliseconds(), 0)) }
 
 // originOf returns the value that identifies a process in reports.
 func originOf(s peer.Sender) uint32 {
-	return uint32(xxhash.Sum64String(fmt.Sprintf("%s %d", s.Instance, s.Incarnation)))
+	return max(uint32(xxhash.Sum64String(fmt.Sprintf("%s %d", s.Instance, s.Incarnation))), 1)
 }
 
 // Receive applies the report of another entry, if it sent one.
@@ -163,6 +161,9 @@
 	}
 	s.offset = min(s.offset+now.Sub(s.heard)/maxDrift, offset)
 	s.heard, s.report = now, *r
+	if r.Origin == 0 {
+		return
+	}
 	age := time.Duration(r.AgeMs)*time.Millisecond + offset - s.offset
 	t.observe(contact{r.Origin, r.AnsweredMs, now.Add(-age)})
 }
