coldcheck: entries that start later hear of cold servers too

An entry now sends the findings of its checks again every 0.5 s until they end.

`coldcheck` TestFindings, TestFindingsOfLongNames pass with -race.

--- a/internal/coldcheck/checker.go
+++ b/internal/coldcheck/checker.go
@@ -9,7 +9,7 @@
 // # Usage
 //
 //	c := &coldcheck.Checker{Interval: interval, Check: check, Apply: apply, Notify: notify, MaxMessage: size, Log: log, Metrics: set}
-//	c.Step(ctx, targets)  // whenever the servers to check may have changed
+//	c.Step(ctx, targets)  // several times a second
 //	c.Receive(message)    // of another entry
 package coldcheck
 
@@ -37,6 +37,9 @@
 	// time between two of them.
 	repeats    = 3
 	repeatTime = 100 * time.Millisecond
+	// renewTime is the time between two messages with all findings that have not ended, for
+	// entries that have started or learnt of a server since.
+	renewTime = 500 * time.Millisecond
 	// maxLeft is the longest slow start in a finding of another entry.
 	maxLeft = 24 * time.Hour
 )
@@ -89,6 +92,16 @@
 		// free has one element for each running check; nil before the first.
 		free  chan struct{}
 		found []Finding // that the others have not been notified of
+		// cold holds the findings of this entry's checks until they end, and renewed is the time
+		// at which the others were last notified of all of them.
+		cold    map[id.Server]coldUntil
+		renewed time.Time
+	}
+
+	// coldUntil is a finding with the end of the slow start.
+	coldUntil struct {
+		finding Finding
+		end     time.Time
 	}
 
 	// loop checks one server again and again.
@@ -98,12 +111,13 @@
 	}
 )
 
-// Step sets the servers to check. Checks of servers that are not among them end. The first check
+// Step sets the servers to check, and is called several times a second. Checks of servers that are not among them end. The first check
 // of a server comes at a random time within the interval, so that entries that share a server
 // don't check it in step.
 func (c *Checker) Step(ctx context.Context, targets []Target) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.renew(time.Now())
 	if len(targets) == 0 && len(c.loops) == 0 {
 		return
 	}
@@ -178,33 +192,58 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.cold == nil {
+		c.cold = make(map[id.Server]coldUntil)
+	}
+	c.cold[f.Server] = coldUntil{f, time.Now().Add(f.Left)}
 	if c.found = append(c.found, f); len(c.found) == 1 {
 		time.AfterFunc(gatherTime, c.notify)
 	}
 }
 
+// renew notifies the other entries again of the findings of this entry that have not ended. The
+// caller holds the lock.
+func (c *Checker) renew(now time.Time) {
+	if len(c.cold) == 0 || now.Sub(c.renewed) < renewTime {
+		return
+	}
+	c.renewed = now
+	var found []Finding
+	for name, cold := range c.cold {
+		f := cold.finding
+		if f.Left = cold.end.Sub(now); f.Left <= 0 {
+			delete(c.cold, name)
+			continue
+		}
+		found = append(found, f)
+	}
+	if len(found) > 0 {
+		go c.send(found, 1)
+	}
+}
+
 // notify notifies the other entries of the findings that they have not been notified of.
 func (c *Checker) notify() {
 	c.mu.Lock()
 	found := c.found
 	c.found = nil
 	c.mu.Unlock()
-	c.send(found)
+	c.send(found, repeats)
 }
 
-// send sends findings to the other entries, in as many messages as it takes.
-func (c *Checker) send(found []Finding) {
+// send sends findings to the other entries a number of times, in as many messages as it takes.
+func (c *Checker) send(found []Finding, times int) {
 	message, err := cbor.Marshal(found)
 	switch {
 	case err != nil:
 		c.Log.Error("findings not encoded", "err", err)
 		return
 	case len(message) > c.MaxMessage && len(found) > 1:
-		c.send(found[:len(found)/2])
-		c.send(found[len(found)/2:])
+		c.send(found[:len(found)/2], times)
+		c.send(found[len(found)/2:], times)
 		return
 	}
-	for n := range repeats {
+	for n := range times {
 		time.AfterFunc(time.Duration(n)*repeatTime, func() { c.Notify(message) })
 	}
 }
--- a/internal/coldcheck/checker_test.go
+++ b/internal/coldcheck/checker_test.go
@@ -221,6 +221,9 @@
 		time.Sleep(interval)
 		cancel()
 		time.Sleep(interval * 3)
+		synctest.Wait()
+		e.mu.Lock()
+		defer e.mu.Unlock()
 		is.True(longest <= maxMessage)
 		names := make(map[id.Server]bool)
 		for _, f := range e.told {
