node: health checks don't wait for a body that hangs

Callers' requests went on as to a warm server meanwhile. The wait for the body is now bounded by 50 ms, as all that counts is in the head; the connection is given up if the body is late.

TestColdServerIsKnownToAllEntries has such answers, and a server that becomes cold again in the last second of its slow start: it failed with the old code in the first case, and fails in both without the repeated check (coldRecheck).

--- a/internal/coldcheck/checker.go
+++ b/internal/coldcheck/checker.go
@@ -111,9 +111,9 @@
 	}
 )
 
-// Step sets the servers to check, and is called several times a second. Checks of servers that are not among them end. The first check
-// of a server comes at a random time within the interval, so that entries that share a server
-// don't check it in step.
+// Step sets the servers to check, and is called several times a second. Checks of servers that are
+// not among them end. The first check of a server comes at a random time within the interval, so
+// that entries that share a server don't check it in step.
 func (c *Checker) Step(ctx context.Context, targets []Target) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/node/cold.go
+++ b/internal/node/cold.go
@@ -43,6 +43,8 @@
 	maxHealthHead = 64 << 10
 	// maxHealthBody is the longest body of that answer that is read, in bytes.
 	maxHealthBody = 4 << 10
+	// healthBodyTimeout bounds the wait for that body after the head, which has all that counts.
+	healthBodyTimeout = 50 * time.Millisecond
 	// healthIdleTimeout is how long the connection of a check is kept for the next one. A server
 	// with a long queue accepts no new connections.
 	healthIdleTimeout = 2 * time.Second
@@ -253,6 +255,8 @@
 
 // checkHealth makes one health check.
 func (n *Node) checkHealth(ctx context.Context, t coldcheck.Target) (time.Duration, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+t.Address+t.Path, nil)
 	if err != nil {
 		return 0, eris.Wrap(err, "create health check")
@@ -263,6 +267,7 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	if 0 <= resp.ContentLength && resp.ContentLength <= maxHealthBody {
+		defer time.AfterFunc(healthBodyTimeout, cancel).Stop()
 		_, _ = io.Copy(io.Discard, resp.Body) // so that the connection can be used again
 	}
 	name, left, err := n.options.Health(resp.Header)
--- a/internal/node/cold_test.go
+++ b/internal/node/cold_test.go
@@ -40,6 +40,7 @@
 		mu     sync.Mutex
 		inbox  map[string]chan virtualDatagram
 		cold   string           // the server that says that it is cold
+		hang   bool             // the bodies of health checks don't arrive
 		checks map[string][]int // of a server by entries, in order
 	}
 
@@ -57,8 +58,18 @@
 	}
 
 	healthTransport func(*http.Request) (*http.Response, error)
+
+	// hangingBody is the body of an answer that doesn't arrive.
+	hangingBody struct{ ctx context.Context }
 )
 
+func (b hangingBody) Read([]byte) (int, error) {
+	<-b.ctx.Done()
+	return 0, b.ctx.Err()
+}
+
+func (hangingBody) Close() error { return nil }
+
 func (f healthTransport) RoundTrip(r *http.Request) (*http.Response, error) { return f(r) }
 
 func (c *virtualConn) WriteTo(p []byte, to net.Addr) (int, error) {
@@ -129,6 +140,9 @@
 		if r.URL.Host == d.cold {
 			h.Set("Left", "5s")
 		}
+		if d.hang {
+			return &http.Response{Body: hangingBody{r.Context()}, ContentLength: 1, Header: h}, nil
+		}
 		return &http.Response{Body: http.NoBody, Header: h}, nil
 	}))
 }
@@ -204,24 +218,39 @@
 }
 
 // Guards against an entry that starts while the store is unavailable and ends the others' checks,
-// and against a finding that doesn't reach all entries at once.
+// against a finding that doesn't reach all entries at once, or waits for a body that hangs, and
+// against a server that becomes cold again before its slow start ends and counts as warm then.
 func TestColdServerIsKnownToAllEntries(t *testing.T) {
-	runChecked(t, 5, 0, 10*time.Millisecond, func(ctx context.Context, t *testing.T, d *checkedEntries) {
-		is := is.New(t)
-		d.start(ctx, t, true)
-		for range 10 {
-			is.Equal(len(d.checksIn(time.Second)), checkedServers) // go on
-		}
-		d.mu.Lock()
-		d.cold = "s-1"
-		d.mu.Unlock()
-		time.Sleep(300 * time.Millisecond) // the interval, and the way to the others
-		for _, n := range d.nodes {
-			is.True(n.StoreSilentFor() > silence && n.StoreSilentFor() < time.Hour) // since its start, as no answer is known
-			for _, m := range n.Roster.View().Members(svc) {
-				is.Equal(m.Cold(time.Now()), m.Name == "s-1")
-				is.Equal(m.Ready(time.Now()), m.Name != "s-1")
-			}
-		}
-	})
+	for name, hang := range map[string]bool{"answers": false, "answers whose bodies hang": true} {
+		t.Run(name, func(t *testing.T) {
+			runChecked(t, 5, 0, 10*time.Millisecond, func(ctx context.Context, t *testing.T, d *checkedEntries) {
+				is := is.New(t)
+				d.start(ctx, t, true)
+				for range 10 {
+					is.Equal(len(d.checksIn(time.Second)), checkedServers) // go on
+				}
+				d.mu.Lock()
+				d.cold, d.hang = "s-1", hang
+				d.mu.Unlock()
+				time.Sleep(300 * time.Millisecond) // the interval, and the way to the others
+				for _, n := range d.nodes {
+					is.True(n.StoreSilentFor() > silence && n.StoreSilentFor() < time.Hour) // since its start, as no answer is known
+					for _, m := range n.Roster.View().Members(svc) {
+						is.Equal(m.Cold(time.Now()), m.Name == "s-1")
+						is.Equal(m.Ready(time.Now()), m.Name != "s-1")
+					}
+				}
+				time.Sleep(500 * time.Millisecond)                   // targets are kept for so long
+				is.Equal(len(d.checksIn(2 * time.Second)["s-1"]), 0) // known to be cold
+				for range 30 {
+					time.Sleep(500 * time.Millisecond)
+					for _, n := range d.nodes {
+						for _, m := range n.Roster.View().Members(svc) {
+							is.Equal(m.Cold(time.Now()), m.Name == "s-1")
+						}
+					}
+				}
+			})
+		})
+	}
 }
