--- a/internal/admission/local/admitter_test.go
+++ b/internal/admission/local/admitter_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/shallotpier/shallotpier/internal/admission"
 	"github.com/shallotpier/shallotpier/internal/admission/local"
+	"github.com/shallotpier/shallotpier/internal/simclock"
 	"github.com/shallotpier/shallotpier/pkg/id"
 	"github.com/shallotpier/shallotpier/pkg/result"
 	"github.com/shallotpier/shallotpier/pkg/service"
@@ -71,7 +72,7 @@
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			simclock.Test(t, func(t *testing.T) {
 				is := is.New(t)
 				f := file(tt.server)
 				if name == "service without servers" {
@@ -93,7 +94,7 @@
 }
 
 func TestAdmitterServesInOrderOfArrival(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	simclock.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		f := file(service.Server{Name: "a", Slots: 1, Connections: 1})
 		a := admitter(f, 1, 0, 10)
@@ -125,7 +126,7 @@
 }
 
 func TestAdmitterKeepsSlotWhileServerMayRunRequest(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	simclock.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		f := file(service.Server{Name: "a", Slots: 1, Connections: 1})
 		a := admitter(f, 1, 0, 10)
@@ -140,7 +141,7 @@
 }
 
 func TestAdmitterRefusesWaitingRequestAtDeadline(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	simclock.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		f := file(service.Server{Name: "a", Slots: 1, Connections: 1})
 		a := admitter(f, 1, 0, 10)
@@ -182,7 +183,7 @@
 }
 
 func TestAdmitterRefusesImmediatelyIfDeadlineCannotBeMet(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	simclock.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		f := file(service.Server{Name: "a", Slots: 1, Connections: 1})
 		a := admitter(f, 1, 0, 10)
--- a/internal/admission/shared/admitter_test.go
+++ b/internal/admission/shared/admitter_test.go
@@ -6,7 +6,6 @@
 	"math/rand/v2"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -15,6 +14,7 @@
 	"github.com/shallotpier/shallotpier/internal/admission"
 	"github.com/shallotpier/shallotpier/internal/admission/shared"
 	"github.com/shallotpier/shallotpier/internal/peer"
+	"github.com/shallotpier/shallotpier/internal/simclock"
 	"github.com/shallotpier/shallotpier/internal/slots/wire"
 	"github.com/shallotpier/shallotpier/pkg/id"
 	"github.com/shallotpier/shallotpier/pkg/service"
@@ -195,7 +195,7 @@
 func TestAdmitterUsesAllSlots(t *testing.T) {
 	for name, loss := range map[string]float64{"no loss": 0, "a third lost": 0.33} {
 		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			simclock.Test(t, func(t *testing.T) {
 				is := is.New(t)
 				f := newFleet(t, loss)
 				defer f.stop()
@@ -227,7 +227,7 @@
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			simclock.Test(t, func(t *testing.T) {
 				is := is.New(t)
 				f := newFleet(t, 0)
 				defer f.stop()
@@ -264,7 +264,7 @@
 }
 
 func TestAdmitterServesWhileHomeIsDown(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	simclock.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		f := newFleet(t, 0)
 		defer f.stop()
@@ -280,7 +280,7 @@
 }
 
 func TestSlotsAreNeverExceededDespiteLossAndPartition(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	simclock.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		f := newFleet(t, 0.1)
 		defer f.stop()
@@ -319,7 +319,7 @@
 }
 
 func TestLeaveReturnsUnusedSlots(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	simclock.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		f := newFleet(t, 0)
 		defer f.stop()
@@ -353,7 +353,7 @@
 func TestAdmitterGetsSlotOfOnlyUntriedServer(t *testing.T) {
 	for _, left := range []id.Server{"a", "b", "c"} {
 		t.Run(string(left), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			simclock.Test(t, func(t *testing.T) {
 				is := is.New(t)
 				f := newFleet(t, 0)
 				defer f.stop()
@@ -383,7 +383,7 @@
 // A bucket without a home entry doesn't prevent an entry from getting slots of
 // other buckets, even if its last home entry had many free slots.
 func TestAdmitterServesWhileAnotherBucketHasNoHome(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	simclock.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		f := newFleet(t, 0)
 		defer f.stop()
--- a/internal/backend/client_test.go
+++ b/internal/backend/client_test.go
@@ -15,12 +15,12 @@
 	"sync"
 	"syscall"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
 
 	"github.com/shallotpier/shallotpier/internal/backend"
+	"github.com/shallotpier/shallotpier/internal/simclock"
 	standin "github.com/shallotpier/shallotpier/internal/standin/backend"
 	"github.com/shallotpier/shallotpier/internal/standin/pipe"
 	"github.com/shallotpier/shallotpier/pkg/result"
@@ -136,7 +136,7 @@
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			simclock.Test(t, func(t *testing.T) {
 				is := is.New(t)
 				var n pipe.Network
 				addr := netip.MustParseAddrPort("10.0.0.1:80")
@@ -201,7 +201,7 @@
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			simclock.Test(t, func(t *testing.T) {
 				is := is.New(t)
 				c := &backend.Client{Dial: func(context.Context, netip.AddrPort) (net.Conn, error) {
 					near, _ := net.Pipe()
@@ -251,7 +251,7 @@
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			simclock.Test(t, func(t *testing.T) {
 				is := is.New(t)
 				var n pipe.Network
 				addr := netip.MustParseAddrPort("10.0.0.1:80")
--- a/internal/backend/ran_test.go
+++ b/internal/backend/ran_test.go
@@ -16,6 +16,7 @@
 	"github.com/matryer/is"
 
 	"github.com/shallotpier/shallotpier/internal/backend"
+	"github.com/shallotpier/shallotpier/internal/simclock"
 	standin "github.com/shallotpier/shallotpier/internal/standin/backend"
 	"github.com/shallotpier/shallotpier/internal/standin/pipe"
 	"github.com/shallotpier/shallotpier/pkg/result"
@@ -122,7 +123,7 @@
 // at. On a kept connection, bytes are counted from the end of an earlier
 // request.
 func sendOverCutConn(t *testing.T, form string, shed, kept bool, at cut) (got sendRecord) {
-	synctest.Test(t, func(t *testing.T) {
+	simclock.Test(t, func(t *testing.T) {
 		var n pipe.Network
 		addr := netip.MustParseAddrPort("10.0.0.1:80")
 		srv := &standin.Server{Name: "one"}
--- a/internal/boottime/clock_test.go
+++ b/internal/boottime/clock_test.go
@@ -2,12 +2,12 @@
 
 import (
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
 
 	"github.com/shallotpier/shallotpier/internal/boottime"
+	"github.com/shallotpier/shallotpier/internal/simclock"
 )
 
 // Guards against a clock that stands still or counts in another unit.
@@ -44,7 +44,7 @@
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			simclock.Test(t, func(t *testing.T) {
 				is := is.New(t)
 				begin := time.Now()
 				clock := boottime.NotBehind(func() boottime.Instant { return tt.boot(time.Since(begin)) }, time.Since)
--- a/internal/capacity/guard_test.go
+++ b/internal/capacity/guard_test.go
@@ -10,7 +10,6 @@
 	"strconv"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -22,6 +21,7 @@
 	"github.com/shallotpier/shallotpier/internal/lookup"
 	"github.com/shallotpier/shallotpier/internal/notices"
 	"github.com/shallotpier/shallotpier/internal/peer"
+	"github.com/shallotpier/shallotpier/internal/simclock"
 	"github.com/shallotpier/shallotpier/internal/slope"
 	"github.com/shallotpier/shallotpier/internal/standin/peers"
 	"github.com/shallotpier/shallotpier/internal/standin/platform"
@@ -120,7 +120,7 @@
 }
 
 func TestStoreCallsOfIdleEntries(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	simclock.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		s := new(platform.Store)
 		network := new(peers.Network)
--- a/internal/coldcheck/checker_test.go
+++ b/internal/coldcheck/checker_test.go
@@ -18,6 +18,7 @@
 	"github.com/matryer/is"
 
 	"github.com/shallotpier/shallotpier/internal/coldcheck"
+	"github.com/shallotpier/shallotpier/internal/simclock"
 	"github.com/shallotpier/shallotpier/pkg/id"
 )
 
@@ -86,7 +87,7 @@
 // Guards against servers that are checked late, seldom or after their checks have ended, and
 // against goroutines that are left: synctest reports those.
 func TestChecksKeepTheInterval(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	simclock.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		ctx, cancel := context.WithCancel(t.Context())
 		e := newEntry(map[id.Server][]reply{"s-1": {{after: interval / 2}}, "s-2": {{}}, "s-3": {{after: time.Hour}}})
@@ -141,7 +142,7 @@
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			simclock.Test(t, func(t *testing.T) {
 				is := is.New(t)
 				ctx, cancel := context.WithCancel(t.Context())
 				e := newEntry(map[id.Server][]reply{"s-1": tt.first, "s-2": tt.others})
@@ -199,7 +200,7 @@
 
 // Guards against findings that are lost because their message is too long for a datagram.
 func TestFindingsOfLongNames(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	simclock.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		const servers, maxMessage = 40, 1200
 		ctx, cancel := context.WithCancel(t.Context())
--- a/internal/config/keeper_test.go
+++ b/internal/config/keeper_test.go
@@ -16,6 +16,7 @@
 	"github.com/shallotpier/shallotpier/internal/config"
 	"github.com/shallotpier/shallotpier/internal/peer"
 	"github.com/shallotpier/shallotpier/internal/publish"
+	"github.com/shallotpier/shallotpier/internal/simclock"
 	"github.com/shallotpier/shallotpier/internal/standin/peers"
 	"github.com/shallotpier/shallotpier/internal/standin/platform"
 	"github.com/shallotpier/shallotpier/pkg/id"
@@ -137,7 +138,7 @@
 }
 
 func withFleet(t *testing.T, test func(f *fleet)) {
-	synctest.Test(t, func(t *testing.T) {
+	simclock.Test(t, func(t *testing.T) {
 		f := newFleet(t)
 		time.Sleep(time.Hour)
 		test(f)
--- a/internal/crashcheck/checker_test.go
+++ b/internal/crashcheck/checker_test.go
@@ -5,12 +5,12 @@
 	"sync"
 	"sync/atomic"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
 
 	"github.com/shallotpier/shallotpier/internal/crashcheck"
+	"github.com/shallotpier/shallotpier/internal/simclock"
 	"github.com/shallotpier/shallotpier/pkg/id"
 )
 
@@ -50,7 +50,7 @@
 // Many connections that one server's end breaks off at once must not cost as many
 // connections to other servers.
 func TestConcurrentChecksShareTheComparison(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	simclock.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		var asked atomic.Int64
 		c := &crashcheck.Checker{Connect: func(_ context.Context, address string) bool {
@@ -103,7 +103,7 @@
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			simclock.Test(t, func(t *testing.T) {
 				is := is.New(t)
 				c := &crashcheck.Checker{Timeout: connectTime, Connect: func(_ context.Context, address string) bool {
 					if address == "a" {
--- a/internal/crashreports/exchange_test.go
+++ b/internal/crashreports/exchange_test.go
@@ -15,6 +15,7 @@
 	"github.com/shallotpier/shallotpier/internal/crashreports"
 	"github.com/shallotpier/shallotpier/internal/peer"
 	"github.com/shallotpier/shallotpier/internal/quarantine"
+	"github.com/shallotpier/shallotpier/internal/simclock"
 	"github.com/shallotpier/shallotpier/pkg/id"
 )
 
@@ -99,7 +100,7 @@
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			simclock.Test(t, func(t *testing.T) {
 				is := is.New(t)
 				n := newNetwork()
 				all := connect(n, "a", "b", "c")
@@ -118,7 +119,7 @@
 // TestComparisonSynchronisesLists checks that a comparison transfers reports
 // and the end of a quarantine to an entry that has received neither.
 func TestComparisonSynchronisesLists(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	simclock.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		n := newNetwork()
 		all := connect(n, "a", "b")
@@ -151,7 +152,7 @@
 // An entry must pull once for each change of its list or the other's, try again after a
 // failure, and never pull where digests are equal or missing.
 func TestCompareOfDigests(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	simclock.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		n := newNetwork()
 		all := connect(n, "a", "b")
--- a/internal/crashreports/push_test.go
+++ b/internal/crashreports/push_test.go
@@ -3,19 +3,19 @@
 import (
 	"context"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
 
 	"github.com/shallotpier/shallotpier/internal/quarantine"
+	"github.com/shallotpier/shallotpier/internal/simclock"
 	"github.com/shallotpier/shallotpier/pkg/id"
 )
 
 // A comparison must also tell the entry that is asked, which may not be able to call back
 // and otherwise learns only when it chooses the one that has the reports.
 func TestComparisonTellsBothEntries(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	simclock.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		n := newNetwork()
 		all := connect(n, "a", "b")
--- a/internal/crashreports/spread_test.go
+++ b/internal/crashreports/spread_test.go
@@ -20,6 +20,7 @@
 	"github.com/shallotpier/shallotpier/internal/heartbeat"
 	"github.com/shallotpier/shallotpier/internal/peer"
 	"github.com/shallotpier/shallotpier/internal/quarantine"
+	"github.com/shallotpier/shallotpier/internal/simclock"
 	"github.com/shallotpier/shallotpier/pkg/id"
 )
 
@@ -270,7 +271,7 @@
 	t.Helper()
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
-			t.Parallel()
+			t.Parallel() // hence not simclock.Test
 			worst, late, calls := time.Duration(0), []string(nil), int64(0)
 			for seed := range *seeds {
 				synctest.Test(t, func(t *testing.T) {
@@ -340,10 +341,9 @@
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
-			t.Parallel()
 			unequal := 0
 			for seed := range 2 * *seeds {
-				synctest.Test(t, func(t *testing.T) {
+				simclock.Test(t, func(t *testing.T) {
 					ctx, cancel := context.WithCancel(t.Context())
 					s := newSpread(ctx, seed, tt.entries, tt.zones)
 					s.setLoss(func(_, _ *spreadEntry) float64 { return 0.3 })
--- a/internal/entry/fault_test.go
+++ b/internal/entry/fault_test.go
@@ -10,11 +10,11 @@
 	"strings"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
 
+	"github.com/shallotpier/shallotpier/internal/simclock"
 	standin "github.com/shallotpier/shallotpier/internal/standin/backend"
 	"github.com/shallotpier/shallotpier/pkg/result"
 )
@@ -25,7 +25,7 @@
 func TestReadsSucceedDespiteStalledConnections(t *testing.T) {
 	for _, nth := range []int{1, 2} {
 		t.Run(fmt.Sprint("one in ", nth), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) { readOverStalledConnections(t, nth) })
+			simclock.Test(t, func(t *testing.T) { readOverStalledConnections(t, nth) })
 		})
 	}
 }
@@ -76,7 +76,7 @@
 func TestConnectFailuresAreNotAttempts(t *testing.T) {
 	for _, method := range []string{"GET", "POST"} {
 		t.Run(method, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			simclock.Test(t, func(t *testing.T) {
 				is := is.New(t)
 				c := newPipeCluster(t, 3, 1)
 				c.file.Retry.Attempts = 1
@@ -95,7 +95,7 @@
 // TestHedgedCrashesLeadToQuarantine has two sends of one read in progress when
 // each crashes its server. The request must not crash a third server.
 func TestHedgedCrashesLeadToQuarantine(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	simclock.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		c := newPipeCluster(t, 5, 1)
 		c.faults(standin.Faults{Crash: func(*http.Request) bool {
@@ -123,7 +123,7 @@
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			simclock.Test(t, func(t *testing.T) {
 				is := is.New(t)
 				c := newPipeCluster(t, 4, 1)
 				for _, s := range c.servers {
@@ -150,7 +150,7 @@
 func TestCrashReportPrecedesErrorResponse(t *testing.T) {
 	for _, method := range []string{"GET", "POST"} {
 		t.Run(method, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			simclock.Test(t, func(t *testing.T) {
 				is := is.New(t)
 				c := newPipeCluster(t, 4, 2)
 				c.slowReports = 200 * time.Millisecond
@@ -175,7 +175,7 @@
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			simclock.Test(t, func(t *testing.T) {
 				is := is.New(t)
 				c := newPipeCluster(t, 3, 1)
 				c.entries[0].Budget = never{}
--- a/internal/entry/handler_test.go
+++ b/internal/entry/handler_test.go
@@ -7,11 +7,11 @@
 	"strings"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
 
+	"github.com/shallotpier/shallotpier/internal/simclock"
 	standin "github.com/shallotpier/shallotpier/internal/standin/backend"
 	"github.com/shallotpier/shallotpier/pkg/lookup"
 	"github.com/shallotpier/shallotpier/pkg/result"
@@ -158,7 +158,7 @@
 	}
 	for name, f := range tests {
 		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			simclock.Test(t, func(t *testing.T) {
 				is := is.New(t)
 				c := newPipeCluster(t, 2, 1)
 				c.servers[0].SetFaults(f)
@@ -181,7 +181,7 @@
 // later than the timeout of each attempt. Hedging must not cancel the first
 // one.
 func TestSlowReadIsNotCancelled(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	simclock.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		c := newPipeCluster(t, 3, 1)
 		c.faults(standin.Faults{ExtraTime: 900 * time.Millisecond})
--- a/internal/entry/stream_test.go
+++ b/internal/entry/stream_test.go
@@ -10,12 +10,12 @@
 	"sync"
 	"sync/atomic"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
 
 	"github.com/shallotpier/shallotpier/internal/admission"
+	"github.com/shallotpier/shallotpier/internal/simclock"
 	standin "github.com/shallotpier/shallotpier/internal/standin/backend"
 	"github.com/shallotpier/shallotpier/pkg/result"
 	"github.com/shallotpier/shallotpier/pkg/unit"
@@ -49,7 +49,7 @@
 // TestGracefulShutdownFinishesUploads shuts all entries down in turn while each
 // forwards an upload that takes 20 minutes.
 func TestGracefulShutdownFinishesUploads(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	simclock.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		c := newPipeCluster(t, 1, 3)
 		var wg sync.WaitGroup
@@ -103,7 +103,7 @@
 
 // TestUploadIsPaced sends 1 MiB at 100 KiB/s.
 func TestUploadIsPaced(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	simclock.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		c := newPipeCluster(t, 1, 1)
 		c.entries[0].Admitter = pacedAdmitter{firstFree: firstFree{c}, rate: 100 << 10}
@@ -132,7 +132,7 @@
 // TestStalledCallerIsDisconnected has a caller that stops reading in the middle
 // of its response.
 func TestStalledCallerIsDisconnected(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	simclock.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		c := newPipeCluster(t, 1, 1)
 		c.file.Classes[2].Deadline = unit.Duration(time.Hour)
--- a/internal/follow/confirm_test.go
+++ b/internal/follow/confirm_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/shallotpier/shallotpier/internal/boottime"
 	"github.com/shallotpier/shallotpier/internal/follow"
+	"github.com/shallotpier/shallotpier/internal/simclock"
 	"github.com/shallotpier/shallotpier/internal/standin/feed"
 	"github.com/shallotpier/shallotpier/internal/store"
 )
@@ -28,7 +29,7 @@
 // Confirmed so far are returned, and forgotten, by taken.
 func followConfirmed(t *testing.T, delay time.Duration, check func(is *is.I, f *followed, taken func() []confirmation)) {
 	t.Helper()
-	synctest.Test(t, func(t *testing.T) {
+	simclock.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		begin := time.Now()
 		s := feed.New(store.Version{Era: 1, Revision: 500})
--- a/internal/follow/follower_test.go
+++ b/internal/follow/follower_test.go
@@ -11,6 +11,7 @@
 	"github.com/matryer/is"
 
 	"github.com/shallotpier/shallotpier/internal/follow"
+	"github.com/shallotpier/shallotpier/internal/simclock"
 	"github.com/shallotpier/shallotpier/internal/store"
 )
 
@@ -120,7 +121,7 @@
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			simclock.Test(t, func(t *testing.T) {
 				is := is.New(t)
 				ctx, cancel := context.WithCancel(t.Context())
 				fd, s := &switchedFeed{}, &sink{}
--- a/internal/follow/history_test.go
+++ b/internal/follow/history_test.go
@@ -11,13 +11,13 @@
 	"strings"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"pgregory.net/rapid"
 
 	"github.com/shallotpier/shallotpier/internal/follow"
 	"github.com/shallotpier/shallotpier/internal/roster"
+	"github.com/shallotpier/shallotpier/internal/simclock"
 	"github.com/shallotpier/shallotpier/internal/standin/feed"
 	"github.com/shallotpier/shallotpier/internal/store"
 	"github.com/shallotpier/shallotpier/pkg/id"
@@ -415,7 +415,7 @@
 	rapid.Check(t, func(rt *rapid.T) {
 		all := rapid.SliceOfN(steps(), 1, 30).Draw(rt, "steps")
 		failure := ""
-		synctest.Test(t, func(t *testing.T) {
+		simclock.Test(t, func(t *testing.T) {
 			ctx, cancel := context.WithCancel(t.Context())
 			failure = play(ctx, all)
 			cancel()
--- a/internal/follow/relay_test.go
+++ b/internal/follow/relay_test.go
@@ -11,6 +11,7 @@
 	"github.com/matryer/is"
 
 	"github.com/shallotpier/shallotpier/internal/follow"
+	"github.com/shallotpier/shallotpier/internal/simclock"
 	"github.com/shallotpier/shallotpier/internal/store"
 )
 
@@ -132,7 +133,7 @@
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			simclock.Test(t, func(t *testing.T) {
 				is := is.New(t)
 				ctx, cancel := context.WithCancel(t.Context())
 				third := listed{follow.Origin{}, revision(30), []string{"third"}}
@@ -180,7 +181,7 @@
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			simclock.Test(t, func(t *testing.T) {
 				is := is.New(t)
 				ctx, cancel := context.WithCancel(t.Context())
 				r := &relayed{lists: []listed{{follow.Origin{}, revision(30), []string{"first"}}}, changes: tt.changes}
@@ -200,7 +201,7 @@
 // An entry that is late must be left after the delay of a batch, before the objects are
 // listed again.
 func TestRelayedWatchIsRedirected(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	simclock.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		ctx, cancel := context.WithCancel(t.Context())
 		r := &relayed{lists: []listed{{follow.Origin{}, revision(30), nil}, {follow.Origin{}, revision(31), nil}}}
--- a/internal/follow/restore_test.go
+++ b/internal/follow/restore_test.go
@@ -15,6 +15,7 @@
 	"github.com/matryer/is"
 
 	"github.com/shallotpier/shallotpier/internal/follow"
+	"github.com/shallotpier/shallotpier/internal/simclock"
 	"github.com/shallotpier/shallotpier/internal/standin/feed"
 	"github.com/shallotpier/shallotpier/internal/store"
 )
@@ -97,7 +98,7 @@
 // short-poll entry if short is set.
 func followRestorable(t *testing.T, short bool, check func(is *is.I, f *followed)) {
 	t.Helper()
-	synctest.Test(t, func(t *testing.T) {
+	simclock.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		s := feed.New(store.Version{Era: 1, Revision: 500})
 		f := &followed{store: s, client: &feed.Client{Store: s, Timeout: callTimeout}, table: &table{}, logged: &bytes.Buffer{}, cancel: cancel}
--- a/internal/freshness/loop_test.go
+++ b/internal/freshness/loop_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/shallotpier/shallotpier/internal/boottime"
 	"github.com/shallotpier/shallotpier/internal/freshness"
+	"github.com/shallotpier/shallotpier/internal/simclock"
 	"github.com/shallotpier/shallotpier/pkg/id"
 )
 
@@ -91,7 +92,7 @@
 // a suspension of the machine, that comes back late, and against an entry that stays behind
 // the other one's configuration because it can't reach the store.
 func TestLoopRenewsTheProof(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	simclock.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
@@ -128,7 +129,7 @@
 
 // Guards against calls and log lines of an entry whose deployment sets no bound.
 func TestLoopWithoutBoundMakesNoCalls(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	simclock.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		ctx, cancel := context.WithCancel(t.Context())
 		var p pair
--- a/internal/heartbeat/bytes_test.go
+++ b/internal/heartbeat/bytes_test.go
@@ -12,6 +12,7 @@
 	"github.com/matryer/is"
 
 	"github.com/shallotpier/shallotpier/internal/heartbeat"
+	"github.com/shallotpier/shallotpier/internal/simclock"
 	"github.com/shallotpier/shallotpier/pkg/id"
 )
 
@@ -94,7 +95,7 @@
 	}
 	for _, entries := range []int{33, 98} {
 		t.Run(fmt.Sprint(entries), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			simclock.Test(t, func(t *testing.T) {
 				is := is.New(t)
 				ctx, cancel := context.WithCancel(t.Context())
 				d := newZones(t, entries, 6)
--- a/internal/heartbeat/detector_test.go
+++ b/internal/heartbeat/detector_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/shallotpier/shallotpier/internal/heartbeat"
 	"github.com/shallotpier/shallotpier/internal/quarantine"
+	"github.com/shallotpier/shallotpier/internal/simclock"
 	"github.com/shallotpier/shallotpier/pkg/id"
 )
 
@@ -91,7 +92,7 @@
 // A change that other entries may have missed must be announced at once, not at the next
 // interval.
 func TestAnnounceSoon(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	simclock.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		ctx, cancel := context.WithCancel(t.Context())
 		d := newDetector()
@@ -152,7 +153,7 @@
 }
 
 func TestEntriesDiscoverEachOtherThroughOneKnownPeer(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	simclock.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
--- a/internal/heartbeat/many_test.go
+++ b/internal/heartbeat/many_test.go
@@ -10,13 +10,13 @@
 	"sync"
 	"sync/atomic"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
 
 	"github.com/shallotpier/shallotpier/internal/follow"
 	"github.com/shallotpier/shallotpier/internal/heartbeat"
+	"github.com/shallotpier/shallotpier/internal/simclock"
 	"github.com/shallotpier/shallotpier/internal/store"
 	"github.com/shallotpier/shallotpier/pkg/id"
 )
@@ -268,7 +268,7 @@
 	}
 	for name, check := range tests {
 		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			simclock.Test(t, func(t *testing.T) {
 				d := newDeployment(t)
 				for _, m := range d.entries {
 					d.start(t.Context(), m)
--- a/internal/heartbeat/upgrade_test.go
+++ b/internal/heartbeat/upgrade_test.go
@@ -2,12 +2,12 @@
 
 import (
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
 
 	"github.com/shallotpier/shallotpier/internal/heartbeat"
+	"github.com/shallotpier/shallotpier/internal/simclock"
 )
 
 // formats returns the formats of the datagrams that an entry sends to another one.
@@ -24,7 +24,7 @@
 // Two entries that know format 2 must use it although the first datagram of that format
 // is lost, or they would never exchange the fields that only it has.
 func TestLossOfFirstDatagramOfFormat2(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	simclock.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		a, b := newDetector(), newDetector()
 		b.Self = func() heartbeat.Node { return node(2, 1) }
--- a/internal/lease/keeper_test.go
+++ b/internal/lease/keeper_test.go
@@ -6,12 +6,12 @@
 	"log/slog"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
 
 	"github.com/shallotpier/shallotpier/internal/lease"
+	"github.com/shallotpier/shallotpier/internal/simclock"
 	"github.com/shallotpier/shallotpier/internal/standin/platform"
 	"github.com/shallotpier/shallotpier/pkg/id"
 	"github.com/shallotpier/shallotpier/pkg/unit"
@@ -105,7 +105,7 @@
 }
 
 func inFleet(t *testing.T, f *fleet, test func(is *is.I, f *fleet)) {
-	synctest.Test(t, func(t *testing.T) {
+	simclock.Test(t, func(t *testing.T) {
 		f.startAll()
 		time.Sleep(time.Minute)
 		test(is.New(t), f)
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -16,6 +16,7 @@
 	"github.com/shallotpier/shallotpier/internal/lookup"
 	"github.com/shallotpier/shallotpier/internal/membership"
 	"github.com/shallotpier/shallotpier/internal/peer"
+	"github.com/shallotpier/shallotpier/internal/simclock"
 	"github.com/shallotpier/shallotpier/internal/standin/peers"
 	"github.com/shallotpier/shallotpier/internal/standin/platform"
 	"github.com/shallotpier/shallotpier/pkg/id"
@@ -92,7 +93,7 @@
 func all(int, int) bool { return true }
 
 func runFleet(t *testing.T, test func(is *is.I, ctx context.Context, f *fleet)) {
-	synctest.Test(t, func(t *testing.T) {
+	simclock.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
 		f := start(ctx)
 		time.Sleep(5 * time.Second)
--- a/internal/node/cold_test.go
+++ b/internal/node/cold_test.go
@@ -19,6 +19,7 @@
 	"github.com/shallotpier/shallotpier/internal/follow"
 	"github.com/shallotpier/shallotpier/internal/node"
 	"github.com/shallotpier/shallotpier/internal/roster"
+	"github.com/shallotpier/shallotpier/internal/simclock"
 	"github.com/shallotpier/shallotpier/internal/standin/feed"
 	"github.com/shallotpier/shallotpier/internal/store"
 	"github.com/shallotpier/shallotpier/pkg/id"
@@ -162,7 +163,7 @@
 
 // runChecked runs entries, of which the first ones reach the store.
 func runChecked(t *testing.T, entries, available int, delay time.Duration, test func(context.Context, *testing.T, *checkedEntries)) {
-	synctest.Test(t, func(t *testing.T) {
+	simclock.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		defer func() {
 			cancel()
--- a/internal/node/restore_test.go
+++ b/internal/node/restore_test.go
@@ -5,7 +5,6 @@
 	"log/slog"
 	"strconv"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -13,6 +12,7 @@
 	"github.com/shallotpier/shallotpier/internal/follow"
 	"github.com/shallotpier/shallotpier/internal/node"
 	"github.com/shallotpier/shallotpier/internal/roster"
+	"github.com/shallotpier/shallotpier/internal/simclock"
 	"github.com/shallotpier/shallotpier/internal/standin/feed"
 	"github.com/shallotpier/shallotpier/internal/store"
 	"github.com/shallotpier/shallotpier/pkg/id"
@@ -44,7 +44,7 @@
 	s := feed.New(store.Version{Revision: 500})
 	group := make(follow.Group)
 	n := newNode(t, func(o *node.Options) { o.Store = group })
-	synctest.Test(t, func(t *testing.T) {
+	simclock.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		ctx, cancel := context.WithCancel(t.Context())
 		group[follow.Configuration] = &follow.Follower{
--- a/internal/node/retry_test.go
+++ b/internal/node/retry_test.go
@@ -3,7 +3,6 @@
 import (
 	"net/netip"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -11,6 +10,7 @@
 	"github.com/shallotpier/shallotpier/internal/forward"
 	"github.com/shallotpier/shallotpier/internal/node"
 	"github.com/shallotpier/shallotpier/internal/retry"
+	"github.com/shallotpier/shallotpier/internal/simclock"
 )
 
 // An entry that restarts must not use the retry allowance of the current window again,
@@ -27,7 +27,7 @@
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			simclock.Test(t, func(t *testing.T) {
 				is := is.New(t)
 				n := newNode(t)
 				n.SetBounds(node.Bounds{RetryLimits: forward.RetryLimits{Share: 0.5, Allowance: 60}})
--- a/internal/notices/notices_test.go
+++ b/internal/notices/notices_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/shallotpier/shallotpier/internal/notices"
 	"github.com/shallotpier/shallotpier/internal/peer"
+	"github.com/shallotpier/shallotpier/internal/simclock"
 	"github.com/shallotpier/shallotpier/internal/standin/peers"
 	"github.com/shallotpier/shallotpier/internal/standin/platform"
 	"github.com/shallotpier/shallotpier/pkg/id"
@@ -86,7 +87,7 @@
 	}
 	for name, hook := range tests {
 		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			simclock.Test(t, func(t *testing.T) {
 				is := is.New(t)
 				ctx, cancel := context.WithCancel(context.Background())
 				defer cancel()
@@ -107,7 +108,7 @@
 // TestNoticeSurvivesLossOfAllEntries replaces all entries after an outage of
 // the store, during which the notice was made.
 func TestNoticeSurvivesLossOfAllEntries(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	simclock.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		ctx, cancel := context.WithCancel(context.Background())
 		defer cancel()
@@ -130,7 +131,7 @@
 // TestLatestNoticeWinsAfterPartition makes contradicting notices on both sides
 // of a network partition.
 func TestLatestNoticeWinsAfterPartition(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	simclock.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		ctx, cancel := context.WithCancel(context.Background())
 		defer cancel()
@@ -213,7 +214,7 @@
 // TestComparisonOfEqualNoticesIsSmall checks that a comparison transfers only
 // the digests, and not all notices, if both entries have the same ones.
 func TestComparisonOfEqualNoticesIsSmall(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	simclock.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		ctx, cancel := context.WithCancel(t.Context())
 		c := start(ctx, 2, time.Second)
@@ -236,7 +237,7 @@
 // TestComparisonAlsoSendsOwnNotices checks that a comparison also transfers the
 // notices of the entry that started it.
 func TestComparisonAlsoSendsOwnNotices(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	simclock.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		ctx, cancel := context.WithCancel(t.Context())
 		c := start(ctx, 2, time.Second)
--- a/internal/openloop/load_test.go
+++ b/internal/openloop/load_test.go
@@ -4,12 +4,12 @@
 	"context"
 	"errors"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
 
 	"github.com/shallotpier/shallotpier/internal/openloop"
+	"github.com/shallotpier/shallotpier/internal/simclock"
 )
 
 func TestTimesDependOnlyOnSeed(t *testing.T) {
@@ -24,7 +24,7 @@
 }
 
 func TestRunIncludesStallInLatencyOfDelayedRequests(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	simclock.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		l := openloop.Load{Rate: 100, Duration: 10 * time.Second, Seed: 1, InFlight: 1}
 		stalled := false
@@ -45,7 +45,7 @@
 }
 
 func TestRunDoesNotRecordWarmup(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	simclock.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		l := openloop.Load{Rate: 100, Duration: 4 * time.Second, Warmup: 2 * time.Second, Seed: 1}
 		start := time.Now()
@@ -67,7 +67,7 @@
 }
 
 func TestRunStopsWhenContextIsDone(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	simclock.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 		defer cancel()
--- a/internal/peer/rpc/node_test.go
+++ b/internal/peer/rpc/node_test.go
@@ -7,7 +7,6 @@
 	"net"
 	"sync/atomic"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -15,6 +14,7 @@
 
 	"github.com/shallotpier/shallotpier/internal/peer"
 	"github.com/shallotpier/shallotpier/internal/peer/rpc"
+	"github.com/shallotpier/shallotpier/internal/simclock"
 	"github.com/shallotpier/shallotpier/pkg/id"
 )
 
@@ -77,7 +77,7 @@
 }
 
 func runFixture(t *testing.T, test func(t *testing.T, f *fixture)) {
-	synctest.Test(t, func(t *testing.T) {
+	simclock.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
 		f := newFixture(ctx)
 		test(t, f)
--- a/internal/publish/publisher_test.go
+++ b/internal/publish/publisher_test.go
@@ -6,12 +6,12 @@
 	"net/netip"
 	"strings"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
 
 	"github.com/shallotpier/shallotpier/internal/publish"
+	"github.com/shallotpier/shallotpier/internal/simclock"
 	"github.com/shallotpier/shallotpier/internal/standin/platform"
 	"github.com/shallotpier/shallotpier/internal/store"
 	"github.com/shallotpier/shallotpier/pkg/id"
@@ -102,7 +102,7 @@
 }
 
 func TestVersionsAreConsecutiveAndStaleBaseIsOvertaken(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	simclock.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		s := new(platform.Store)
 		is.Equal(run(s, "nino", 6, time.Second).outcome.Code, result.Accepted)
@@ -122,7 +122,7 @@
 func TestOneOfConcurrentPublishersIsAccepted(t *testing.T) {
 	for _, n := range []int{2, 10} {
 		t.Run(fmt.Sprint(n), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			simclock.Test(t, func(t *testing.T) {
 				is := is.New(t)
 				s := new(platform.Store)
 				first := run(s, "first", 1, time.Second)
@@ -169,7 +169,7 @@
 			t.Run(fmt.Sprintf("%s/%d", name, publishers), func(t *testing.T) {
 				for call := range maxCalls {
 					for _, killed := range []bool{false, true} {
-						synctest.Test(t, func(t *testing.T) { injectFault(t, fault, publishers, call, killed) })
+						simclock.Test(t, func(t *testing.T) { injectFault(t, fault, publishers, call, killed) })
 					}
 				}
 			})
@@ -244,7 +244,7 @@
 }
 
 func TestOutcomeDuringOutageAndAfterLostAnswer(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	simclock.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		s := new(platform.Store)
 		s.SetFault(platform.Fault{Down: true})
--- a/internal/quota/limiter/limiter_test.go
+++ b/internal/quota/limiter/limiter_test.go
@@ -10,7 +10,6 @@
 	"strings"
 	"sync/atomic"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -19,6 +18,7 @@
 	"github.com/shallotpier/shallotpier/internal/boottime"
 	"github.com/shallotpier/shallotpier/internal/quota"
 	"github.com/shallotpier/shallotpier/internal/quota/limiter"
+	"github.com/shallotpier/shallotpier/internal/simclock"
 	"github.com/shallotpier/shallotpier/pkg/id"
 )
 
@@ -99,7 +99,7 @@
 func TestRequestsWithinTheLimitAreGranted(t *testing.T) {
 	for _, entries := range []int{1, 2, 3, 8} {
 		t.Run(fmt.Sprint(entries), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			simclock.Test(t, func(t *testing.T) {
 				is := is.New(t)
 				c := newCluster(entries, quota.Organisation{Name: acme, Rate: 10, Burst: 30})
 				counts := map[quota.Outcome]int{}
@@ -133,7 +133,7 @@
 	}
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			simclock.Test(t, func(t *testing.T) {
 				is := is.New(t)
 				c := newCluster(8, quota.Organisation{Name: acme, Rate: 10, Burst: 30})
 				all, asker := c.accountable()
@@ -164,7 +164,7 @@
 // Guards against an organisation far over its limit that makes entries ask for each request,
 // or wait.
 func TestOverTheLimitFewQuestionsAreAsked(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	simclock.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		c := newCluster(8, quota.Organisation{Name: acme, Rate: 10, Burst: 3})
 		_, asker := c.accountable()
@@ -196,7 +196,7 @@
 	}
 	for name, change := range tests {
 		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			simclock.Test(t, func(t *testing.T) {
 				is := is.New(t)
 				c := newCluster(1, quota.Organisation{Name: acme, Rate: 1, Burst: 1})
 				change(c.limiters[0])
@@ -222,7 +222,7 @@
 	}
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			simclock.Test(t, func(t *testing.T) {
 				is := is.New(t)
 				c := newCluster(8, quota.Organisation{Name: acme, Rate: 10, Burst: 30})
 				all, asker := c.accountable()
@@ -244,7 +244,7 @@
 
 // Guards against a caller that leaves while its request waits, and takes a token with it.
 func TestCallerLeavesWhileItsRequestWaits(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	simclock.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		c := newCluster(8, quota.Organisation{Name: acme, Rate: 0.2, Burst: 3})
 		_, asker := c.accountable()
@@ -261,7 +261,7 @@
 
 // Guards against an organisation's limit that is reached unseen, or that floods the log.
 func TestReports(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	simclock.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		var all []quota.Organisation
 		for i := range 100 {
--- a/internal/relay/selector_test.go
+++ b/internal/relay/selector_test.go
@@ -5,13 +5,13 @@
 	"net/netip"
 	"slices"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
 
 	"github.com/shallotpier/shallotpier/internal/heartbeat"
 	"github.com/shallotpier/shallotpier/internal/relay"
+	"github.com/shallotpier/shallotpier/internal/simclock"
 	"github.com/shallotpier/shallotpier/pkg/id"
 )
 
@@ -82,7 +82,7 @@
 // An entry that takes no connection must be left out for some time, so that requests don't
 // wait for it one after the other.
 func TestFailedEntriesAreLeftOut(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	simclock.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		s := selector(1, []other{{"a", 0, false, false}})
 		count := func() int { return len(s.Entries(time.Now(), svc, func(id.Region) bool { return true })) }
--- a/internal/relayfeed/feed_test.go
+++ b/internal/relayfeed/feed_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/shallotpier/shallotpier/internal/simclock"
 	"github.com/shallotpier/shallotpier/internal/standin/feed"
 )
 
@@ -40,7 +41,7 @@
 				if direct && tt.entries == 300 {
 					continue
 				}
-				synctest.Test(t, func(t *testing.T) {
+				simclock.Test(t, func(t *testing.T) {
 					is := is.New(t)
 					ctx, cancel := context.WithCancel(t.Context())
 					d := newDeployment(t, tt.entries, tt.zones)
@@ -209,7 +210,7 @@
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			simclock.Test(t, func(t *testing.T) {
 				is := is.New(t)
 				ctx, cancel := context.WithCancel(t.Context())
 				d := newDeployment(t, 33, 6)
--- a/internal/relayfeed/log_test.go
+++ b/internal/relayfeed/log_test.go
@@ -3,12 +3,12 @@
 import (
 	"fmt"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
 
 	"github.com/shallotpier/shallotpier/internal/follow"
+	"github.com/shallotpier/shallotpier/internal/simclock"
 	"github.com/shallotpier/shallotpier/internal/store"
 	"github.com/shallotpier/shallotpier/pkg/id"
 )
@@ -80,7 +80,7 @@
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			simclock.Test(t, func(t *testing.T) {
 				is := is.New(t)
 				l := &Log{}
 				is.Equal(l.after(time.Now(), version(0)).Status, unavailable) // nothing known yet
@@ -96,7 +96,7 @@
 
 // A list must hold what the store had as of its version.
 func TestLogList(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	simclock.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		l := &Log{}
 		l.RecordList([]store.Object{{Key: "b", Version: version(4)}, {Key: "a", Version: version(3)}}, version(10), follow.Origin{})
--- a/internal/relayfeed/random_test.go
+++ b/internal/relayfeed/random_test.go
@@ -10,6 +10,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/shallotpier/shallotpier/internal/simclock"
 	"github.com/shallotpier/shallotpier/internal/standin/feed"
 )
 
@@ -79,7 +80,7 @@
 func TestRandomFaults(t *testing.T) {
 	for seed := range uint64(24) {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			simclock.Test(t, func(t *testing.T) {
 				ctx, cancel := context.WithCancel(t.Context())
 				d := newDeployment(t, 10, 2)
 				d.rng = rand.New(rand.NewPCG(seed, 1))
--- a/internal/relayfeed/source_test.go
+++ b/internal/relayfeed/source_test.go
@@ -6,13 +6,13 @@
 	"log/slog"
 	"sync/atomic"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/matryer/is"
 	"github.com/sourcegraph/jsonrpc2"
 
+	"github.com/shallotpier/shallotpier/internal/simclock"
 	"github.com/shallotpier/shallotpier/internal/store"
 	"github.com/shallotpier/shallotpier/pkg/id"
 )
@@ -94,7 +94,7 @@
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			simclock.Test(t, func(t *testing.T) {
 				is := is.New(t)
 				s := &script{answers: map[id.Instance]func(context.Context) (*answer, error){"first": tt.first, "second": tt.second}}
 				f := newFeed(s)
@@ -141,7 +141,7 @@
 
 // A rejected answer must exclude its leader from the list that follows.
 func TestReject(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	simclock.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		s := &script{answers: map[id.Instance]func(context.Context) (*answer, error){"first": answers(20), "second": answers(31)}}
 		f := newFeed(s)
--- a/internal/routing/router_test.go
+++ b/internal/routing/router_test.go
@@ -9,7 +9,6 @@
 	"slices"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -18,6 +17,7 @@
 	"github.com/shallotpier/shallotpier/internal/health"
 	"github.com/shallotpier/shallotpier/internal/measured"
 	"github.com/shallotpier/shallotpier/internal/routing"
+	"github.com/shallotpier/shallotpier/internal/simclock"
 	"github.com/shallotpier/shallotpier/pkg/deployment"
 	"github.com/shallotpier/shallotpier/pkg/id"
 	"github.com/shallotpier/shallotpier/pkg/result"
@@ -127,7 +127,7 @@
 }
 
 func TestLeavingServerGetsNoRequestThatWaited(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	simclock.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		r := router()
 		inner := &slots{router: r, held: r.Order(request())} // ordered before the servers are leaving
@@ -144,7 +144,7 @@
 }
 
 func TestFailingServerIsExcludedAndReturnsByTrial(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	simclock.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		r := router()
 		r.Inner = &slots{router: r}
@@ -240,7 +240,7 @@
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			simclock.Test(t, func(t *testing.T) {
 				is := is.New(t)
 				r := router()
 				time.Sleep(5 * time.Second)
--- /dev/null
+++ b/internal/simclock/norace.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package simclock
+
+const raceEnabled = false
--- a/internal/standin/platform/store_test.go
+++ b/internal/standin/platform/store_test.go
@@ -4,18 +4,18 @@
 	"context"
 	"errors"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
 
+	"github.com/shallotpier/shallotpier/internal/simclock"
 	"github.com/shallotpier/shallotpier/internal/standin/platform"
 	"github.com/shallotpier/shallotpier/internal/store"
 	"github.com/shallotpier/shallotpier/pkg/unit"
 )
 
 func TestFaultsAffectReadsWritesAndWatches(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	simclock.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		s := new(platform.Store)
 		ctx := t.Context()
