forward: statuses of no entry and no server aren't forwarded from a relay's address

What callers saw: a proper request that an entry without links passes on to another entry ends with a 3xx or 4xx that neither that entry nor a server has given. Callers take it for final.

Cause: the answer of a server is checked for its signature; the answer at another entry's address was forwarded as it came. net/http answers a head that it can't read by itself (400, 431), and after an entry has ended another program may listen at its address. A 429 or 503 from there was also forwarded as word that the request hadn't run.

Change: an answer from 300 to 499, or one that implies that the request didn't run, has to bear the result code of an entry, the name of the server that the other entry got it from, or a server's signature. Any other one is a failed send: 502, as at a server, and a line in the log.

--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -149,6 +149,12 @@
 // writeRelayed forwards the answer that another entry has given.
 func (c *call) writeRelayed(ans *upstream.Answer) {
 	rep := &reply{Answer: ans}
+	if !c.isVouched(ans) {
+		c.h.Log.Warn("answer of no entry and no server", "request", c.id, "instance", c.relay, "status", ans.Status)
+		ans.Close()
+		c.refuse(result.AnswerCut)
+		return
+	}
 	c.observeRelayed(ans.Header)
 	if code := c.buffer(rep); code != 0 {
 		ans.Close()
@@ -164,6 +170,18 @@
 	c.writeAnswer(rep)
 }
 
+// isVouched reports whether an answer from another entry's address is that entry's or that of a
+// server. Only the statuses are checked that callers take for final, or for word that the request
+// didn't run: net/http answers a head that it can't read by itself, and another program may listen
+// at the address of an entry that has ended.
+func (c *call) isVouched(ans *upstream.Answer) bool {
+	final := ans.Status >= http.StatusMultipleChoices && ans.Status < http.StatusInternalServerError
+	if !final && !impliesNotRun(ans.Status) {
+		return true
+	}
+	return relayedCode(ans.Header) != result.Served || ans.Header.Get(relayServer) != "" || ans.Header.Get(c.h.Headers.Signature) != ""
+}
+
 // observeRelayed applies an answer of another entry whose server is leaving: this entry
 // passes that answer on as well.
 func (c *call) observeRelayed(header http.Header) {
