pipeline: heads that net/http rejects have a line in the log

The counter of rejected heads tells how many there were, not why: whether a proper request was among them can't be told from it. The line has the status, the caller's address and net/http's reason.

Only answers that were written are counted: net/http also answers a head that broke off because the caller has gone, and lanes refused that answer after it was counted.

Test: TestBadRequestBehindGoodOnes, extended.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -496,7 +496,7 @@
 			o.Log.Error("heartbeats failed", "err", err)
 		}
 	})
-	callers := &pipeline.Listener{Listener: listener, Concurrent: n.handler.Concurrent, State: n.idleConns.onStateChange, Metrics: o.Metrics}
+	callers := &pipeline.Listener{Listener: listener, Concurrent: n.handler.Concurrent, State: n.idleConns.onStateChange, Metrics: o.Metrics, Log: o.Log}
 	server := n.callerServer(callers)
 	relays := n.relayServer()
 	ended := make(chan error, 2)
--- a/internal/pipeline/lane.go
+++ b/internal/pipeline/lane.go
@@ -78,8 +78,15 @@
 
 // Write writes to the caller, or holds the bytes while earlier requests are unanswered.
 func (n *lane) Write(p []byte) (int, error) {
+	written, err := n.writeOrHold(p)
+	if err == nil {
+		n.conn.listener.observeRejected(n, p)
+	}
+	return written, err
+}
+
+func (n *lane) writeOrHold(p []byte) (int, error) {
 	c := n.conn
-	c.listener.countRejected(p)
 	c.mu.Lock()
 	if !c.split {
 		c.mu.Unlock()
--- a/internal/pipeline/listener.go
+++ b/internal/pipeline/listener.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"fmt"
+	"log/slog"
 	"maps"
 	"net"
 	"net/http"
@@ -55,6 +56,9 @@
 		State func(net.Conn, http.ConnState)
 		// Metrics, unless nil, receives the counters.
 		Metrics *metrics.Set
+		// Log, unless nil, receives a line for each request that is rejected because its
+		// head can't be read.
+		Log *slog.Logger
 
 		start    sync.Once
 		accepted chan acceptance
@@ -233,14 +237,21 @@
 	return slices.Collect(maps.Keys(l.split))
 }
 
-// countRejected counts an answer that net/http gives without a handler, to a request whose head
-// it can't read: its head has no date.
-func (l *Listener) countRejected(answer []byte) {
+// observeRejected counts and logs an answer that net/http has given without a handler, to a
+// request whose head it can't read: its head has no date.
+func (l *Listener) observeRejected(c net.Conn, answer []byte) {
 	const status = "HTTP/1.1 400"
-	if l.Metrics == nil || len(answer) < len(status) || !bytes.HasPrefix(answer, []byte("HTTP/1.1 4")) || bytes.Contains(answer, []byte("\r\nDate: ")) {
+	if len(answer) < len(status) || !bytes.HasPrefix(answer, []byte("HTTP/1.1 4")) || bytes.Contains(answer, []byte("\r\nDate: ")) {
 		return
 	}
-	l.Metrics.GetOrCreateCounter(fmt.Sprintf(`shallotpier_heads_rejected_total{status=%q}`, answer[len(status)-3:len(status)])).Inc()
+	code := answer[len(status)-3 : len(status)]
+	if l.Metrics != nil {
+		l.Metrics.GetOrCreateCounter(fmt.Sprintf(`shallotpier_heads_rejected_total{status=%q}`, code)).Inc()
+	}
+	if l.Log != nil {
+		_, reason, _ := bytes.Cut(answer, []byte(headEnd))
+		l.Log.Warn("head rejected", "status", string(code), "caller", c.RemoteAddr().String(), "reason", string(reason))
+	}
 }
 
 // countAhead counts a request that is handled beside others of its connection.
--- a/internal/pipeline/listener_test.go
+++ b/internal/pipeline/listener_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"log"
+	"log/slog"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -45,6 +46,7 @@
 		began    map[string]chan struct{}
 		gone     map[string]chan struct{}
 		states   []http.ConnState
+		logged   strings.Builder
 	}
 
 	caller struct {
@@ -61,7 +63,7 @@
 	s.is.NoErr(err)
 	s.listener = &pipeline.Listener{Listener: tcp, Concurrent: func(r *http.Request) bool {
 		return r.Method == http.MethodGet && !s.leaving.Load()
-	}, State: s.onState, Metrics: metrics.NewSet()}
+	}, State: s.onState, Metrics: metrics.NewSet(), Log: slog.New(slog.NewTextHandler(s, nil))}
 	s.server = &http.Server{
 		Handler: s, ConnState: s.listener.OnStateChange, ConnContext: s.listener.ConnContext, ErrorLog: log.New(io.Discard, "", 0),
 	}
@@ -93,6 +95,20 @@
 	s.states = append(s.states, state)
 }
 
+// Write takes lines of the log.
+func (s *served) Write(line []byte) (int, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.logged.Write(line)
+}
+
+// logLines returns the log so far.
+func (s *served) logLines() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.logged.String()
+}
+
 // signal returns the channel of a name.
 func (s *served) signal(of map[string]chan struct{}, name string) chan struct{} {
 	s.mu.Lock()
@@ -368,6 +384,8 @@
 			s.listener.Metrics.WritePrometheus(&counted)
 			rejected := fmt.Sprintf("shallotpier_heads_rejected_total{status=\"%d\"} 1\n", tt.status)
 			s.is.Equal(strings.Contains(counted.String(), rejected), tt.status/100 == 4)
+			logged := fmt.Sprintf("msg=\"head rejected\" status=%d caller=%s reason=\"%d ", tt.status, c.LocalAddr(), tt.status)
+			s.is.Equal(strings.Contains(s.logLines(), logged), tt.status/100 == 4)
 		})
 	}
 }
