pipeline: empty lines before a request are ignored

What callers saw: 400 and the end of the connection for a proper request that follows an empty line, such as a line break behind the body before it.

Cause: net/http ignores such a line only behind a POST that it has read on the same connection, and takes it for a malformed request line otherwise. RFC 9112, section 2.2, asks servers to ignore it.

Change: the listener drops empty lines at the start of a head, before net/http and the framing see them, on connections with one lane and with several.

--- a/internal/pipeline/conn.go
+++ b/internal/pipeline/conn.go
@@ -108,7 +108,11 @@
 		c.splitUp(next[:])
 		return 0, true, nil
 	}
-	n, err = c.raw.Read(p)
+	if c.framer.part == inHead && len(c.head) == 0 {
+		n, err = c.readHeadStart(p)
+	} else {
+		n, err = c.raw.Read(p)
+	}
 	if n == 0 || c.framer.part == opaque {
 		return n, false, err
 	}
@@ -120,6 +124,26 @@
 	return used, false, err
 }
 
+// readHeadStart reads the start of a head without the empty lines before it, which callers may
+// send (RFC 9112, section 2.2) and net/http answers with 400 unless a POST came before.
+func (c *conn) readHeadStart(p []byte) (int, error) {
+	for {
+		n, err := c.raw.Read(p)
+		for err == nil && n == 1 && p[0] == '\r' && len(p) > 1 {
+			var more int
+			more, err = c.raw.Read(p[1:])
+			n += more
+		}
+		b := p[:n]
+		for bytes.HasPrefix(b, []byte(crlf)) {
+			b = b[len(crlf):]
+		}
+		if n = copy(p, b); n > 0 || err != nil {
+			return n, err
+		}
+	}
+}
+
 // frame returns how many of the bytes belong to the current request.
 func (c *conn) frame(b []byte) int {
 	if c.framer.part != inHead {
@@ -344,6 +368,10 @@
 		c.waiting = nil
 		return false
 	}
+	if bytes.HasPrefix(c.waiting, []byte(crlf)) {
+		c.take(len(crlf)) // an empty line before the head
+		return true
+	}
 	end := bytes.Index(c.waiting, []byte(headEnd))
 	var (
 		f       framing
--- a/internal/pipeline/listener_test.go
+++ b/internal/pipeline/listener_test.go
@@ -390,6 +390,41 @@
 	}
 }
 
+// Guards against a 400 for an empty line before a request, which callers may send after a body.
+func TestEmptyLinesBeforeRequests(t *testing.T) {
+	const put = "PUT /b HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\nbody"
+	tests := map[string][]string{
+		"at the start":                  {"\r\n" + get("/a"), get("/b")},
+		"in two parts":                  {"\r", "\n" + get("/a"), get("/b")},
+		"alone":                         {"\r\n", get("/a"), get("/b")},
+		"several":                       {"\r\n\r\n\r\n" + get("/a"), get("/b")},
+		"behind a head":                 {get("/a") + "\r\n", get("/b")},
+		"behind a body":                 {put + "\r\n", get("/b")},
+		"behind a body, in two parts":   {put + "\r", "\n" + get("/b")},
+		"behind an answer":              {put, "\r\n", get("/b")},
+		"behind an answer, in parts":    {put, "\r", "\n", get("/b")},
+		"between requests sent ahead":   {get("/a") + "\r\n" + get("/b")},
+		"several between requests":      {get("/a") + "\r\n\r\n\r\n" + get("/b")},
+		"behind a body, sent ahead":     {put + "\r\n" + get("/b")},
+		"between requests in two parts": {get("/a") + "\r", "\n" + get("/b")},
+	}
+	for name, parts := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := serve(t)
+			c := s.dial()
+			for _, part := range parts {
+				c.send(part)
+				time.Sleep(moment)
+			}
+			status, _, err := c.answer()
+			s.is.NoErr(err)
+			s.is.Equal(status, http.StatusOK)
+			c.expect("GET /b ")
+			s.awaitState(http.StateIdle)
+		})
+	}
+}
+
 // A request in which lengths contradict each other must not make a part of its body a
 // request. Lines that end with a line feed alone are left to net/http.
 func TestIrregularRequestsAreNotSplit(t *testing.T) {
