node: test that bodies of refused requests aren't read as requests

An entry that has no configuration refuses requests before it has read their bodies. The test sends bodies of 0 B to 1 MiB, with a length, in chunks, behind an expectation, in one piece or apart, and a further request on the same connection: it is answered by the handler, or the connection ends.

--- a/internal/node/proper_test.go
+++ b/internal/node/proper_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httputil"
 	"strings"
 	"testing"
 	"time"
@@ -128,3 +130,75 @@
 		}
 	}
 }
+
+// Guards against the rest of a refused request's body being read as the start of the next request,
+// which net/http would answer with 400.
+func TestBodiesOfRefusedRequestsAreNotReadAsRequests(t *testing.T) {
+	n := newNode(t) // has no configuration and refuses all requests before their bodies
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- n.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		if err := <-ended; err != nil {
+			t.Error(err)
+		}
+	})
+	const upload = "POST /x/1 HTTP/1.1\r\nHost: a.example\r\nX-Id: odd\r\nX-Left: 5000\r\n"
+	for _, size := range []int{0, 1, 3 << 10, 60 << 10, 250 << 10, 300 << 10, 1 << 20} {
+		body := strings.Repeat("GET / HTTP/9\r\n\r\n", size/16+1)[:size]
+		requests := map[string][]string{
+			"length":                  {upload + fmt.Sprintf("Content-Length: %d\r\n\r\n", size) + body},
+			"length, body apart":      {upload + fmt.Sprintf("Content-Length: %d\r\n\r\n", size), body},
+			"chunks":                  {upload + "Transfer-Encoding: chunked\r\n\r\n" + inChunks(body)},
+			"chunks, body apart":      {upload + "Transfer-Encoding: chunked\r\n\r\n", inChunks(body)},
+			"expectation, body apart": {upload + fmt.Sprintf("Expect: 100-continue\r\nContent-Length: %d\r\n\r\n", size), body},
+		}
+		for name, parts := range requests {
+			t.Run(fmt.Sprintf("%s, %d bytes", name, size), func(t *testing.T) {
+				is := is.New(t)
+				c := dialCaller(t, n.Self().Callers.String())
+				answers := bufio.NewReader(c)
+				go func() {
+					for _, part := range append(parts, readRequest("/read/a", "after")) {
+						_, _ = io.WriteString(c, part) // fails if the connection ends after the first answer
+						time.Sleep(30 * time.Millisecond)
+					}
+				}()
+				resp, err := http.ReadResponse(answers, nil)
+				is.NoErr(err)
+				is.Equal(resp.StatusCode, http.StatusServiceUnavailable)
+				if resp, err = http.ReadResponse(answers, nil); err == nil {
+					is.Equal(resp.StatusCode, http.StatusServiceUnavailable)
+					is.Equal(resp.Header.Get("X-Id"), "after")
+				}
+			})
+		}
+	}
+}
+
+// inChunks encodes a body in chunks.
+func inChunks(body string) string {
+	var b strings.Builder
+	w := httputil.NewChunkedWriter(&b)
+	_, _ = io.WriteString(w, body)
+	_ = w.Close()
+	return b.String() + "\r\n"
+}
+
+// dialCaller connects to an entry as a caller does that waits for a limited time.
+func dialCaller(t *testing.T, address string) net.Conn {
+	t.Helper()
+	var c net.Conn
+	var err error
+	for range 100 {
+		if c, err = net.Dial("tcp", address); err == nil {
+			t.Cleanup(func() { _ = c.Close() })
+			_ = c.SetDeadline(time.Now().Add(10 * time.Second))
+			return c
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Fatal(err)
+	return nil
+}
