logpipe: lines that are written after the end of the log don't panic

Callers saw: an entry that ended, because a listener's address was in use, sometimes exited with 2 and a trace of goroutines instead of 1, and the line with the reason was missing in its log. Background goroutines aren't awaited when an entry ends, so the same could happen at the end of a planned stop (by reading, not seen).

Cause: Close closed the queue while other goroutines could still write to it: "send on closed channel" in logpipe.Writer.Write.

Change: after Close, Write drops lines and counts them. The queue is closed under a lock that Write holds for reading, so each line is written or counted.

Both tests panicked before, and passed 20 times with -race after it.

--- a/internal/logpipe/writer.go
+++ b/internal/logpipe/writer.go
@@ -25,8 +25,10 @@
 	out     io.Writer
 	lines   chan []byte
 	done    chan struct{}
-	close   sync.Once
 	dropped atomic.Uint64
+
+	mu     sync.RWMutex // held for writing only to close lines
+	closed bool
 }
 
 // New returns a Writer to out with a queue of limit lines. It starts a goroutine,
@@ -37,8 +39,15 @@
 	return w
 }
 
-// Write queues one line, or drops it if the queue is full. It never fails.
+// Write queues one line, or drops it if the queue is full or the writer is closed. It never
+// fails.
 func (w *Writer) Write(line []byte) (int, error) {
+	w.mu.RLock()
+	defer w.mu.RUnlock()
+	if w.closed {
+		w.dropped.Add(1)
+		return len(line), nil
+	}
 	select {
 	case w.lines <- slices.Clone(line):
 	default:
@@ -50,14 +59,23 @@
 // Dropped returns the number of lines dropped so far.
 func (w *Writer) Dropped() uint64 { return w.dropped.Load() }
 
-// Close writes the queued lines and stops the writer. Write must not be called after
-// Close.
+// Close writes the queued lines and stops the writer. Lines that are written later are
+// dropped: goroutines may still log while a process ends.
 func (w *Writer) Close() error {
-	w.close.Do(func() { close(w.lines) })
+	w.closeQueue()
 	<-w.done
 	return nil
 }
 
+func (w *Writer) closeQueue() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.closed {
+		w.closed = true
+		close(w.lines)
+	}
+}
+
 func (w *Writer) run() {
 	defer close(w.done)
 	var (
--- a/internal/logpipe/writer_test.go
+++ b/internal/logpipe/writer_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"strings"
+	"sync"
 	"testing"
 
 	"github.com/matryer/is"
@@ -50,6 +51,54 @@
 	is.True(bytes.Contains(out.Bytes(), []byte("log lines dropped")))
 }
 
+// Guards against a process that panics while it ends, and loses the line with the reason, because
+// goroutines that are still running log after Close.
+func TestLinesAfterCloseAreDropped(t *testing.T) {
+	is := is.New(t)
+	var out bytes.Buffer
+	w := logpipe.New(&out, 16)
+	_, err := io.WriteString(w, "ended\n")
+	is.NoErr(err)
+	is.NoErr(w.Close())
+	_, err = io.WriteString(w, "late\n")
+	is.NoErr(err)
+	is.NoErr(w.Close())
+	is.Equal(out.String(), "ended\n")
+	is.Equal(w.Dropped(), uint64(1))
+}
+
+// Guards against a panic, a data race, or a line that is neither written nor counted, when lines
+// are written during Close.
+func TestWriteDuringClose(t *testing.T) {
+	is := is.New(t)
+	const writers, lines = 8, 200
+	for range 50 {
+		var (
+			out bytes.Buffer
+			wg  sync.WaitGroup
+		)
+		w := logpipe.New(&out, 16)
+		begun := make(chan struct{}, writers)
+		for range writers {
+			wg.Go(func() {
+				for i := range lines {
+					_, _ = io.WriteString(w, "line\n")
+					if i == 0 {
+						begun <- struct{}{}
+					}
+				}
+			})
+		}
+		for range writers {
+			<-begun
+		}
+		is.NoErr(w.Close())
+		wg.Wait()
+		written := strings.Count(out.String(), "line\n")
+		is.Equal(written+int(w.Dropped()), writers*lines)
+	}
+}
+
 // BenchmarkStalledReader measures Write while the queue is full.
 func BenchmarkStalledReader(b *testing.B) {
 	_, pipe := io.Pipe()
