upstream: test of resets waits for unread bytes before it closes

A subtest of TestUnframedAnswersThatAreResetAreIncomplete relies on unread bytes that turn the server's close into a reset. The server only slept for 20 ms. On a busy machine the rest of the body can arrive later; the close then ends the answer well and the client rightly takes it for complete. The server now also waits, after the same pause, until the connection has bytes to read, which it leaves unread. If none arrive the test fails as before.

--- a/internal/upstream/unframed_test.go
+++ b/internal/upstream/unframed_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -56,6 +57,20 @@
 	_ = c.Close()
 }
 
+// awaitUnread waits until c has bytes to read, and leaves them unread. It returns without any
+// after 5 s.
+func awaitUnread(c net.Conn) {
+	_ = c.SetReadDeadline(time.Now().Add(5 * time.Second))
+	raw, err := c.(syscall.Conn).SyscallConn()
+	if err != nil {
+		return
+	}
+	_ = raw.Read(func(fd uintptr) bool {
+		n, _, err := syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK)
+		return n > 0 || !errors.Is(err, syscall.EAGAIN)
+	})
+}
+
 // An answer without a length that ends with a reset is incomplete. The kernel reports a reset
 // once: if the writer of the body gets it, the reader sees an end like that of a complete
 // answer.
@@ -71,7 +86,8 @@
 			reset(c)
 		},
 		"closed with unread bytes": func(c net.Conn) {
-			time.Sleep(20 * time.Millisecond) // without bytes to read, Close ends the answer well
+			time.Sleep(20 * time.Millisecond)
+			awaitUnread(c) // without bytes to read, Close ends the answer well
 			_ = c.Close()
 		},
 		"while the rest is read": func(c net.Conn) {
