httpstore: test of slow writes sends them before the time-out

TestFailedWriteIsAmbiguous, "slow", set a time-out of 20 ms before the client had a connection. On a busy machine nothing was sent in that time: "store unavailable" is then right, and the following wait for the write never ended. The test now opens the connection first, and repeats a write with a time-out that didn't reach the store. The time-out is still 20 ms.

With a client that reports each failed call as "unavailable" the new test fails.

--- a/internal/store/httpstore/client_test.go
+++ b/internal/store/httpstore/client_test.go
@@ -55,6 +55,21 @@
 	is.True(w.Before(x)) // a version is never reused for a key
 }
 
+// putWithFault writes key to a new store that has a fault, over an open connection, so that the
+// time-out doesn't pass while the client connects. It returns the store and the write's error.
+func putWithFault(t *testing.T, fault platform.Fault, timeout time.Duration) (*platform.Store, error) {
+	t.Helper()
+	s, _, c := serve(t)
+	c.Timeout = time.Minute
+	if _, err := c.Get(t.Context(), key); !errors.Is(err, store.ErrNotFound) {
+		t.Fatalf("got %v before the write, want %v", err, store.ErrNotFound)
+	}
+	c.Timeout = timeout
+	s.SetFault(fault)
+	_, err := c.Put(t.Context(), key, []byte("a"), store.IfAbsent())
+	return s, err
+}
+
 func TestFailedWriteIsAmbiguous(t *testing.T) {
 	tests := map[string]struct {
 		fault   platform.Fault
@@ -64,17 +79,20 @@
 	}{
 		"answer lost": {fault: platform.Fault{Lost: true}, want: store.ErrAmbiguous, wrote: true},
 		"outage":      {fault: platform.Fault{Down: true}, want: store.ErrAmbiguous},
-		"slow":        {fault: platform.Fault{Delay: unit.Duration(200 * time.Millisecond)}, timeout: 20 * time.Millisecond, want: store.ErrAmbiguous, wrote: true},
+		"slow":        {fault: platform.Fault{Delay: unit.Duration(time.Second)}, timeout: 20 * time.Millisecond, want: store.ErrAmbiguous, wrote: true},
 		"no fault":    {wrote: true},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			s, _, c := serve(t)
-			c.Timeout = test.timeout
-			s.SetFault(test.fault)
-			_, err := c.Put(t.Context(), key, []byte("a"), store.IfAbsent())
-			is.True(errors.Is(err, test.want))
+			s, err := putWithFault(t, test.fault, test.timeout)
+			for test.timeout > 0 && s.Counts()[platform.Put] == 0 {
+				// The time-out has passed before the call was sent.
+				s, err = putWithFault(t, test.fault, test.timeout)
+			}
+			if !errors.Is(err, test.want) {
+				t.Fatalf("got %v, want %v", err, test.want)
+			}
 			s.SetFault(platform.Fault{})
 			if !test.wrote {
 				_, err = s.Get(t.Context(), key)
