storecontact: a report overtaken by a later one doesn't replace it

Cause: heartbeats may arrive in another order than they were sent in, and a report of "calls don't fail" that was sent just before one of "calls fail" replaced it until the next heartbeat, 0.5 s later.

Change: of the reports of a process the latest by its time of sending counts. Guarded by TestReportsOutOfOrder, which fails without the change.

--- a/internal/storecontact/tracker.go
+++ b/internal/storecontact/tracker.go
@@ -59,7 +59,8 @@
 		AgeMs uint32
 		// SentMs is the time since the boot of the sender's machine in milliseconds.
 		SentMs uint64
-		// Failing is set while the sender's own calls to the store fail.
+		// Failing is set while the sender's own calls to the store fail or their answers are
+		// overdue.
 		Failing bool
 		// Checks is set if the sender checks servers while the store is silent, which an
 		// entry that is shutting down doesn't.
@@ -160,7 +161,10 @@
 		s = t.add(now, from, offset)
 	}
 	s.offset = min(s.offset+now.Sub(s.heard)/maxDrift, offset)
-	s.heard, s.report = now, *r
+	s.heard = now
+	if s.report.SentMs <= r.SentMs { // not overtaken by a later one
+		s.report = *r
+	}
 	if r.Origin == 0 {
 		return
 	}
--- a/internal/storecontact/tracker_test.go
+++ b/internal/storecontact/tracker_test.go
@@ -120,3 +120,23 @@
 		})
 	}
 }
+
+// Guards against a report that is overtaken by a later one of the same entry and replaces it.
+func TestReportsOutOfOrder(t *testing.T) {
+	is := is.New(t)
+	now := time.Hour
+	clock := func() boottime.Instant { return boottime.Instant(now) }
+	sender, tracker := &storecontact.Tracker{Clock: clock}, &storecontact.Tracker{Clock: clock}
+	from := peer.Sender{Instance: "a"}
+	earlier := sender.Report(false, true)
+	now += 5 * time.Millisecond
+	later := sender.Report(true, false)
+	tracker.Receive(from, later)
+	tracker.Receive(from, earlier)
+	is.True(tracker.OthersFail())
+	is.True(tracker.Declines(from))
+	now += 500 * time.Millisecond
+	tracker.Receive(from, sender.Report(false, true))
+	is.True(!tracker.OthersFail())
+	is.True(!tracker.Declines(from))
+}
