node: checks for cold servers begin when the store's answer is overdue

Cause: calls counted as failing once the store had been given up: a watch at 0.7 s after its wait, and then the list after it, 0.7 s later if nothing answers. Servers that became cold before got the load of warm ones.

Change: a follower tells for how long an answer has been due, a watch's since the end of its wait. From 0.3 s on the entry's calls count as failing, unless its process was paused just before, and end to do so with the answer. Entries that follow through another one leave it to that one.

--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -147,6 +147,9 @@
 		latest         store.Version // the newest change that has been applied
 		invalidation   store.Version // the newest change that another entry has applied
 		cancelWatch    context.CancelCauseFunc
+		// due is when the answer to the first call since the store's last answer was due, zero if
+		// no call has been made since.
+		due time.Time
 	}
 )
 
@@ -157,7 +160,9 @@
 	f.registerMetrics()
 	for ctx.Err() == nil {
 		started := f.clock() // before the call of the first page
+		f.expectAnswer(0)
 		all, rev, err := f.Feed.All(ctx)
+		f.endCall(err)
 		if err == nil && f.rejects(rev) {
 			continue
 		}
@@ -254,6 +259,42 @@
 	return f.unavailable
 }
 
+// Overdue returns for how long an answer of the store has been due: that to a list since the
+// call, that to a watch since the end of its wait. It returns 0 if none is due, and if the latest
+// answer was of another entry: that one observes the store.
+func (f *Follower) Overdue(now time.Time) time.Duration {
+	if f.origin().Relayed() {
+		return 0
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.due.IsZero() {
+		return 0
+	}
+	return max(now.Sub(f.due), 0)
+}
+
+// expectAnswer records when the answer to a call with the given wait is due. An answer that was due
+// before and didn't come stays due.
+func (f *Follower) expectAnswer(wait time.Duration) {
+	due := time.Now().Add(wait)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.due.IsZero() || due.Before(f.due) {
+		f.due = due
+	}
+}
+
+// endCall records the end of a call, which was an answer unless the call failed.
+func (f *Follower) endCall(err error) {
+	if err != nil && !errors.Is(err, store.ErrCompacted) && !errors.Is(err, store.ErrRestored) {
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.due = time.Time{}
+}
+
 // Age returns the time since the store's last answer.
 func (f *Follower) Age(now time.Time) time.Duration {
 	f.mu.Lock()
@@ -339,7 +380,9 @@
 		f.awaitChange(f.invalidation)
 	}
 	f.mu.Unlock()
+	f.expectAnswer(wait)
 	changes, next, err := f.Feed.Changes(ctx, rev, wait)
+	f.endCall(err)
 	f.mu.Lock()
 	f.cancelWatch = nil
 	f.mu.Unlock()
--- a/internal/node/cold.go
+++ b/internal/node/cold.go
@@ -9,6 +9,7 @@
 	"net/netip"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -54,6 +55,9 @@
 	// failureMargin is how much longer than [Options.StoreSilence] it takes until the age of the
 	// store's latest answer tells whether calls fail for all entries.
 	failureMargin = time.Second
+	// overdueAnswer is for how long an answer of the store may be due until calls count as
+	// failing. It is longer than the retransmission of a lost segment takes.
+	overdueAnswer = 300 * time.Millisecond
 	// stallTime is the time without a step from which the process counts as having been paused,
 	// and the time after a pause for which what it reads may be old.
 	stallTime = 500 * time.Millisecond
@@ -70,9 +74,8 @@
 
 	// answered is the time of the store's latest answer to this entry.
 	answered time.Time
-	// stepped is the time of the latest step, and stalled that of the latest one that came
-	// late, since the process was paused.
-	stepped, stalled boottime.Instant
+	// stepped is the time of the latest step.
+	stepped boottime.Instant
 	// until is the end of the checks after the store is available again.
 	until   time.Time
 	running bool
@@ -83,6 +86,10 @@
 	// targets are the servers that this entry checks, as of a time.
 	targets     []coldcheck.Target
 	targetsFrom time.Time
+
+	// stalledAt is the time since boot, in nanoseconds, of the latest step that came late, since
+	// the process was paused; 0 if none did.
+	stalledAt atomic.Int64
 }
 
 // prepareColdChecks sets up the checks of servers that may have become cold.
@@ -151,17 +158,28 @@
 	return n.serving()
 }
 
-// storeFails reports whether the latest call to the store that tells of cold servers has failed:
-// registrations and evacuations both do.
-func (n *Node) storeFails() bool {
+// storeFails reports whether the latest call to the store that tells of cold servers has failed, or
+// its answer is overdue: registrations and evacuations both do. After a pause of the process an
+// answer may wait to be read.
+func (n *Node) storeFails(now time.Time) bool {
 	servers, zones := n.options.Store[follow.Servers], n.options.Store[follow.EvacuatedZones]
-	return servers != nil && zones != nil && (servers.Unavailable() || zones.Unavailable())
+	if servers == nil || zones == nil {
+		return false
+	}
+	overdue := max(servers.Overdue(now), zones.Overdue(now)) > overdueAnswer && !n.stalled()
+	return overdue || servers.Unavailable() || zones.Unavailable()
+}
+
+// stalled reports whether the process was paused recently.
+func (n *Node) stalled() bool {
+	at := boottime.Instant(n.cold.stalledAt.Load())
+	return at > 0 && n.clock().Sub(at) < stallTime
 }
 
 // observeFailures records since when calls of any entry to the store fail, and tells the others of
 // those of this one.
 func (n *Node) observeFailures(now time.Time) {
-	c, own := &n.cold, n.storeFails()
+	c, own := &n.cold, n.storeFails(now)
 	if own && !c.ownFailing {
 		n.Heartbeats.AnnounceSoon()
 	}
@@ -179,15 +197,15 @@
 func (n *Node) observeStore(now time.Time) {
 	c, s, clock := &n.cold, n.options.Store, n.clock()
 	if c.stepped > 0 && clock.Sub(c.stepped) > stallTime {
-		c.stalled = clock
+		c.stalledAt.Store(int64(clock))
 	}
 	c.stepped = clock
-	if s[follow.Servers] == nil || s[follow.EvacuatedZones] == nil || c.stalled > 0 && clock.Sub(c.stalled) < stallTime {
+	if s[follow.Servers] == nil || s[follow.EvacuatedZones] == nil || n.stalled() {
 		return
 	}
 	age := max(s.Age(follow.Servers, now), s.Age(follow.EvacuatedZones, now))
 	answered := now.Add(-age)
-	if c.stalled > 0 && clock.Add(-age) < c.stalled.Add(stallTime) || !answered.After(n.started) || !answered.After(c.answered) {
+	if stalled := boottime.Instant(c.stalledAt.Load()); stalled > 0 && clock.Add(-age) < stalled.Add(stallTime) || !answered.After(n.started) || !answered.After(c.answered) {
 		return
 	}
 	c.answered = answered
--- a/internal/node/cold_test.go
+++ b/internal/node/cold_test.go
@@ -28,6 +28,9 @@
 const (
 	silence        = 3 * time.Second
 	checkedServers = 6
+	// storeWait is the wait of a watch, and storeTimeout limits a call to the store in addition.
+	storeWait    = 500 * time.Millisecond
+	storeTimeout = 700 * time.Millisecond
 )
 
 type (
@@ -97,10 +100,10 @@
 
 // start starts an entry that knows the others, and whose calls to the store fail or don't.
 func (d *checkedEntries) start(ctx context.Context, t *testing.T, fail bool) {
-	i, g, client := len(d.nodes), make(follow.Group), &feed.Client{Store: feed.New(store.Version{Revision: 1}), Timeout: 200 * time.Millisecond}
+	i, g, client := len(d.nodes), make(follow.Group), &feed.Client{Store: feed.New(store.Version{Revision: 1}), Timeout: storeTimeout}
 	client.SetFault(feed.Fault{Unavailable: fail})
 	for _, kind := range []follow.Kind{follow.Servers, follow.EvacuatedZones} {
-		g[kind] = &follow.Follower{Feed: client, Kind: kind, Sink: noSink{}, ShortPoll: func() bool { return true }, ShortWait: 500 * time.Millisecond, Log: slog.New(slog.DiscardHandler)}
+		g[kind] = &follow.Follower{Feed: client, Kind: kind, Sink: noSink{}, ShortPoll: func() bool { return true }, ShortWait: storeWait, Log: slog.New(slog.DiscardHandler)}
 	}
 	address := func(port uint16) netip.AddrPort {
 		return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i + 1)}), port)
@@ -218,6 +221,37 @@
 	}
 }
 
+// Guards against checks that begin only when calls without an answer have been given up, against
+// checks in ordinary operation since an answer takes longer than usual, and against checks that go
+// on after a late answer.
+func TestColdChecksBeginWithAnOverdueAnswer(t *testing.T) {
+	tests := map[string]struct {
+		fault feed.Fault
+		early bool
+	}{
+		"no answers":   {feed.Fault{Stalled: true}, true},
+		"late answers": {feed.Fault{Delay: 600 * time.Millisecond}, true},
+		"slow answers": {feed.Fault{Delay: 250 * time.Millisecond}, false},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			runChecked(t, 3, 3, time.Millisecond, func(_ context.Context, t *testing.T, d *checkedEntries) {
+				is := is.New(t)
+				for _, f := range d.feeds {
+					f.SetFault(tt.fault)
+				}
+				// The time from which the answer is overdue, and the interval of the checks.
+				is.Equal(len(d.checksIn(storeWait+600*time.Millisecond)) == checkedServers, tt.early)
+				for _, f := range d.feeds {
+					f.SetFault(feed.Fault{})
+				}
+				time.Sleep(2 * silence)
+				is.Equal(len(d.checksIn(silence)), 0)
+			})
+		})
+	}
+}
+
 // Guards against an entry that starts while the store is unavailable and ends the others' checks,
 // against a finding that doesn't reach all entries at once, or waits for a body that hangs, and
 // against a server that becomes cold again before its slow start ends and counts as warm then.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -346,7 +346,7 @@
 	self.Unreached = n.unreachedServers()
 	self.Changes = n.options.Store.Changes()
 	self.StoreAvailableFor = n.options.Store.AvailableFor(follow.Servers, time.Now())
-	self.StoreContact = n.storeContact.Report(n.storeFails(), n.checksServers())
+	self.StoreContact = n.storeContact.Report(n.storeFails(time.Now()), n.checksServers())
 	self.CrashDigest = n.Quarantine.Digest(time.Now())
 	if n.Quarantine.Active() {
 		self.Crashes = n.Quarantine.Reports(time.Now(), heartbeat.MaxCrashReports)
