--- a/internal/follow/overdue_test.go
+++ b/internal/follow/overdue_test.go
@@ -9,6 +9,7 @@
 	"github.com/matryer/is"
 
 	"github.com/shallotpier/shallotpier/internal/follow"
+	"github.com/shallotpier/shallotpier/internal/simclock"
 	"github.com/shallotpier/shallotpier/internal/standin/feed"
 )
 
@@ -52,7 +53,7 @@
 		"entry": {follow.Origin{Entry: "leader"}, 0},
 	} {
 		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			simclock.Test(t, func(t *testing.T) {
 				is := is.New(t)
 				ctx, cancel := context.WithCancel(t.Context())
 				f, _ := followRelayed(ctx, &relayed{lists: []listed{{tt.origin, revision(20), []string{"first"}}}})
