forward: requests of a test that are given up have reached a server

TestCrashesDuringAbandonedRequestsAreCounted counted crashes of three requests whose callers left, or whose deadlines passed, after 50 ms. The checks are unchanged.

--- a/internal/forward/suspects_test.go
+++ b/internal/forward/suspects_test.go
@@ -58,9 +58,19 @@
 				resp.Body.Close()
 				return resp.StatusCode, resp.Header.Get(result.HeaderCode)
 			}
+			// abandon sends a request, and again if it was given up before it reached a server.
+			abandon := func() {
+				before := f.backend.requests.Load()
+				for tries := 0; tries < 20 && f.backend.requests.Load() == before; tries++ {
+					send(tt.left, tt.leaves)
+					for i := 0; f.backend.requests.Load() == before && i < 20; i++ {
+						time.Sleep(10 * time.Millisecond)
+					}
+				}
+			}
 			f.restart(1)
 			for n := range 3 {
-				send(tt.left, tt.leaves)
+				abandon()
 				if tt.restarted {
 					f.restart(int64(n + 2))
 				}
