pipeline: empty lines that come in parts are ignored

A line break whose second byte came after another whole one was read ("CR LF CR", then "LF") still ended in 400: the rest was passed on as the start of the head. The listener now reads on while all that it has is a lone carriage return. TestEmptyLinesBeforeRequests has such a case, which failed before.

--- a/internal/pipeline/conn.go
+++ b/internal/pipeline/conn.go
@@ -127,18 +127,16 @@
 // readHeadStart reads the start of a head without the empty lines before it, which callers may
 // send (RFC 9112, section 2.2) and net/http answers with 400 unless a POST came before.
 func (c *conn) readHeadStart(p []byte) (int, error) {
+	n := 0
 	for {
-		n, err := c.raw.Read(p)
-		for err == nil && n == 1 && p[0] == '\r' && len(p) > 1 {
-			var more int
-			more, err = c.raw.Read(p[1:])
-			n += more
-		}
-		b := p[:n]
+		more, err := c.raw.Read(p[n:])
+		b := p[:n+more]
 		for bytes.HasPrefix(b, []byte(crlf)) {
 			b = b[len(crlf):]
 		}
-		if n = copy(p, b); n > 0 || err != nil {
+		n = copy(p, b)
+		partial := n == 1 && p[0] == '\r' && len(p) > 1 // of an empty line
+		if err != nil || n > 0 && !partial {
 			return n, err
 		}
 	}
--- a/internal/pipeline/listener_test.go
+++ b/internal/pipeline/listener_test.go
@@ -397,6 +397,7 @@
 		"at the start":                  {"\r\n" + get("/a"), get("/b")},
 		"in two parts":                  {"\r", "\n" + get("/a"), get("/b")},
 		"alone":                         {"\r\n", get("/a"), get("/b")},
+		"several in parts":              {"\r\n\r", "\n\r", "\n" + get("/a"), get("/b")},
 		"several":                       {"\r\n\r\n\r\n" + get("/a"), get("/b")},
 		"behind a head":                 {get("/a") + "\r\n", get("/b")},
 		"behind a body":                 {put + "\r\n", get("/b")},
