node: late answers of the store don't keep the checks for cold servers going

Checks that begin because calls fail end after 4 s if others still get answers. With answers that count as overdue by 0.3 s each late one began those 4 s anew: one entry with a slow path to the store made all entries check all servers without end.

The 4 s now count from the first failed call until none has failed for StoreSilence, and checks run only while calls fail. TestColdChecksBeginWithAnOverdueAnswer, "late answers", failed before.

--- a/internal/node/cold.go
+++ b/internal/node/cold.go
@@ -79,10 +79,11 @@
 	// until is the end of the checks after the store is available again.
 	until   time.Time
 	running bool
-	// failing is the time since which calls of any entry to the store fail, zero if none do, and
+	// failing is the time since which calls of any entry to the store fail now and then, zero if
+	// none has for [Options.StoreSilence], and failed that of the latest step at which they did.
 	// ownFailing is set while this entry's do.
-	failing    time.Time
-	ownFailing bool
+	failing, failed time.Time
+	ownFailing      bool
 	// targets are the servers that this entry checks, as of a time.
 	targets     []coldcheck.Target
 	targetsFrom time.Time
@@ -132,7 +133,7 @@
 		c.until = now.Add(n.options.MissingServerGrace)
 	}
 	n.observeFailures(now)
-	mayFail := !c.failing.IsZero() && now.Sub(c.failing) < n.options.StoreSilence+failureMargin
+	mayFail := c.failed.Equal(now) && now.Sub(c.failing) < n.options.StoreSilence+failureMargin
 	if running := mayFail || now.Before(c.until); running != c.running {
 		c.running = running
 		n.options.Log.Info("checks of servers that may have become cold", "running", running, "storeSilent", silent)
@@ -185,10 +186,12 @@
 	}
 	c.ownFailing = own
 	switch {
-	case !own && !n.storeContact.OthersFail():
+	case own || n.storeContact.OthersFail():
+		if c.failed = now; c.failing.IsZero() {
+			c.failing = now
+		}
+	case now.Sub(c.failed) > n.options.StoreSilence:
 		c.failing = time.Time{}
-	case c.failing.IsZero():
-		c.failing = now
 	}
 }
 
--- a/internal/node/cold_test.go
+++ b/internal/node/cold_test.go
@@ -222,8 +222,8 @@
 }
 
 // Guards against checks that begin only when calls without an answer have been given up, against
-// checks in ordinary operation since an answer takes longer than usual, and against checks that go
-// on after a late answer.
+// checks in ordinary operation since an answer takes longer than usual, against checks that go on
+// after a late answer, and against checks without end while all answers are late.
 func TestColdChecksBeginWithAnOverdueAnswer(t *testing.T) {
 	tests := map[string]struct {
 		fault feed.Fault
@@ -242,6 +242,10 @@
 				}
 				// The time from which the answer is overdue, and the interval of the checks.
 				is.Equal(len(d.checksIn(storeWait+600*time.Millisecond)) == checkedServers, tt.early)
+				if !tt.fault.Stalled {
+					time.Sleep(2 * silence)
+					is.Equal(len(d.checksIn(4*silence)), 0) // the store is slow, but available
+				}
 				for _, f := range d.feeds {
 					f.SetFault(feed.Fault{})
 				}
