follow: a long wait ends when the entry becomes a short-poll entry

An entry whose watch is unanswered since the answer was lost learns of the change from another entry's heartbeat. One that is cut off from all other entries, but not from the store, hears none. It becomes a short-poll entry once the others count as silent, but that applied to its next watch only: the one in progress kept its wait of 12 s.

The entry now checks every 500 ms during a long wait whether it is a short-poll entry. If so, it ends the watch and begins another from the same version, without a list.

--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -45,6 +45,9 @@
 	// for others.
 	shortPollMaxRetry = 400 * time.Millisecond
 	longPollMaxRetry  = 1600 * time.Millisecond
+	// shortPollCheck is the interval of checks during a watch with the long wait whether this
+	// entry has become a short-poll entry.
+	shortPollCheck = 500 * time.Millisecond
 )
 
 // Kinds of objects that an entry follows.
@@ -84,7 +87,8 @@
 	//
 	// A stalled watch is detected when its wait has expired. Only short-poll
 	// entries use a short wait; the others use a long one and are notified by
-	// Invalidate of changes that another entry has applied and they have not.
+	// Invalidate of changes that another entry has applied and they have not. An entry
+	// that hears no others becomes a short-poll entry, which ends its long wait.
 	Follower struct {
 		// Feed is the store's feed of the objects. It may be a RelayFeed.
 		Feed store.Feed
@@ -153,7 +157,10 @@
 	}
 )
 
-var errStalled = errors.New("another entry has applied a later change")
+var (
+	errStalled   = errors.New("another entry has applied a later change")
+	errShortPoll = errors.New("this entry has become a short-poll entry")
+)
 
 // Run follows the kind until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
@@ -287,7 +294,7 @@
 
 // endCall records the end of a call, which was an answer unless the call failed.
 func (f *Follower) endCall(err error) {
-	if err != nil && !errors.Is(err, store.ErrCompacted) && !errors.Is(err, store.ErrRestored) {
+	if err != nil && !isAnswer(err) {
 		return
 	}
 	f.mu.Lock()
@@ -295,6 +302,11 @@
 	f.due = time.Time{}
 }
 
+// isAnswer reports whether an error of a watch is an answer of the store.
+func isAnswer(err error) bool {
+	return errors.Is(err, store.ErrCompacted) || errors.Is(err, store.ErrRestored)
+}
+
 // Age returns the time since the store's last answer.
 func (f *Follower) Age(now time.Time) time.Duration {
 	f.mu.Lock()
@@ -344,6 +356,8 @@
 			return
 		case errors.Is(err, errStalled):
 			return
+		case errors.Is(err, errShortPoll):
+			continue
 		case errors.Is(err, errRestored), errors.Is(err, store.ErrRestored):
 			f.gap = true
 			return
@@ -380,13 +394,19 @@
 		f.awaitChange(f.invalidation)
 	}
 	f.mu.Unlock()
+	if wait > f.ShortWait {
+		go f.shorten(ctx, cancel)
+	}
 	f.expectAnswer(wait)
 	changes, next, err := f.Feed.Changes(ctx, rev, wait)
 	f.endCall(err)
 	f.mu.Lock()
 	f.cancelWatch = nil
 	f.mu.Unlock()
-	if cause := context.Cause(ctx); errors.Is(cause, errStalled) || errors.Is(cause, errRestored) {
+	cause := context.Cause(ctx)
+	// The answer may have arrived at the time of the cancellation.
+	shortened := errors.Is(cause, errShortPoll) && err != nil && !isAnswer(err)
+	if shortened || errors.Is(cause, errStalled) || errors.Is(cause, errRestored) {
 		return nil, store.Version{}, cause
 	}
 	if err == nil {
@@ -395,6 +415,25 @@
 	return changes, next, err
 }
 
+// shorten cancels a watch with the long wait once this entry is a short-poll entry. If the
+// answer to the watch was lost, an entry that hears no others would not learn of the change
+// before the end of the long wait.
+func (f *Follower) shorten(ctx context.Context, cancel context.CancelCauseFunc) {
+	tick := time.NewTicker(shortPollCheck)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+			if f.ShortPoll() {
+				cancel(errShortPoll)
+				return
+			}
+		}
+	}
+}
+
 // applyChanges applies the answer to a watch call.
 func (f *Follower) applyChanges(changes []store.Change, covered store.Version, started boottime.Instant) {
 	f.applying.Lock()
