--- a/internal/relayfeed/feed_test.go
+++ b/internal/relayfeed/feed_test.go
@@ -41,7 +41,8 @@
 				if direct && tt.entries == 300 {
 					continue
 				}
-				simclock.Test(t, func(t *testing.T) {
+				// On all threads, since hundreds of entries take long on one under the race detector.
+				synctest.Test(t, func(t *testing.T) {
 					is := is.New(t)
 					ctx, cancel := context.WithCancel(t.Context())
 					d := newDeployment(t, tt.entries, tt.zones)
