follow: lists by cause, and the time behind other entries, in metrics

Metrics showed the version in force and the number of reads, but not why entries listed again, nor for how long they had known of a change that they lacked.

Change: shallotpier_follow_lists_total{kind,cause} with the causes first, failed, behind, compacted and restored; shallotpier_follow_behind_seconds{kind}. No logic is changed. store.Receiver is declared for feeds that know whether an answer is arriving; nothing implements it yet.

--- a/internal/follow/era.go
+++ b/internal/follow/era.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"fmt"
 	"time"
 
 	"github.com/shallotpier/shallotpier/internal/store"
@@ -79,16 +78,3 @@
 	}
 	f.Sink.StoreRestored(now, before, after)
 }
-
-// registerMetrics registers the gauge of the store's era.
-func (f *Follower) registerMetrics() {
-	if f.Metrics != nil {
-		f.Metrics.GetOrCreateGauge(fmt.Sprintf(`shallotpier_store_era{kind=%q}`, f.Kind), func() float64 { return float64(f.Era()) })
-	}
-}
-
-func (f *Follower) count(counter string) {
-	if f.Metrics != nil {
-		f.Metrics.GetOrCreateCounter(fmt.Sprintf(`%s{kind=%q}`, counter, f.Kind)).Inc()
-	}
-}
--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -135,6 +135,7 @@
 
 		onEra func(store.Era) // called with each later era, may be nil
 		gap   bool            // changes may have been missed since the last list
+		cause listCause       // of the next list
 		retry time.Duration
 		wake  chan struct{}
 
@@ -150,6 +151,7 @@
 		covered        store.Version // all changes up to this version have been received from the store
 		latest         store.Version // the newest change that has been applied
 		invalidation   store.Version // the newest change that another entry has applied
+		behindSince    time.Time     // time since which covered is before invalidation, zero if it isn't
 		cancelWatch    context.CancelCauseFunc
 		// due is when the answer to the first call since the store's last answer was due, zero if
 		// no call has been made since.
@@ -166,6 +168,7 @@
 func (f *Follower) Run(ctx context.Context) {
 	f.registerMetrics()
 	for ctx.Err() == nil {
+		f.countList()
 		started := f.clock() // before the call of the first page
 		f.expectAnswer(0)
 		all, rev, err := f.Feed.All(ctx)
@@ -201,6 +204,9 @@
 		return
 	}
 	f.invalidation = rev
+	if f.behindSince.IsZero() {
+		f.behindSince = time.Now()
+	}
 	if f.unavailable {
 		// Another entry can reach the store, so retry immediately.
 		f.wakeRetry()
@@ -326,6 +332,25 @@
 	return now.Sub(f.availableSince)
 }
 
+// Behind returns for how long this entry has known of a change that it hasn't received, 0 if
+// there is none.
+func (f *Follower) Behind(now time.Time) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.behindSince.IsZero() {
+		return 0
+	}
+	return now.Sub(f.behindSince)
+}
+
+// cover records that all changes up to a version have been received. The caller must hold mu.
+func (f *Follower) cover(version store.Version) {
+	f.covered = version
+	if !version.Before(f.invalidation) {
+		f.behindSince = time.Time{}
+	}
+}
+
 // checkStalled cancels a watch that has not delivered a change.
 func (f *Follower) checkStalled(rev store.Version) {
 	f.mu.Lock()
@@ -352,14 +377,15 @@
 		switch {
 		case errors.Is(err, store.ErrCompacted):
 			f.Log.Info("history of the store compacted", "kind", f.Kind, "version", rev)
-			f.gap = true
+			f.gap, f.cause = true, listCompacted
 			return
 		case errors.Is(err, errStalled):
+			f.cause = listBehind
 			return
 		case errors.Is(err, errShortPoll):
 			continue
 		case errors.Is(err, errRestored), errors.Is(err, store.ErrRestored):
-			f.gap = true
+			f.gap, f.cause = true, listRestored
 			return
 		case errors.Is(err, errOlderEra):
 			f.delayRetry(ctx)
@@ -368,7 +394,7 @@
 			// List again immediately: it may be just the connection that was
 			// closed.
 			f.Log.Info("watch ended", "kind", f.Kind, "version", rev, "err", err)
-			f.gap = true
+			f.gap, f.cause = true, listFailed
 			return
 		}
 		rev = next
@@ -451,7 +477,7 @@
 		// No change has a new version; covered is an upper bound for the newest.
 		f.latest = covered
 	}
-	f.covered = covered
+	f.cover(covered)
 	f.mu.Unlock()
 	now := time.Now()
 	for i := range changes {
@@ -497,7 +523,7 @@
 
 // coverList updates the versions for a list. The caller must hold mu.
 func (f *Follower) coverList(all []store.Object, covered store.Version, origin Origin, restored bool) {
-	f.covered = covered
+	f.cover(covered)
 	for _, o := range all {
 		f.latest = store.Latest(f.latest, o.Version)
 	}
@@ -544,7 +570,7 @@
 	if !f.unavailable {
 		f.Log.Warn("store lost", "kind", f.Kind, "err", err)
 	}
-	f.unavailable, f.gap = true, true
+	f.unavailable, f.gap, f.cause = true, true, listFailed
 	f.mu.Unlock()
 	if f.Recorder != nil {
 		f.Recorder.RecordFailure()
--- a/internal/store/feed.go
+++ b/internal/store/feed.go
@@ -31,6 +31,13 @@
 		// a later era, which doesn't have the version.
 		Changes(ctx context.Context, after Version, wait time.Duration) ([]Change, Version, error)
 	}
+
+	// Receiver is implemented by Feeds that know whether an answer is arriving.
+	Receiver interface {
+		// Receiving reports whether a part of the answer to the call in progress has
+		// arrived within the last few hundred milliseconds.
+		Receiving() bool
+	}
 )
 
 // Errors of the methods of a Feed; compare with errors.Is.
