follow: a list after a failed call announces only what it changes

Cause: an entry whose call had failed lists the objects, and announced the store's revision of that list as its newest change, since a removal may be missing in it. To all other entries that is a change that their watches don't deliver, and they list too.

Change: the follower keeps the versions of the applied objects, some 40 bytes each, and compares. A list that holds nothing new announces nothing; one with objects that are new or changed announces their versions; only one that lacks an object announces its own revision, as before. After another entry's state was taken over, the applied versions aren't known, and it announces its own revision too.

--- a/internal/follow/confirm.go
+++ b/internal/follow/confirm.go
@@ -28,6 +28,7 @@
 		f.mu.Lock()
 		f.latest = o.Version
 		f.mu.Unlock()
+		f.noteChange(&store.Change{Object: o})
 		f.Sink.Change(time.Now(), o)
 	}
 	confirmed()
--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -142,6 +142,9 @@
 		// applying is held while latest is updated and Sink applies the
 		// corresponding state.
 		applying sync.Mutex
+		// applied holds the versions of the applied objects, nil if they aren't known. It is
+		// guarded by applying.
+		applied map[string]store.Version
 
 		mu             sync.Mutex
 		unavailable    bool
@@ -250,6 +253,7 @@
 	if !known.IsZero() && known.Era < version.Era {
 		f.handleRestore(time.Now(), known, version, "entry")
 	}
+	f.applied = nil // the sink's objects are those of the other entry
 	f.Log.Info("taken over from another entry", "kind", f.Kind, "version", version, "before", known)
 	apply()
 	return true
@@ -481,6 +485,7 @@
 	f.mu.Unlock()
 	now := time.Now()
 	for i := range changes {
+		f.noteChange(&changes[i])
 		if changes[i].Removed {
 			f.Sink.Remove(now, changes[i].Key)
 			continue
@@ -501,12 +506,14 @@
 	f.mu.Lock()
 	before := store.Latest(f.latest, f.covered)
 	restored := !before.IsZero() && f.covered.Era < covered.Era
-	caughtUp := f.gap && !origin.Relayed() && !before.IsZero() && before.Before(covered)
-	f.coverList(all, covered, origin, restored)
+	changed, removed := f.compare(all)
+	caughtUp := f.gap && (changed || removed) && !origin.Relayed() && !before.IsZero() && before.Before(covered)
+	f.coverList(all, covered, origin, restored || f.gap && removed)
 	if restored {
 		f.availableSince = time.Now()
 	}
 	f.mu.Unlock()
+	f.noteList(all)
 	f.recordAnswer(origin)
 	if restored {
 		f.handleRestore(time.Now(), before, covered, "store")
@@ -521,8 +528,9 @@
 	}
 }
 
-// coverList updates the versions for a list. The caller must hold mu.
-func (f *Follower) coverList(all []store.Object, covered store.Version, origin Origin, restored bool) {
+// coverList updates the versions for a list; lost is whether changes were missed that don't
+// appear in it, such as removals. The caller must hold mu.
+func (f *Follower) coverList(all []store.Object, covered store.Version, origin Origin, lost bool) {
 	f.cover(covered)
 	for _, o := range all {
 		f.latest = store.Latest(f.latest, o.Version)
@@ -535,9 +543,47 @@
 	}
 	if origin.Relayed() {
 		f.latest, f.gap = store.Latest(f.latest, relayedLatest(origin, covered)), false
-	} else if f.gap || restored {
-		// Removals during the gap don't appear in the list, but count as changes.
-		f.latest, f.gap = covered, false
+		return
+	}
+	f.gap = false
+	if lost {
+		f.latest = covered
+	}
+}
+
+// compare reports whether a list has objects that were created or changed since the applied
+// state, and whether it may lack some that were removed.
+func (f *Follower) compare(all []store.Object) (changed, removed bool) {
+	if f.applied == nil {
+		return true, true
+	}
+	known := 0
+	for i := range all {
+		version, ok := f.applied[all[i].Key]
+		if ok {
+			known++
+		}
+		changed = changed || !ok || version != all[i].Version
+	}
+	return changed, known < len(f.applied)
+}
+
+// noteList records the versions of a list that is applied.
+func (f *Follower) noteList(all []store.Object) {
+	f.applied = make(map[string]store.Version, len(all))
+	for i := range all {
+		f.applied[all[i].Key] = all[i].Version
+	}
+}
+
+// noteChange records the version of a change that is applied.
+func (f *Follower) noteChange(c *store.Change) {
+	switch {
+	case f.applied == nil:
+	case c.Removed:
+		delete(f.applied, c.Key)
+	default:
+		f.applied[c.Key] = c.Version
 	}
 }
 
