--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -355,14 +355,27 @@
 	}
 }
 
-// checkStalled cancels a watch that has not delivered a change.
+// checkStalled cancels a watch that has not delivered a change, unless an answer is arriving.
 func (f *Follower) checkStalled(rev store.Version) {
+	receiving := f.receiving()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.covered.Before(rev) && f.cancelWatch != nil {
-		f.Log.Warn("watch is behind", "kind", f.Kind, "covered", f.covered, "change", rev)
-		f.cancelWatch(errStalled)
+	if !f.covered.Before(rev) || f.cancelWatch == nil {
+		return
+	}
+	if receiving {
+		time.AfterFunc(f.StallTimeout, func() { f.checkStalled(rev) })
+		return
 	}
+	f.Log.Warn("watch is behind", "kind", f.Kind, "covered", f.covered, "change", rev)
+	f.cancelWatch(errStalled)
+}
+
+// receiving reports whether an answer is arriving. A call that is made instead would take as
+// long on the same link.
+func (f *Follower) receiving() bool {
+	r, ok := f.Feed.(store.Receiver)
+	return ok && r.Receiving()
 }
 
 // watch applies changes until a new list is required.
--- a/internal/follow/relay.go
+++ b/internal/follow/relay.go
@@ -84,7 +84,7 @@
 	if r, ok := f.Feed.(RelayFeed); ok {
 		// The entry that is asked may be in the delay between two of its own watches.
 		time.AfterFunc(f.Batch, func() {
-			if f.isBehind(version) {
+			if f.isBehind(version) && !f.receiving() {
 				r.Redirect()
 			}
 		})
