follow, platform: a failed watch of the configuration continues from its version

Cause: after each watch that failed the objects were listed again, which transfers the whole configuration although it has mostly not changed.

Change: the watch of the configuration continues from its version, at first without a wait, which shows whether the store answers. A second failure counts as an outage, as a failed list did. The objects are listed if the store has discarded the changes or was restored. Servers and evacuated zones are listed as before: after an outage, lapsed registrations must not be taken for removals.

Evidence: TestFailedWatchIsResumed.

--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -110,6 +110,10 @@
 		// StallTimeout is how long after a call of Invalidate the watch may take to
 		// deliver the change before the objects are listed again.
 		StallTimeout time.Duration
+		// Resume makes a watch that has failed continue from its version. Otherwise the objects
+		// are listed again, as for kinds whose objects may lapse while the store is away. It
+		// saves the transfer of large objects that haven't changed.
+		Resume bool
 		// Sink receives the objects and their changes.
 		Sink Sink
 		// OnCatchUp, unless nil, is called after a list that may hold changes that the
@@ -380,10 +384,13 @@
 
 // watch applies changes until a new list is required.
 func (f *Follower) watch(ctx context.Context, rev store.Version) {
-	slept := time.Duration(0)
+	slept, failed := time.Duration(0), false
 	for ctx.Err() == nil {
 		wait := f.LongWait
-		if f.ShortPoll() {
+		switch {
+		case failed:
+			wait = 0 // shows at once whether the store answers again
+		case f.ShortPoll():
 			wait = f.ShortWait
 		}
 		// The delay counts toward the wait: a watch that begins from a revision that a
@@ -407,6 +414,13 @@
 		case errors.Is(err, errOlderEra):
 			f.delayRetry(ctx)
 			continue
+		case err != nil && f.Resume:
+			f.Log.Info("watch ended", "kind", f.Kind, "version", rev, "err", err)
+			if failed {
+				f.handleFailure(ctx, err)
+			}
+			failed = true
+			continue
 		case err != nil:
 			// List again immediately: it may be just the connection that was
 			// closed.
@@ -414,7 +428,7 @@
 			f.gap, f.cause = true, listFailed
 			return
 		}
-		rev = next
+		rev, failed = next, false
 		f.applyChanges(changes, next, started)
 		if len(changes) > 0 && !f.origin().Relayed() {
 			sleep(ctx, f.Batch)
--- a/internal/follow/gap_test.go
+++ b/internal/follow/gap_test.go
@@ -160,3 +160,45 @@
 		synctest.Wait()
 	})
 }
+
+// Guards against a list of large objects after each failed call, although nothing has changed:
+// on a slow link it takes longer than the time until the next failure.
+func TestFailedWatchIsResumed(t *testing.T) {
+	lost := errors.New("connection reset")
+	tests := map[string]struct {
+		failures []error
+		lists    int
+	}{
+		"once":                      {[]error{lost}, 1},
+		"repeatedly":                {[]error{lost, lost, lost}, 1},
+		"changes were discarded":    {[]error{lost, store.ErrCompacted}, 2},
+		"restored from an old copy": {[]error{store.ErrRestored}, 2},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			simclock.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				ctx, cancel := context.WithCancel(t.Context())
+				feed := newSlowFeed(100, map[string]store.Revision{"main": 50})
+				f, announced := feed.follower(follow.Configuration)
+				f.Resume = true
+				go f.Run(ctx)
+				time.Sleep(time.Second)
+				feed.set(130, map[string]store.Revision{"main": 120})
+				for _, err := range tt.failures {
+					feed.fail <- err
+				}
+				time.Sleep(time.Second)
+				is.Equal(feed.lists, tt.lists)
+				is.Equal(f.Latest(), revision(120))
+				is.True(!f.Unavailable())
+				if tt.lists == 1 {
+					is.Equal(feed.watched[:2], []store.Version{revision(100), revision(100)})
+					is.Equal(*announced, 0)
+				}
+				cancel()
+				synctest.Wait()
+			})
+		})
+	}
+}
