rpc: calls between entries are limited by their progress

Change: when the deadline of a call passes while a message of 16 KB or more is arriving, the call waits for its end: as long as parts of it arrive, each within 0.3 s of the one before, and for 20 s at most. The time-out of a write holds for each 64 KB of it. Node.Receiving tells whether an answer is arriving.

Evidence: TestLargeAnswersOverSlowLinks, "large" failed before (an answer of 100 KB over 20 KB/s, with 1 s for the call); answers that stall end a call as before.

--- a/internal/peer/rpc/link.go
+++ b/internal/peer/rpc/link.go
@@ -18,14 +18,28 @@
 const (
 	helloMethod  = "hello"
 	writeTimeout = 5 * time.Second
+	// writeChunk is the number of bytes for which writeTimeout holds.
+	writeChunk = 64 << 10
+	// largeMessage is the size in bytes from which a message counts as arriving while parts
+	// of it arrive.
+	largeMessage = 16 << 10
+	// recent is the time after a part in which a message counts as arriving. It covers a
+	// retransmission.
+	recent = 300 * time.Millisecond
+	// receiveCheck is the interval of checks whether an answer that is late is arriving.
+	receiveCheck = 50 * time.Millisecond
+	// maxTransfer limits how long a call waits for an answer that is arriving.
+	maxTransfer = 20 * time.Second
 )
 
 type (
-	// meter counts the reads of a connection and sets a deadline for each of
+	// meter counts the reads of a connection and sets a deadline for each part of
 	// its writes.
 	meter struct {
 		net.Conn
-		reads atomic.Int64
+		reads  atomic.Int64
+		latest atomic.Int64 // Unix time in nanoseconds of the latest read
+		large  atomic.Bool  // the latest message is large
 	}
 
 	// link is a connection dialled by this node.
@@ -53,21 +67,34 @@
 	n, err := m.Conn.Read(p)
 	if n > 0 {
 		m.reads.Add(1)
+		m.latest.Store(time.Now().UnixNano())
 	}
 	return n, err
 }
 
-// Write fails if p can't be written within writeTimeout.
+// Write fails if a part of p can't be written within writeTimeout.
 func (m *meter) Write(p []byte) (int, error) {
-	if err := m.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
-		return 0, err
+	written := 0
+	for {
+		if err := m.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+			return written, err
+		}
+		n, err := m.Conn.Write(p[:min(len(p), writeChunk)])
+		written, p = written+n, p[n:]
+		if err != nil || len(p) == 0 {
+			return written, err
+		}
 	}
-	return m.Conn.Write(p)
+}
+
+// receiving reports whether a large message is arriving, or has just arrived.
+func (m *meter) receiving() bool {
+	return m.large.Load() && time.Since(time.Unix(0, m.latest.Load())) < recent
 }
 
 func newConn(c net.Conn, h jsonrpc2.Handler) (*jsonrpc2.Conn, *meter) {
 	m := &meter{Conn: c}
-	stream := jsonrpc2.NewBufferedStream(m, codec{})
+	stream := jsonrpc2.NewBufferedStream(m, codec{meter: m})
 	quiet := jsonrpc2.SetLogger(log.New(io.Discard, "", 0))
 	return jsonrpc2.NewConn(context.Background(), stream, h, quiet), m
 }
@@ -82,27 +109,56 @@
 }
 
 // call sends a request and waits for its answer until ctx ends, even if the
-// write blocks.
+// write blocks. When the deadline of ctx passes while a large message arrives, it
+// waits until that ends.
 func (l *link) call(ctx context.Context, method string, params any) (json.RawMessage, error) {
 	before := l.meter.reads.Load()
 	done := make(chan reply, 1)
+	running, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
 	go func() {
 		var r reply
-		r.err = l.conn.Call(ctx, method, params, &r.result)
+		r.err = l.conn.Call(running, method, params, &r.result)
 		done <- r
 	}()
 	select {
 	case r := <-done:
-		if r.err == nil && l.closed() {
-			return nil, eris.New("connection closed")
+		return l.finish(r)
+	case <-ctx.Done():
+	}
+	if eris.Is(ctx.Err(), context.DeadlineExceeded) {
+		if r, ok := l.awaitTransfer(done); ok {
+			return l.finish(r)
 		}
-		if ctx.Err() != nil {
-			l.closeIfStalled(ctx, before)
+	}
+	l.closeIfStalled(ctx, before)
+	return nil, ctx.Err()
+}
+
+// finish returns the answer to a call.
+func (l *link) finish(r reply) (json.RawMessage, error) {
+	if r.err == nil && l.closed() {
+		return nil, eris.New("connection closed")
+	}
+	return r.result, r.err
+}
+
+// awaitTransfer waits for an answer while a large message is arriving.
+func (l *link) awaitTransfer(done <-chan reply) (reply, bool) {
+	tick := time.NewTicker(receiveCheck)
+	defer tick.Stop()
+	for end := time.Now().Add(maxTransfer); l.meter.receiving() && time.Now().Before(end); {
+		select {
+		case r := <-done:
+			return r, true
+		case <-tick.C:
 		}
-		return r.result, r.err
-	case <-ctx.Done():
-		l.closeIfStalled(ctx, before)
-		return nil, ctx.Err()
+	}
+	select {
+	case r := <-done:
+		return r, true
+	default:
+		return reply{}, false
 	}
 }
 
--- a/internal/peer/rpc/node.go
+++ b/internal/peer/rpc/node.go
@@ -86,6 +86,15 @@
 	return eris.Wrapf(json.Unmarshal(answer, result), "answer to %s from %s", method, to)
 }
 
+// Receiving reports whether a large message of a peer is arriving, which may be the answer
+// to a call.
+func (n *Node) Receiving(from id.Instance) bool {
+	r := n.remote(from)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.link != nil && r.link.meter.receiving()
+}
+
 // Drop closes the connection to a peer and resets its backoff, so that the next
 // call dials immediately.
 func (n *Node) Drop(to id.Instance) {
