relayfeed: large answers are compressed, and slow leaders not asked

Cause: the leaders of a zone are its first two entries by name. In the incident the second one has a link of 10 Mbit/s and 0.16 of a core, and sent a configuration of 0.8 to 1 MB, as base64 a third larger, to each of six to seven entries: 6 s of its link, of the 3 s that a change has to be in force. Its own watch and heartbeats were late meanwhile, and its readiness checks failed (front-tunis-lac-10 at 42.1 s, front-sfax-thyna-10 at 41.9 s, front-marseille-joliette-10 at 10.4, 40.4 and 72.4 s).

Change: answers of 16 KB or more are CBOR compressed with zstd, once for all entries that ask for the same changes; only the latest change of an object is sent. Entries of earlier builds don't ask for it and get JSON. A leader with a link less than half as fast as another one's isn't asked while that one can be. Feed tells whether an answer is arriving, so that it isn't given up.

--- a/internal/heartbeat/leaders.go
+++ b/internal/heartbeat/leaders.go
@@ -15,6 +15,8 @@
 	Ready bool
 	// Silent is the time since its latest heartbeat.
 	Silent time.Duration
+	// LinkMbps is the rate of its network link in Mbit/s; 0 if unknown.
+	LinkMbps float64
 }
 
 // Leaders returns the leaders of this entry's zone, none if it is a leader itself.
@@ -27,7 +29,7 @@
 	var out []Leader
 	for _, n := range leadersAmong(d.zone(now, self, self.Zone).members) {
 		if p := d.peers[n.Peers]; p != nil {
-			out = append(out, Leader{Instance: n.Instance, Incarnation: n.Incarnation, Ready: n.Ready, Silent: now.Sub(p.lastSeen)})
+			out = append(out, Leader{Instance: n.Instance, Incarnation: n.Incarnation, Ready: n.Ready, Silent: now.Sub(p.lastSeen), LinkMbps: n.LinkMbps})
 		}
 	}
 	return out
--- a/internal/node/following.go
+++ b/internal/node/following.go
@@ -51,7 +51,7 @@
 	var out []relayfeed.Leader
 	for _, l := range n.Heartbeats.Leaders(now, &self) {
 		if l.Ready {
-			out = append(out, relayfeed.Leader{Instance: l.Instance, Incarnation: l.Incarnation, Silent: l.Silent})
+			out = append(out, relayfeed.Leader{Instance: l.Instance, Incarnation: l.Incarnation, Silent: l.Silent, LinkMbps: l.LinkMbps})
 		}
 	}
 	if len(out) > 0 && n.ShortPolls() {
--- a/internal/relayfeed/feed.go
+++ b/internal/relayfeed/feed.go
@@ -56,10 +56,17 @@
 		mu       sync.Mutex
 		selector *selector
 		origin   follow.Origin
+		asked    id.Instance // the leader that is being asked, empty if none is
 		source   id.Instance // the one logged last, empty for the store
 		cancel   context.CancelCauseFunc
 	}
 
+	// receiver is implemented by callers of entries that know whether an answer of one is
+	// arriving.
+	receiver interface {
+		Receiving(from id.Instance) bool
+	}
+
 	// statusError is an answer without changes.
 	statusError struct{ status status }
 )
@@ -71,6 +78,7 @@
 	errRegressed = errors.New("answer is before the requested version")
 
 	_ follow.RelayFeed = (*Feed)(nil)
+	_ store.Receiver   = (*Feed)(nil)
 )
 
 func (e *statusError) Error() string { return "leader answered " + string(e.status) }
@@ -162,30 +170,48 @@
 	}
 }
 
+// Receiving implements store.Receiver.
+func (f *Feed) Receiving() bool {
+	f.mu.Lock()
+	asked := f.asked
+	f.mu.Unlock()
+	if asked != "" {
+		r, ok := f.Peers.(receiver)
+		return ok && r.Receiving(asked)
+	}
+	r, ok := f.Store.(store.Receiver)
+	return ok && r.Receiving()
+}
+
 // ask calls a leader. It gives up when the leader is not to be asked any more.
 func (f *Feed) ask(ctx context.Context, leader id.Instance, r *request) (*answer, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	f.setCancel(cancel)
-	defer f.setCancel(nil)
+	f.setCall(leader, cancel)
+	defer f.setCall("", nil)
 	ctx, stop := context.WithTimeout(ctx, r.Wait+f.Timeout)
 	defer stop()
 	go f.check(ctx, leader, cancel)
 	var a answer
+	r.Packed = true
 	err := f.Peers.Call(ctx, leader, Method, r, &a)
 	if cause := context.Cause(ctx); err != nil && cause != nil {
 		err = cause
 	}
+	if err == nil {
+		err = a.unpack()
+	}
 	if err == nil && a.Status != answered {
 		err = &statusError{a.Status}
 	}
 	return &a, err
 }
 
-func (f *Feed) setCancel(cancel context.CancelCauseFunc) {
+// setCall records the call in progress, to no leader if there is none.
+func (f *Feed) setCall(leader id.Instance, cancel context.CancelCauseFunc) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.cancel = cancel
+	f.asked, f.cancel = leader, cancel
 }
 
 // check cancels a call when the leader is not to be asked any more.
--- /dev/null
+++ b/internal/relayfeed/pack.go
@@ -0,0 +1,137 @@
+package relayfeed
+
+import (
+	"encoding/binary"
+	"sync"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/fxamacker/cbor/v2"
+	"github.com/klauspost/compress/zstd"
+	"github.com/rotisserie/eris"
+)
+
+const (
+	// packFrom is the size of the values from which an answer is packed, in bytes. Below it
+	// the answer fits into a few packets.
+	packFrom = 16 << 10
+	// packWindow limits the memory of the encoder and the decoder in bytes. It holds a
+	// configuration of the largest size.
+	packWindow = 1 << 20
+	// maxUnpacked is the largest size of unpacked changes in bytes.
+	maxUnpacked = 64 << 20
+	// packedKept is the number of packed answers that are kept: entries that follow through
+	// this one ask for the same changes at the same time.
+	packedKept = 4
+)
+
+type (
+	// packer packs answers. It is safe for concurrent use.
+	packer struct {
+		mu      sync.Mutex
+		encoder *zstd.Encoder
+		kept    []packed // most recently used last
+	}
+
+	// packed is a packed answer.
+	packed struct {
+		digest uint64 // of the changes' keys and versions
+		data   []byte
+	}
+)
+
+// apply packs the changes of an answer if they are large. An answer that can't be packed stays
+// as it is.
+func (p *packer) apply(a *answer) {
+	size := 0
+	for i := range a.Changes {
+		size += len(a.Changes[i].Value)
+	}
+	if size < packFrom {
+		return
+	}
+	a.Changes = latestOnly(a.Changes)
+	digest := digestOf(a.Changes)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for i := range p.kept {
+		if k := p.kept[i]; k.digest == digest {
+			p.kept = append(append(p.kept[:i:i], p.kept[i+1:]...), k)
+			a.Changes, a.Packed = nil, k.data
+			return
+		}
+	}
+	data, err := p.pack(a.Changes)
+	if err != nil {
+		return
+	}
+	p.kept = append(p.kept, packed{digest, data})
+	p.kept = p.kept[max(len(p.kept)-packedKept, 0):]
+	a.Changes, a.Packed = nil, data
+}
+
+// pack encodes changes as CBOR and compresses them. The caller must hold mu.
+func (p *packer) pack(changes []change) ([]byte, error) {
+	raw, err := cbor.Marshal(changes)
+	if err != nil {
+		return nil, eris.Wrap(err, "encode changes")
+	}
+	if p.encoder == nil {
+		p.encoder, err = zstd.NewWriter(nil, zstd.WithEncoderLevel(zstd.SpeedFastest), zstd.WithEncoderConcurrency(1),
+			zstd.WithWindowSize(packWindow), zstd.WithLowerEncoderMem(true))
+		if err != nil {
+			return nil, eris.Wrap(err, "create the encoder")
+		}
+	}
+	return p.encoder.EncodeAll(raw, nil), nil
+}
+
+// unpack replaces the packed changes of an answer by the changes.
+func (a *answer) unpack() error {
+	if len(a.Packed) == 0 {
+		return nil
+	}
+	decoder, err := zstd.NewReader(nil, zstd.WithDecoderConcurrency(1), zstd.WithDecoderMaxMemory(maxUnpacked), zstd.WithDecoderLowmem(true))
+	if err != nil {
+		return eris.Wrap(err, "create the decoder")
+	}
+	defer decoder.Close()
+	raw, err := decoder.DecodeAll(a.Packed, nil)
+	if err != nil {
+		return eris.Wrap(err, "decompress changes")
+	}
+	a.Packed = nil
+	return eris.Wrap(cbor.Unmarshal(raw, &a.Changes), "decode changes")
+}
+
+// latestOnly returns the latest change of each object, in their order.
+func latestOnly(changes []change) []change {
+	last := make(map[string]int, len(changes))
+	for i := range changes {
+		last[changes[i].Key] = i
+	}
+	out := make([]change, 0, len(last))
+	for i := range changes {
+		if last[changes[i].Key] == i {
+			out = append(out, changes[i])
+		}
+	}
+	return out
+}
+
+// digestOf returns a hash of the keys and versions of changes.
+func digestOf(changes []change) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	for i := range changes {
+		c := &changes[i]
+		var fields [17]byte
+		binary.BigEndian.PutUint64(fields[:], uint64(c.Version.Era))
+		binary.BigEndian.PutUint64(fields[8:], uint64(c.Version.Revision))
+		if c.Removed {
+			fields[16] = 1
+		}
+		_, _ = d.WriteString(c.Key)
+		_, _ = d.Write(fields[:])
+	}
+	return d.Sum64()
+}
--- a/internal/relayfeed/selector.go
+++ b/internal/relayfeed/selector.go
@@ -20,6 +20,9 @@
 	// maxHold bounds the hold after repeated failures. It is also that of an entry that
 	// doesn't know the method, which is of an older build.
 	maxHold = time.Minute
+	// slowLinkShare is the rate of a leader's link from which it is asked, as a share of the
+	// fastest one's.
+	slowLinkShare = 0.5
 	// forgetTime is how long after its last failure the failures of a leader are
 	// forgotten.
 	forgetTime = 2 * time.Minute
@@ -33,6 +36,8 @@
 		Incarnation id.Incarnation
 		// Silent is the time since its latest heartbeat.
 		Silent time.Duration
+		// LinkMbps is the rate of its network link in Mbit/s; 0 if unknown.
+		LinkMbps float64
 	}
 
 	// selector decides which leader is asked.
@@ -48,6 +53,7 @@
 	leaderState struct {
 		incarnation id.Incarnation
 		silent      time.Duration
+		linkMbps    float64
 		// from is the time from which it may be asked.
 		from     time.Time
 		failures int
@@ -65,13 +71,14 @@
 		if state == nil || state.incarnation != l.Incarnation {
 			state = &leaderState{incarnation: l.Incarnation, from: now.Add(minStay + s.draw(minStay))}
 		}
-		state.silent = l.Silent
+		state.silent, state.linkMbps = l.Silent, l.LinkMbps
 		seen[l.Instance] = state
 	}
 	s.leaders = seen
 }
 
-// pick returns the leader to ask. Entries of a zone spread over its leaders.
+// pick returns the leader to ask. Entries of a zone spread over its leaders, but for those
+// whose link is much slower than another one's: they would be late for all that ask them.
 func (s *selector) pick(now time.Time) (leader id.Instance, proven, ok bool) {
 	var usable []id.Instance
 	for name := range s.leaders {
@@ -82,6 +89,14 @@
 	if len(usable) == 0 {
 		return "", false, false
 	}
+	fastest := 0.0
+	for _, name := range usable {
+		fastest = max(fastest, s.leaders[name].linkMbps)
+	}
+	usable = slices.DeleteFunc(usable, func(name id.Instance) bool {
+		rate := s.leaders[name].linkMbps
+		return rate > 0 && rate < fastest*slowLinkShare
+	})
 	best := slices.MinFunc(usable, func(a, b id.Instance) int { return cmp.Compare(s.rank(a), s.rank(b)) })
 	return best, s.leaders[best].proven, true
 }
--- a/internal/relayfeed/server.go
+++ b/internal/relayfeed/server.go
@@ -50,6 +50,8 @@
 		Logs map[follow.Kind]*Log
 		// Serving reports whether this entry is not shutting down.
 		Serving func() bool
+
+		packer packer
 	}
 
 	// status tells whether a request could be answered.
@@ -63,6 +65,8 @@
 		After store.Version `json:"after"`
 		// Wait is how long to wait for changes.
 		Wait time.Duration `json:"wait,omitempty"`
+		// Packed is whether the answer may be packed.
+		Packed bool `json:"packed,omitempty"`
 	}
 
 	// answer is the result of Method.
@@ -70,6 +74,8 @@
 		Status status `json:"status,omitempty"`
 		// Changes holds the objects or changes as they came from the store.
 		Changes []change `json:"changes,omitempty"`
+		// Packed holds them instead if they are large, as encoded by pack.
+		Packed []byte `json:"packed,omitempty"`
 		// Version is the version up to which they are complete.
 		Version store.Version `json:"version"`
 		// Latest is the version of the newest change before Version.
@@ -80,7 +86,7 @@
 
 	change struct {
 		store.Object
-		Removed bool `json:"removed,omitempty"`
+		Removed bool `json:"removed,omitempty" cbor:"removed,omitempty"`
 	}
 
 	registrar interface {
@@ -102,11 +108,17 @@
 		return nil, eris.Errorf("kind %q is not followed", r.Kind)
 	case !s.Serving():
 		return &answer{Status: stopping}, nil
-	case r.List:
-		return log.list(time.Now()), nil
-	default:
-		return s.changes(ctx, log, &r), nil
 	}
+	var a *answer
+	if r.List {
+		a = log.list(time.Now())
+	} else {
+		a = s.changes(ctx, log, &r)
+	}
+	if r.Packed {
+		s.packer.apply(a)
+	}
+	return a, nil
 }
 
 // changes waits for changes. It also returns after an answer of the store without changes,
