--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -399,33 +399,21 @@
 		changes, next, err := f.poll(ctx, rev, max(wait-slept, 0))
 		slept = 0
 		switch {
-		case errors.Is(err, store.ErrCompacted):
-			f.Log.Info("history of the store compacted", "kind", f.Kind, "version", rev)
-			f.gap, f.cause = true, listCompacted
-			return
-		case errors.Is(err, errStalled):
-			f.cause = listBehind
-			return
+		case err == nil:
 		case errors.Is(err, errShortPoll):
 			continue
-		case errors.Is(err, errRestored), errors.Is(err, store.ErrRestored):
-			f.gap, f.cause = true, listRestored
-			return
 		case errors.Is(err, errOlderEra):
 			f.delayRetry(ctx)
 			continue
-		case err != nil && f.Resume:
+		case f.resumes(err):
 			f.Log.Info("watch ended", "kind", f.Kind, "version", rev, "err", err)
 			if failed {
 				f.handleFailure(ctx, err)
 			}
 			failed = true
 			continue
-		case err != nil:
-			// List again immediately: it may be just the connection that was
-			// closed.
-			f.Log.Info("watch ended", "kind", f.Kind, "version", rev, "err", err)
-			f.gap, f.cause = true, listFailed
+		default:
+			f.endWatch(rev, err)
 			return
 		}
 		rev, failed = next, false
@@ -437,6 +425,30 @@
 	}
 }
 
+// resumes reports whether a watch that has ended with an error continues from its version.
+func (f *Follower) resumes(err error) bool {
+	return f.Resume && !isAnswer(err) && !errors.Is(err, errStalled) && !errors.Is(err, errRestored)
+}
+
+// endWatch records why the objects are listed after a watch.
+func (f *Follower) endWatch(rev store.Version, err error) {
+	switch {
+	case errors.Is(err, errStalled):
+		f.cause = listBehind
+		return
+	case errors.Is(err, store.ErrCompacted):
+		f.Log.Info("history of the store compacted", "kind", f.Kind, "version", rev)
+		f.cause = listCompacted
+	case errors.Is(err, errRestored), errors.Is(err, store.ErrRestored):
+		f.cause = listRestored
+	default:
+		// The objects are listed immediately: it may be just the connection that was closed.
+		f.Log.Info("watch ended", "kind", f.Kind, "version", rev, "err", err)
+		f.cause = listFailed
+	}
+	f.gap = true
+}
+
 // poll makes one watch call, which checkStalled or ObserveEra may cancel.
 func (f *Follower) poll(ctx context.Context, rev store.Version, wait time.Duration) ([]store.Change, store.Version, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
