--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -110,6 +110,10 @@
 		// StallTimeout is how long after a call of Invalidate the watch may take to
 		// deliver the change before the objects are listed again.
 		StallTimeout time.Duration
+		// Resume makes a watch that has failed continue from its version. Otherwise the objects
+		// are listed again, as for kinds whose objects may lapse while the store is away. It
+		// saves the transfer of large objects that haven't changed.
+		Resume bool
 		// Sink receives the objects and their changes.
 		Sink Sink
 		// OnCatchUp, unless nil, is called after a list that may hold changes that the
@@ -135,12 +139,16 @@
 
 		onEra func(store.Era) // called with each later era, may be nil
 		gap   bool            // changes may have been missed since the last list
+		cause listCause       // of the next list
 		retry time.Duration
 		wake  chan struct{}
 
 		// applying is held while latest is updated and Sink applies the
 		// corresponding state.
 		applying sync.Mutex
+		// applied holds the versions of the applied objects, nil if they aren't known. It is
+		// guarded by applying.
+		applied map[string]store.Version
 
 		mu             sync.Mutex
 		unavailable    bool
@@ -150,6 +158,7 @@
 		covered        store.Version // all changes up to this version have been received from the store
 		latest         store.Version // the newest change that has been applied
 		invalidation   store.Version // the newest change that another entry has applied
+		behindSince    time.Time     // time since which covered is before invalidation, zero if it isn't
 		cancelWatch    context.CancelCauseFunc
 		// due is when the answer to the first call since the store's last answer was due, zero if
 		// no call has been made since.
@@ -166,6 +175,7 @@
 func (f *Follower) Run(ctx context.Context) {
 	f.registerMetrics()
 	for ctx.Err() == nil {
+		f.countList()
 		started := f.clock() // before the call of the first page
 		f.expectAnswer(0)
 		all, rev, err := f.Feed.All(ctx)
@@ -201,6 +211,9 @@
 		return
 	}
 	f.invalidation = rev
+	if f.behindSince.IsZero() {
+		f.behindSince = time.Now()
+	}
 	if f.unavailable {
 		// Another entry can reach the store, so retry immediately.
 		f.wakeRetry()
@@ -244,6 +257,7 @@
 	if !known.IsZero() && known.Era < version.Era {
 		f.handleRestore(time.Now(), known, version, "entry")
 	}
+	f.applied = nil // the sink's objects are those of the other entry
 	f.Log.Info("taken over from another entry", "kind", f.Kind, "version", version, "before", known)
 	apply()
 	return true
@@ -326,22 +340,57 @@
 	return now.Sub(f.availableSince)
 }
 
-// checkStalled cancels a watch that has not delivered a change.
+// Behind returns for how long this entry has known of a change that it hasn't received, 0 if
+// there is none.
+func (f *Follower) Behind(now time.Time) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.behindSince.IsZero() {
+		return 0
+	}
+	return now.Sub(f.behindSince)
+}
+
+// cover records that all changes up to a version have been received. The caller must hold mu.
+func (f *Follower) cover(version store.Version) {
+	f.covered = version
+	if !version.Before(f.invalidation) {
+		f.behindSince = time.Time{}
+	}
+}
+
+// checkStalled cancels a watch that has not delivered a change, unless an answer is arriving.
 func (f *Follower) checkStalled(rev store.Version) {
+	receiving := f.receiving()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.covered.Before(rev) && f.cancelWatch != nil {
-		f.Log.Warn("watch is behind", "kind", f.Kind, "covered", f.covered, "change", rev)
-		f.cancelWatch(errStalled)
+	if !f.covered.Before(rev) || f.cancelWatch == nil {
+		return
 	}
+	if receiving {
+		time.AfterFunc(f.StallTimeout, func() { f.checkStalled(rev) })
+		return
+	}
+	f.Log.Warn("watch is behind", "kind", f.Kind, "covered", f.covered, "change", rev)
+	f.cancelWatch(errStalled)
+}
+
+// receiving reports whether an answer is arriving. A call that is made instead would take as
+// long on the same link.
+func (f *Follower) receiving() bool {
+	r, ok := f.Feed.(store.Receiver)
+	return ok && r.Receiving()
 }
 
 // watch applies changes until a new list is required.
 func (f *Follower) watch(ctx context.Context, rev store.Version) {
-	slept := time.Duration(0)
+	slept, failed := time.Duration(0), false
 	for ctx.Err() == nil {
 		wait := f.LongWait
-		if f.ShortPoll() {
+		switch {
+		case failed:
+			wait = 0 // shows at once whether the store answers again
+		case f.ShortPoll():
 			wait = f.ShortWait
 		}
 		// The delay counts toward the wait: a watch that begins from a revision that a
@@ -350,28 +399,24 @@
 		changes, next, err := f.poll(ctx, rev, max(wait-slept, 0))
 		slept = 0
 		switch {
-		case errors.Is(err, store.ErrCompacted):
-			f.Log.Info("history of the store compacted", "kind", f.Kind, "version", rev)
-			f.gap = true
-			return
-		case errors.Is(err, errStalled):
-			return
+		case err == nil:
 		case errors.Is(err, errShortPoll):
 			continue
-		case errors.Is(err, errRestored), errors.Is(err, store.ErrRestored):
-			f.gap = true
-			return
 		case errors.Is(err, errOlderEra):
 			f.delayRetry(ctx)
 			continue
-		case err != nil:
-			// List again immediately: it may be just the connection that was
-			// closed.
+		case f.resumes(err):
 			f.Log.Info("watch ended", "kind", f.Kind, "version", rev, "err", err)
-			f.gap = true
+			if failed {
+				f.handleFailure(ctx, err)
+			}
+			failed = true
+			continue
+		default:
+			f.endWatch(rev, err)
 			return
 		}
-		rev = next
+		rev, failed = next, false
 		f.applyChanges(changes, next, started)
 		if len(changes) > 0 && !f.origin().Relayed() {
 			sleep(ctx, f.Batch)
@@ -380,6 +425,30 @@
 	}
 }
 
+// resumes reports whether a watch that has ended with an error continues from its version.
+func (f *Follower) resumes(err error) bool {
+	return f.Resume && !isAnswer(err) && !errors.Is(err, errStalled) && !errors.Is(err, errRestored)
+}
+
+// endWatch records why the objects are listed after a watch.
+func (f *Follower) endWatch(rev store.Version, err error) {
+	switch {
+	case errors.Is(err, errStalled):
+		f.cause = listBehind
+		return
+	case errors.Is(err, store.ErrCompacted):
+		f.Log.Info("history of the store compacted", "kind", f.Kind, "version", rev)
+		f.cause = listCompacted
+	case errors.Is(err, errRestored), errors.Is(err, store.ErrRestored):
+		f.cause = listRestored
+	default:
+		// The objects are listed immediately: it may be just the connection that was closed.
+		f.Log.Info("watch ended", "kind", f.Kind, "version", rev, "err", err)
+		f.cause = listFailed
+	}
+	f.gap = true
+}
+
 // poll makes one watch call, which checkStalled or ObserveEra may cancel.
 func (f *Follower) poll(ctx context.Context, rev store.Version, wait time.Duration) ([]store.Change, store.Version, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
@@ -451,10 +520,11 @@
 		// No change has a new version; covered is an upper bound for the newest.
 		f.latest = covered
 	}
-	f.covered = covered
+	f.cover(covered)
 	f.mu.Unlock()
 	now := time.Now()
 	for i := range changes {
+		f.noteChange(&changes[i])
 		if changes[i].Removed {
 			f.Sink.Remove(now, changes[i].Key)
 			continue
@@ -475,12 +545,14 @@
 	f.mu.Lock()
 	before := store.Latest(f.latest, f.covered)
 	restored := !before.IsZero() && f.covered.Era < covered.Era
-	caughtUp := f.gap && !origin.Relayed() && !before.IsZero() && before.Before(covered)
-	f.coverList(all, covered, origin, restored)
+	changed, removed := f.compare(all)
+	caughtUp := f.gap && (changed || removed) && !origin.Relayed() && !before.IsZero() && before.Before(covered)
+	f.coverList(all, covered, origin, restored || f.gap && removed)
 	if restored {
 		f.availableSince = time.Now()
 	}
 	f.mu.Unlock()
+	f.noteList(all)
 	f.recordAnswer(origin)
 	if restored {
 		f.handleRestore(time.Now(), before, covered, "store")
@@ -495,9 +567,10 @@
 	}
 }
 
-// coverList updates the versions for a list. The caller must hold mu.
-func (f *Follower) coverList(all []store.Object, covered store.Version, origin Origin, restored bool) {
-	f.covered = covered
+// coverList updates the versions for a list; lost is whether changes were missed that don't
+// appear in it, such as removals. The caller must hold mu.
+func (f *Follower) coverList(all []store.Object, covered store.Version, origin Origin, lost bool) {
+	f.cover(covered)
 	for _, o := range all {
 		f.latest = store.Latest(f.latest, o.Version)
 	}
@@ -509,9 +582,47 @@
 	}
 	if origin.Relayed() {
 		f.latest, f.gap = store.Latest(f.latest, relayedLatest(origin, covered)), false
-	} else if f.gap || restored {
-		// Removals during the gap don't appear in the list, but count as changes.
-		f.latest, f.gap = covered, false
+		return
+	}
+	f.gap = false
+	if lost {
+		f.latest = covered
+	}
+}
+
+// compare reports whether a list has objects that were created or changed since the applied
+// state, and whether it may lack some that were removed.
+func (f *Follower) compare(all []store.Object) (changed, removed bool) {
+	if f.applied == nil {
+		return true, true
+	}
+	known := 0
+	for i := range all {
+		version, ok := f.applied[all[i].Key]
+		if ok {
+			known++
+		}
+		changed = changed || !ok || version != all[i].Version
+	}
+	return changed, known < len(f.applied)
+}
+
+// noteList records the versions of a list that is applied.
+func (f *Follower) noteList(all []store.Object) {
+	f.applied = make(map[string]store.Version, len(all))
+	for i := range all {
+		f.applied[all[i].Key] = all[i].Version
+	}
+}
+
+// noteChange records the version of a change that is applied.
+func (f *Follower) noteChange(c *store.Change) {
+	switch {
+	case f.applied == nil:
+	case c.Removed:
+		delete(f.applied, c.Key)
+	default:
+		f.applied[c.Key] = c.Version
 	}
 }
 
@@ -544,7 +655,7 @@
 	if !f.unavailable {
 		f.Log.Warn("store lost", "kind", f.Kind, "err", err)
 	}
-	f.unavailable, f.gap = true, true
+	f.unavailable, f.gap, f.cause = true, true, listFailed
 	f.mu.Unlock()
 	if f.Recorder != nil {
 		f.Recorder.RecordFailure()
