standin, relayfeed: links with rates in the simulated deployment

Change: internal/standin/link shares a rate among the transfers of a machine, chunk by chunk. Answers of the store's stand-in pass the link of the entry, limited by internal/transfer as in platform/client.go, and Receiving tells of one that arrives. Answers between entries, heartbeats too, pass both links; large ones are limited as in internal/peer/rpc. The stand-in resets connections of calls in progress, and answers lists from an older copy. Without sizes all is as before.

--- a/internal/relayfeed/deployment_test.go
+++ b/internal/relayfeed/deployment_test.go
@@ -22,6 +22,7 @@
 	"github.com/shallotpier/shallotpier/internal/peer"
 	"github.com/shallotpier/shallotpier/internal/relayfeed"
 	"github.com/shallotpier/shallotpier/internal/standin/feed"
+	"github.com/shallotpier/shallotpier/internal/standin/link"
 	"github.com/shallotpier/shallotpier/internal/store"
 	"github.com/shallotpier/shallotpier/pkg/id"
 )
@@ -38,6 +39,16 @@
 	pollInterval = 10 * time.Millisecond
 )
 
+// Limits and sizes of internal/peer/rpc and of answers between entries.
+const (
+	largeMessage  = 16 << 10
+	recentPart    = 300 * time.Millisecond
+	receiveCheck  = 50 * time.Millisecond
+	maxTransfer   = 20 * time.Second
+	packedShare   = 0.25      // of the size of a packed answer
+	unpackedShare = 4.0 / 3.0 // base64
+)
+
 var errDown = errors.New("connection reset")
 
 type (
@@ -53,6 +64,13 @@
 		rng     *rand.Rand
 		// cut reports whether nothing passes between two entries.
 		cut func(a, b *member) bool
+		// kind is the kind that is followed, and resume whether a watch that failed continues.
+		kind   follow.Kind
+		resume bool
+		// size returns the size of an object in bytes; nil means that answers take no time.
+		size func(*store.Object) int
+		// wholeCalls limits calls as a whole, however much of their answers has arrived.
+		wholeCalls bool
 	}
 
 	// member is an entry.
@@ -65,7 +83,10 @@
 		paused   atomic.Bool
 		reads    atomic.Int64 // calls to the store
 		lists    atomic.Int64
+		leaving  atomic.Bool // is shutting down
 		process  atomic.Pointer[process]
+		link     *link.Link
+		log      *slog.Logger
 	}
 
 	// process is a process of an entry.
@@ -75,7 +96,10 @@
 		detector *heartbeat.Detector
 		client   *feed.Client
 		feed     *relayfeed.Feed
+		follower *follow.Follower
 		handler  peer.Handler
+		mu       sync.Mutex
+		arrivals map[id.Instance]time.Time // of the latest part of a large answer of an entry
 		state    state
 		cancel   context.CancelFunc
 		ended    <-chan struct{}
@@ -83,8 +107,12 @@
 
 	// state is the state of a process. It implements follow.Sink.
 	state struct {
-		mu     sync.Mutex
-		values map[string]string
+		mu       sync.Mutex
+		values   map[string]string
+		versions map[string]store.Version
+		// newest holds the latest versions ever applied, and regressed the changes to older ones.
+		newest    map[string]store.Version
+		regressed []string
 	}
 
 	memberConn struct {
@@ -104,14 +132,14 @@
 )
 
 func newDeployment(t *testing.T, entries, zones int) *deployment {
-	d := &deployment{t: t, store: feed.New(store.Version{Revision: 100}), byName: map[id.Instance]*member{}, byAddr: map[string]*member{}, rng: rand.New(rand.NewPCG(7, 7))}
+	d := &deployment{t: t, store: feed.New(store.Version{Revision: 100}), byName: map[id.Instance]*member{}, byAddr: map[string]*member{}, rng: rand.New(rand.NewPCG(7, 7)), kind: follow.Servers}
 	d.setCut(nil)
 	for i := range 20 {
 		d.store.Put(fmt.Sprintf("s-%d", i), "first")
 	}
 	for i := range entries {
 		zone, addr := i%zones, fmt.Sprintf("10.%d.%d.%d", i%zones, i/250, i%250)
-		m := &member{d: d, inbox: make(chan []byte, 1000), self: heartbeat.Node{
+		m := &member{d: d, inbox: make(chan []byte, 1000), log: slog.New(slog.DiscardHandler), self: heartbeat.Node{
 			Instance: id.Instance(fmt.Sprintf("entry-%d-%03d", zone, i/zones)), Zone: id.Zone(fmt.Sprintf("z-%d", zone)), Region: "a",
 			Callers: netip.MustParseAddrPort(addr + ":80"), Peers: netip.MustParseAddrPort(addr + ":90"),
 		}}
@@ -157,27 +185,28 @@
 // start starts the entry or its next process.
 func (m *member) start(ctx context.Context) {
 	ctx, cancel := context.WithCancel(ctx)
-	p := &process{member: m, self: m.self, client: &feed.Client{Store: m.d.store, Timeout: callTimeout}, cancel: cancel, ended: ctx.Done()}
+	p := &process{member: m, self: m.self, client: &feed.Client{Store: m.d.store, Timeout: callTimeout, Link: m.link, Size: m.d.size, WholeCalls: m.d.wholeCalls}, cancel: cancel, ended: ctx.Done(), arrivals: map[id.Instance]time.Time{}}
 	p.self.Incarnation = 1
 	if last := m.process.Load(); last != nil {
 		p.self.Incarnation = last.self.Incarnation + 1
 	}
-	quiet := slog.New(slog.DiscardHandler)
-	p.detector = &heartbeat.Detector{Interval: 500 * time.Millisecond, Timeout: 2600 * time.Millisecond, Log: quiet}
+	m.leaving.Store(false)
+	p.detector = &heartbeat.Detector{Interval: 500 * time.Millisecond, Timeout: 2600 * time.Millisecond, Log: slog.New(slog.DiscardHandler)}
 	record := &relayfeed.Log{}
 	direct := countedFeed{p.client, p}
-	p.feed = &relayfeed.Feed{Self: m.self.Instance, Kind: follow.Servers, Store: direct, Peers: peers{p}, Leaders: p.leaders, Timeout: callTimeout, Log: quiet}
+	p.feed = &relayfeed.Feed{Self: m.self.Instance, Kind: m.d.kind, Store: direct, Peers: peers{p}, Leaders: p.leaders, Timeout: callTimeout, Log: m.log}
 	f := &follow.Follower{
-		Feed: p.feed, Timeout: callTimeout, Kind: follow.Servers, ShortPoll: p.shortPolls, ShortWait: shortWait, LongWait: longWait,
-		Batch: batch, StallTimeout: batch + 150*time.Millisecond, Sink: &p.state, OnCatchUp: p.detector.AnnounceSoon, Recorder: record, Log: quiet,
+		Feed: p.feed, Timeout: callTimeout, Kind: m.d.kind, Resume: m.d.resume, ShortPoll: p.shortPolls, ShortWait: shortWait, LongWait: longWait,
+		Batch: batch, StallTimeout: batch + 150*time.Millisecond, Sink: &p.state, OnCatchUp: p.detector.AnnounceSoon, Recorder: record, Log: m.log,
 	}
 	if m.direct {
 		f.Feed = direct
 	}
-	group := follow.Group{follow.Servers: f}
+	p.follower = f
+	group := follow.Group{m.d.kind: f}
 	p.detector.Self = func() heartbeat.Node {
 		now := p.self
-		now.Ready, now.Changes = !f.Latest().IsZero(), group.Changes()
+		now.Ready, now.Changes = !f.Latest().IsZero() && !m.leaving.Load(), group.Changes()
 		now.StoreAvailableFor = f.AvailableFor(time.Now())
 		return now
 	}
@@ -187,7 +216,7 @@
 			p.detector.AddPeer(other.self.Zone, other.self.Peers)
 		}
 	}
-	(&relayfeed.Server{Logs: map[follow.Kind]*relayfeed.Log{follow.Servers: record}, Serving: func() bool { return true }}).Register(p)
+	(&relayfeed.Server{Logs: map[follow.Kind]*relayfeed.Log{m.d.kind: record}, Serving: func() bool { return !m.leaving.Load() }}).Register(p)
 	m.process.Store(p)
 	go func() { _ = p.detector.Run(ctx, &memberConn{process: p}) }()
 	group.Run(ctx)
@@ -222,7 +251,7 @@
 	var out []relayfeed.Leader
 	for _, l := range p.detector.Leaders(now, &p.self) {
 		if l.Ready && !p.shortPolls() {
-			out = append(out, relayfeed.Leader{Instance: l.Instance, Incarnation: l.Incarnation, Silent: l.Silent})
+			out = append(out, relayfeed.Leader{Instance: l.Instance, Incarnation: l.Incarnation, Silent: l.Silent, LinkMbps: l.LinkMbps})
 		}
 	}
 	return out
@@ -237,7 +266,8 @@
 		return len(p), nil
 	}
 	data := append([]byte(nil), p...)
-	time.AfterFunc(latency, func() {
+	time.AfterFunc(latency+c.link.Reserve(len(p)), func() {
+		link.Pass(len(p), other.link)
 		select {
 		case other.inbox <- data:
 		default:
@@ -300,23 +330,98 @@
 	if err != nil {
 		return err
 	}
-	answers := make(chan any, 1)
+	done := make(chan error, 1)
 	go func() {
-		a, _ := process.handler(ctx, peer.Sender{Instance: p.self.Instance}, question)
-		answers <- a
+		a, err := process.handler(ctx, peer.Sender{Instance: p.self.Instance}, question)
+		if err == nil {
+			err = p.receive(ctx, process, question, a, result)
+		}
+		done <- err
 	}()
 	select {
-	case a := <-answers:
-		data, err := json.Marshal(a)
-		if err != nil || !p.pass(ctx, other) {
-			return errors.Join(err, context.Cause(ctx))
-		}
-		return json.Unmarshal(data, result)
+	case err := <-done:
+		return err
 	case <-process.ended:
 		return errDown
 	case <-ctx.Done():
+	}
+	if !p.d.wholeCalls && errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		for end := time.Now().Add(maxTransfer); p.Receiving(to) && time.Now().Before(end); {
+			select {
+			case err := <-done:
+				return err
+			case <-time.After(receiveCheck):
+			}
+		}
+	}
+	return context.Cause(ctx)
+}
+
+// receive receives an answer of another entry's process. A large one arrives to its end, even
+// if the call has ended.
+func (p peers) receive(ctx context.Context, from *process, question []byte, a, result any) error {
+	data, err := json.Marshal(a)
+	if err != nil || !p.pass(ctx, from.member) {
+		return errors.Join(err, context.Cause(ctx))
+	}
+	size := p.d.answerSize(question, data)
+	for left := size; left > 0; left -= link.Chunk {
+		for p.d.isCut(p.member, from.member) || p.paused.Load() || from.paused.Load() {
+			time.Sleep(pollInterval)
+			if !from.runs() || !p.runs() {
+				break
+			}
+		}
+		if !from.runs() || !p.runs() {
+			return errDown
+		}
+		link.Pass(min(left, link.Chunk), from.link, p.link)
+		if size >= largeMessage {
+			p.mu.Lock()
+			p.arrivals[from.self.Instance] = time.Now()
+			p.mu.Unlock()
+		}
+	}
+	if ctx.Err() != nil && !errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		return context.Cause(ctx)
 	}
+	return json.Unmarshal(data, result)
+}
+
+// answerSize returns the number of bytes of an answer between entries.
+func (d *deployment) answerSize(question, data []byte) int {
+	if d.size == nil {
+		return 0
+	}
+	var (
+		q struct{ Packed bool }
+		a struct{ Changes []store.Object }
+	)
+	if json.Unmarshal(question, &q) != nil || json.Unmarshal(data, &a) != nil {
+		return 0
+	}
+	sizes, all := map[string]int{}, 0
+	for i := range a.Changes {
+		size := d.size(&a.Changes[i])
+		sizes[a.Changes[i].Key] = size
+		all += size
+	}
+	if !q.Packed || all < largeMessage {
+		return int(float64(all) * unpackedShare)
+	}
+	latest := 0
+	for _, size := range sizes {
+		latest += size
+	}
+	return int(float64(latest) * packedShare)
+}
+
+// Receiving tells of large answers that are arriving, as that of rpc.Node.
+func (p peers) Receiving(from id.Instance) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	at, ok := p.arrivals[from]
+	return ok && !p.d.wholeCalls && time.Since(at) < recentPart
 }
 
 // pass waits for one direction of the path to another entry.
@@ -334,22 +439,36 @@
 func (s *state) Replace(_ time.Time, all []store.Object) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.values = make(map[string]string)
+	s.values, s.versions = make(map[string]string), make(map[string]store.Version)
 	for _, o := range all {
-		s.values[o.Key] = string(o.Value)
+		s.put(&o)
 	}
 }
 
 func (s *state) Change(_ time.Time, o store.Object) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.values[o.Key] = string(o.Value)
+	s.put(&o)
+}
+
+// put applies an object. The caller must hold mu.
+func (s *state) put(o *store.Object) {
+	s.values[o.Key], s.versions[o.Key] = string(o.Value), o.Version
+	if s.newest == nil {
+		s.newest = make(map[string]store.Version)
+	}
+	if newest := s.newest[o.Key]; o.Version.Before(newest) {
+		s.regressed = append(s.regressed, fmt.Sprintf("%s went from %v to %v", o.Key, newest, o.Version))
+		return
+	}
+	s.newest[o.Key] = o.Version
 }
 
 func (s *state) Remove(_ time.Time, key string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.values, key)
+	delete(s.versions, key)
 }
 
 func (*state) StoreRecovered(time.Time, time.Duration) {}
--- a/internal/standin/feed/client.go
+++ b/internal/standin/feed/client.go
@@ -2,19 +2,36 @@
 
 import (
 	"context"
+	"errors"
+	"io"
 	"sync"
 	"time"
 
+	"github.com/shallotpier/shallotpier/internal/standin/link"
 	"github.com/shallotpier/shallotpier/internal/store"
+	"github.com/shallotpier/shallotpier/internal/transfer"
 )
 
+// maxTransfer limits the time from an answer's first byte to its last.
+const maxTransfer = 20 * time.Second
+
+var errReset = errors.New("connection reset")
+
 type (
 	// Client calls a Store. Its exported fields must be set before its first use.
 	Client struct {
 		// Store is the store that it calls.
 		Store *Store
-		// Timeout limits a call, for a watch in addition to its wait.
+		// Timeout limits the time to the beginning of an answer, for a watch in addition to its
+		// wait, and then the time without a further part of it.
 		Timeout time.Duration
+		// Link is the link that answers pass, nil if they take no time.
+		Link *link.Link
+		// Size returns the size of an object in an answer in bytes; nil means 0.
+		Size func(*store.Object) int
+		// WholeCalls makes Timeout limit the whole call, however much of the answer has
+		// arrived, and hides that an answer is arriving.
+		WholeCalls bool
 		// HidesEra makes all versions those of era 0, as if answers didn't carry
 		// the era.
 		HidesEra bool
@@ -22,7 +39,18 @@
 		mu     sync.Mutex
 		fault  Fault
 		lists  int
+		bytes  int64
 		faults chan struct{} // closed when fault changes
+		calls  map[*transfer.Transfer]context.CancelCauseFunc
+		latest *transfer.Transfer
+	}
+
+	// body is the body of an answer.
+	body struct {
+		*Client
+		ctx     context.Context
+		left    int // bytes that haven't passed the link
+		arrived int // bytes that have and aren't read
 	}
 
 	// Fault is a fault of one client's connections to the store.
@@ -33,10 +61,15 @@
 		Stalled bool
 		// Delay is added between the store's answer and its arrival.
 		Delay time.Duration
+		// Stale, if not nil, answers lists.
+		Stale *Copy
 	}
 )
 
-var _ store.Feed = (*Client)(nil)
+var (
+	_ store.Feed     = (*Client)(nil)
+	_ store.Receiver = (*Client)(nil)
+)
 
 // SetFault sets the fault for all calls, including pending ones.
 func (c *Client) SetFault(f Fault) {
@@ -56,18 +89,107 @@
 	return c.lists
 }
 
+// Bytes returns the number of bytes of answers that have passed the link.
+func (c *Client) Bytes() int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.bytes
+}
+
+// Reset closes the connections of all calls in progress.
+func (c *Client) Reset() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, cancel := range c.calls {
+		cancel(errReset)
+	}
+}
+
+// Receiving implements store.Receiver.
+func (c *Client) Receiving() bool {
+	c.mu.Lock()
+	t := c.latest
+	c.mu.Unlock()
+	return !c.WholeCalls && t.Receiving()
+}
+
+// begin begins a call. The returned function ends it.
+func (c *Client) begin(ctx context.Context, limit time.Duration) (context.Context, *transfer.Transfer, func()) {
+	stop := context.CancelFunc(func() {})
+	if c.WholeCalls {
+		ctx, stop = context.WithTimeout(ctx, limit)
+	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	ctx, t := transfer.Begin(ctx, transfer.Limits{First: limit, Stall: c.Timeout, Total: maxTransfer})
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.calls == nil {
+		c.calls = make(map[*transfer.Transfer]context.CancelCauseFunc)
+	}
+	c.calls[t], c.latest = cancel, t
+	return ctx, t, func() {
+		t.End()
+		cancel(nil)
+		stop()
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		delete(c.calls, t)
+	}
+}
+
+// receive receives the body of an answer. It returns false if it doesn't arrive.
+func (c *Client) receive(ctx context.Context, t *transfer.Transfer, size int) bool {
+	_, err := io.Copy(io.Discard, t.Reader(&body{Client: c, ctx: ctx, left: size}))
+	return err == nil
+}
+
+// Read implements io.Reader.
+func (b *body) Read(p []byte) (int, error) {
+	if b.arrived == 0 {
+		if b.left == 0 {
+			return 0, io.EOF
+		}
+		b.arrived = min(b.left, link.Chunk)
+		b.left -= b.arrived
+		b.mu.Lock()
+		b.bytes += int64(b.arrived)
+		b.mu.Unlock()
+		select {
+		case <-time.After(b.Link.Reserve(b.arrived)):
+		case <-b.ctx.Done():
+		}
+		b.mu.Lock()
+		fault := b.fault
+		b.mu.Unlock()
+		if fault.Stalled {
+			<-b.ctx.Done()
+		}
+		if fault.Unavailable || b.ctx.Err() != nil {
+			return 0, errReset
+		}
+	}
+	n := min(len(p), b.arrived)
+	b.arrived -= n
+	return n, nil
+}
+
 // All implements store.Feed.
 func (c *Client) All(ctx context.Context) ([]store.Object, store.Version, error) {
 	c.mu.Lock()
 	c.lists++
+	stale := c.fault.Stale
 	c.mu.Unlock()
-	ctx, cancel := context.WithTimeout(ctx, c.Timeout)
-	defer cancel()
+	ctx, t, end := c.begin(ctx, c.Timeout)
+	defer end()
 	s := c.Store
 	s.mu.Lock()
-	all, version, unavailable := s.list(), s.state.version, s.unavailable
+	all, version, unavailable := s.list(stale)
 	s.mu.Unlock()
-	if unavailable || !c.deliver(ctx) {
+	size := 0
+	for i := range all {
+		size += c.size(&all[i])
+	}
+	if unavailable || !c.deliver(ctx) || !c.receive(ctx, t, size) {
 		return nil, store.Version{}, store.ErrUnavailable
 	}
 	for i := range all {
@@ -78,10 +200,16 @@
 
 // Changes implements store.Feed.
 func (c *Client) Changes(ctx context.Context, after store.Version, wait time.Duration) ([]store.Change, store.Version, error) {
-	ctx, cancel := context.WithTimeout(ctx, wait+c.Timeout)
-	defer cancel()
+	ctx, t, end := c.begin(ctx, wait+c.Timeout)
+	defer end()
 	changes, version, err := c.await(ctx, after, wait)
-	if !c.deliver(ctx) {
+	size := 0
+	for i := range changes {
+		if !changes[i].Removed {
+			size += c.size(&changes[i].Object)
+		}
+	}
+	if !c.deliver(ctx) || !c.receive(ctx, t, size) {
 		return nil, store.Version{}, store.ErrUnavailable
 	}
 	for i := range changes {
@@ -152,6 +280,13 @@
 	}
 }
 
+func (c *Client) size(o *store.Object) int {
+	if c.Size == nil {
+		return 0
+	}
+	return c.Size(o)
+}
+
 func (c *Client) shown(v store.Version) store.Version {
 	if c.HidesEra {
 		v.Era = 0
--- a/internal/standin/feed/store.go
+++ b/internal/standin/feed/store.go
@@ -51,6 +51,15 @@
 	return out
 }
 
+// Object returns an object, the zero one if there is none of the key.
+func (s *Store) Object(key string) store.Object {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	o := s.state.objects[key]
+	o.Version.Era = s.state.version.Era
+	return o
+}
+
 // Put writes an object.
 func (s *Store) Put(key, value string) {
 	s.mu.Lock()
@@ -122,13 +131,17 @@
 	s.state.compacted, s.state.history = s.state.version.Revision, nil
 }
 
-// list returns all objects, sorted by key. The caller must hold mu.
-func (s *Store) list() []store.Object {
-	all := slices.SortedFunc(maps.Values(s.state.objects), func(a, b store.Object) int { return strings.Compare(a.Key, b.Key) })
+// list returns all objects, sorted by key, their version, and whether the store is unavailable.
+// They are those of a copy unless that is nil. The caller must hold mu.
+func (s *Store) list(from *Copy) (all []store.Object, version store.Version, unavailable bool) {
+	if from == nil {
+		from = &s.state
+	}
+	all = slices.SortedFunc(maps.Values(from.objects), func(a, b store.Object) int { return strings.Compare(a.Key, b.Key) })
 	for i := range all {
 		all[i].Version.Era = s.state.version.Era
 	}
-	return all
+	return all, store.Version{Era: s.state.version.Era, Revision: from.version.Revision}, s.unavailable
 }
 
 // changesAfter returns the changes after a revision. The caller must hold mu.
