follow: an answer that was arriving doesn't replace a later state

Of the configuration, internal/node keeps the later version; servers and evacuated zones went back.

Cause: while a large answer arrives, for up to seconds on a slow link, the entry may take over the state of another entry (Bootstrap) or read an object by itself (ApplyRead). The answer, which began before, then replaced what was applied: a list as a whole, a watch change by change. Only lists of other entries were compared with the applied version.

Change: a list that is older than another entry's state is left out, once, and the objects are listed again; the changes of a watch are held until they reach that state, and only the latest of each object is applied. An object that was read keeps its version beside older ones. A list of the store that is older than the state at its call is applied as before: the store's answers are linearizable, and one restored without an era looks the same.

--- a/internal/follow/confirm.go
+++ b/internal/follow/confirm.go
@@ -29,6 +29,7 @@
 		f.latest = o.Version
 		f.mu.Unlock()
 		f.noteChange(&store.Change{Object: o})
+		f.order.applyRead(o)
 		f.Sink.Change(time.Now(), o)
 	}
 	confirmed()
--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -27,6 +27,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"slices"
 	"sync"
 	"time"
 
@@ -149,6 +150,8 @@
 		// applied holds the versions of the applied objects, nil if they aren't known. It is
 		// guarded by applying.
 		applied map[string]store.Version
+		// order is guarded by applying.
+		order order
 
 		mu             sync.Mutex
 		unavailable    bool
@@ -190,8 +193,9 @@
 			f.handleFailure(ctx, err)
 			continue
 		}
-		f.applyList(all, rev, started)
-		f.watch(ctx, rev)
+		if f.applyList(all, rev, started) {
+			f.watch(ctx, rev)
+		}
 	}
 }
 
@@ -257,6 +261,7 @@
 	if !known.IsZero() && known.Era < version.Era {
 		f.handleRestore(time.Now(), known, version, "entry")
 	}
+	f.order.bootstrapped(version)
 	f.applied = nil // the sink's objects are those of the other entry
 	f.Log.Info("taken over from another entry", "kind", f.Kind, "version", version, "before", known)
 	apply()
@@ -399,18 +404,10 @@
 		changes, next, err := f.poll(ctx, rev, max(wait-slept, 0))
 		slept = 0
 		switch {
-		case errors.Is(err, store.ErrCompacted):
-			f.Log.Info("history of the store compacted", "kind", f.Kind, "version", rev)
-			f.gap, f.cause = true, listCompacted
-			return
-		case errors.Is(err, errStalled):
-			f.cause = listBehind
+		case f.needsList(err, rev):
 			return
 		case errors.Is(err, errShortPoll):
 			continue
-		case errors.Is(err, errRestored), errors.Is(err, store.ErrRestored):
-			f.gap, f.cause = true, listRestored
-			return
 		case errors.Is(err, errOlderEra):
 			f.delayRetry(ctx)
 			continue
@@ -437,6 +434,23 @@
 	}
 }
 
+// needsList reports whether the objects have to be listed after an error of a watch from a version,
+// whether or not it is a failure of the store, and records the cause.
+func (f *Follower) needsList(err error, rev store.Version) bool {
+	switch {
+	case errors.Is(err, store.ErrCompacted):
+		f.Log.Info("history of the store compacted", "kind", f.Kind, "version", rev)
+		f.gap, f.cause = true, listCompacted
+	case errors.Is(err, errStalled):
+		f.cause = listBehind
+	case errors.Is(err, errRestored), errors.Is(err, store.ErrRestored):
+		f.gap, f.cause = true, listRestored
+	default:
+		return false
+	}
+	return true
+}
+
 // poll makes one watch call, which checkStalled or ObserveEra may cancel.
 func (f *Follower) poll(ctx context.Context, rev store.Version, wait time.Duration) ([]store.Change, store.Version, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
@@ -510,14 +524,14 @@
 	}
 	f.cover(covered)
 	f.mu.Unlock()
-	now := time.Now()
-	for i := range changes {
-		f.noteChange(&changes[i])
-		if changes[i].Removed {
-			f.Sink.Remove(now, changes[i].Key)
+	now, due := time.Now(), f.order.changes(changes, covered)
+	for i := range due {
+		f.noteChange(&due[i])
+		if due[i].Removed {
+			f.Sink.Remove(now, due[i].Key)
 			continue
 		}
-		f.Sink.Change(now, changes[i].Object)
+		f.Sink.Change(now, due[i].Object)
 	}
 	if !origin.Relayed() {
 		f.confirm(started, covered.Era)
@@ -525,11 +539,19 @@
 	f.recordChanges(changes, covered, origin)
 }
 
-// applyList applies a list.
-func (f *Follower) applyList(all []store.Object, covered store.Version, started boottime.Instant) {
+// applyList applies a list. It returns false if another entry's later state was applied while
+// the list arrived, so that the objects have to be listed again.
+func (f *Follower) applyList(listed []store.Object, covered store.Version, started boottime.Instant) bool {
 	f.applying.Lock()
 	defer f.applying.Unlock()
 	origin := f.origin()
+	all, ok := f.order.list(slices.Clone(listed), covered)
+	if !ok {
+		f.Log.Info("list older than the state of another entry left out", "kind", f.Kind, "version", covered, "applied", f.Latest())
+		f.recordAnswer(origin)
+		f.cause = listBehind
+		return false
+	}
 	f.mu.Lock()
 	before := store.Latest(f.latest, f.covered)
 	restored := !before.IsZero() && f.covered.Era < covered.Era
@@ -549,10 +571,11 @@
 	if !origin.Relayed() {
 		f.confirm(started, covered.Era)
 	}
-	f.recordList(all, covered, origin)
+	f.recordList(listed, covered, origin)
 	if caughtUp && f.OnCatchUp != nil {
 		f.OnCatchUp()
 	}
+	return true
 }
 
 // coverList updates the versions for a list; lost is whether changes were missed that don't
