--- a/internal/standin/feed/store.go
+++ b/internal/standin/feed/store.go
@@ -51,6 +51,15 @@
 	return out
 }
 
+// Object returns an object, the zero one if there is none of the key.
+func (s *Store) Object(key string) store.Object {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	o := s.state.objects[key]
+	o.Version.Era = s.state.version.Era
+	return o
+}
+
 // Put writes an object.
 func (s *Store) Put(key, value string) {
 	s.mu.Lock()
