--- a/internal/relayfeed/pack.go
+++ b/internal/relayfeed/pack.go
@@ -6,30 +6,20 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/fxamacker/cbor/v2"
-	"github.com/klauspost/compress/zstd"
 	"github.com/rotisserie/eris"
-)
 
-const (
-	// packFrom is the size of the values from which an answer is packed, in bytes. Below it
-	// the answer fits into a few packets.
-	packFrom = 16 << 10
-	// packWindow limits the memory of the encoder and the decoder in bytes. It holds a
-	// configuration of the largest size.
-	packWindow = 1 << 20
-	// maxUnpacked is the largest size of unpacked changes in bytes.
-	maxUnpacked = 64 << 20
-	// packedKept is the number of packed answers that are kept: entries that follow through
-	// this one ask for the same changes at the same time.
-	packedKept = 4
+	"github.com/shallotpier/shallotpier/internal/packing"
 )
 
+// packedKept is the number of packed answers that are kept: entries that follow through
+// this one ask for the same changes at the same time.
+const packedKept = 4
+
 type (
-	// packer packs answers. It is safe for concurrent use.
+	// packer keeps packed answers. It is safe for concurrent use.
 	packer struct {
-		mu      sync.Mutex
-		encoder *zstd.Encoder
-		kept    []packed // most recently used last
+		mu   sync.Mutex
+		kept []packed // most recently used last
 	}
 
 	// packed is a packed answer.
@@ -41,12 +31,12 @@
 
 // apply packs the changes of an answer if they are large. An answer that can't be packed stays
 // as it is.
-func (p *packer) apply(a *answer) {
+func (p *packer) apply(a *answer, by *packing.Packer) {
 	size := 0
 	for i := range a.Changes {
 		size += len(a.Changes[i].Value)
 	}
-	if size < packFrom {
+	if size < packing.MinSize {
 		return
 	}
 	a.Changes = latestOnly(a.Changes)
@@ -60,7 +50,11 @@
 			return
 		}
 	}
-	data, err := p.pack(a.Changes)
+	raw, err := cbor.Marshal(a.Changes)
+	if err != nil {
+		return
+	}
+	data, err := by.Pack(raw)
 	if err != nil {
 		return
 	}
@@ -69,35 +63,14 @@
 	a.Changes, a.Packed = nil, data
 }
 
-// pack encodes changes as CBOR and compresses them. The caller must hold mu.
-func (p *packer) pack(changes []change) ([]byte, error) {
-	raw, err := cbor.Marshal(changes)
-	if err != nil {
-		return nil, eris.Wrap(err, "encode changes")
-	}
-	if p.encoder == nil {
-		p.encoder, err = zstd.NewWriter(nil, zstd.WithEncoderLevel(zstd.SpeedFastest), zstd.WithEncoderConcurrency(1),
-			zstd.WithWindowSize(packWindow), zstd.WithLowerEncoderMem(true))
-		if err != nil {
-			return nil, eris.Wrap(err, "create the encoder")
-		}
-	}
-	return p.encoder.EncodeAll(raw, nil), nil
-}
-
 // unpack replaces the packed changes of an answer by the changes.
 func (a *answer) unpack() error {
 	if len(a.Packed) == 0 {
 		return nil
 	}
-	decoder, err := zstd.NewReader(nil, zstd.WithDecoderConcurrency(1), zstd.WithDecoderMaxMemory(maxUnpacked), zstd.WithDecoderLowmem(true))
-	if err != nil {
-		return eris.Wrap(err, "create the decoder")
-	}
-	defer decoder.Close()
-	raw, err := decoder.DecodeAll(a.Packed, nil)
+	raw, err := packing.Unpack(a.Packed)
 	if err != nil {
-		return eris.Wrap(err, "decompress changes")
+		return eris.Wrap(err, "unpack changes")
 	}
 	a.Packed = nil
 	return eris.Wrap(cbor.Unmarshal(raw, &a.Changes), "decode changes")
--- a/internal/relayfeed/pack_test.go
+++ b/internal/relayfeed/pack_test.go
@@ -11,6 +11,7 @@
 	"github.com/matryer/is"
 
 	"github.com/shallotpier/shallotpier/internal/follow"
+	"github.com/shallotpier/shallotpier/internal/packing"
 	"github.com/shallotpier/shallotpier/internal/peer"
 	"github.com/shallotpier/shallotpier/internal/simclock"
 	"github.com/shallotpier/shallotpier/internal/store"
@@ -82,7 +83,7 @@
 	is := is.New(t)
 	var p packer
 	a := &answer{Changes: []change{{Object: store.Object{Key: "main", Version: version(12), Value: configuration(1000)}}}}
-	p.apply(a)
+	p.apply(a, new(packing.Packer))
 	is.True(len(a.Packed) > 0)
 	for _, damaged := range [][]byte{a.Packed[:len(a.Packed)/2], append([]byte("x"), a.Packed...), []byte("{}")} {
 		b := &answer{Packed: damaged}
--- a/internal/relayfeed/server.go
+++ b/internal/relayfeed/server.go
@@ -8,6 +8,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/shallotpier/shallotpier/internal/follow"
+	"github.com/shallotpier/shallotpier/internal/packing"
 	"github.com/shallotpier/shallotpier/internal/peer"
 	"github.com/shallotpier/shallotpier/internal/store"
 )
@@ -50,6 +51,8 @@
 		Logs map[follow.Kind]*Log
 		// Serving reports whether this entry is not shutting down.
 		Serving func() bool
+		// Packer packs large answers.
+		Packer packing.Packer
 
 		packer packer
 	}
@@ -74,7 +77,7 @@
 		Status status `json:"status,omitempty"`
 		// Changes holds the objects or changes as they came from the store.
 		Changes []change `json:"changes,omitempty"`
-		// Packed holds them instead if they are large, as encoded by pack.
+		// Packed holds them instead if they are large, as CBOR, packed.
 		Packed []byte `json:"packed,omitempty"`
 		// Version is the version up to which they are complete.
 		Version store.Version `json:"version"`
@@ -116,7 +119,7 @@
 		a = s.changes(ctx, log, &r)
 	}
 	if r.Packed {
-		s.packer.apply(a)
+		s.packer.apply(a, &s.Packer)
 	}
 	return a, nil
 }
