--- a/internal/node/export_test.go
+++ b/internal/node/export_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net"
 	"net/http"
 	"time"
 
 	"github.com/shallotpier/shallotpier/internal/forward"
 	"github.com/shallotpier/shallotpier/internal/heartbeat"
+	"github.com/shallotpier/shallotpier/internal/peer"
 )
 
 // RetryLimits returns this entry's share of the retry limits.
@@ -34,3 +36,25 @@
 
 // StoreSilentFor returns the time since the store's latest answer to any entry.
 func (n *Node) StoreSilentFor() time.Duration { return n.storeSilentFor(time.Now()) }
+
+// AnswerSnapshot returns the answer to a request for a snapshot.
+func (n *Node) AnswerSnapshot(request []byte) ([]byte, error) {
+	s, err := n.answerSnapshot(context.Background(), peer.Sender{}, request)
+	if err != nil {
+		return nil, err
+	}
+	return json.Marshal(s)
+}
+
+// TakeSnapshot applies such an answer.
+func (n *Node) TakeSnapshot(answer []byte) error {
+	var s snapshot
+	if err := json.Unmarshal(answer, &s); err != nil {
+		return err
+	}
+	if err := s.unpack(); err != nil {
+		return err
+	}
+	n.applySnapshot(time.Now(), "other", &s)
+	return nil
+}
--- a/internal/node/freshness.go
+++ b/internal/node/freshness.go
@@ -114,11 +114,8 @@
 // fetchConfiguration takes over the configuration of another entry if it is newer than the
 // one in force, whatever the store holds. This is no proof.
 func (n *Node) fetchConfiguration(ctx context.Context, from id.Instance) error {
-	ctx, cancel := context.WithTimeout(ctx, snapshotTimeout)
-	defer cancel()
-	var s snapshot
-	req := snapshotRequest{Known: map[follow.Kind]store.Version{follow.Configuration: {}}}
-	if err := (singleCalls{&n.peers}).Call(ctx, from, snapshotMethod, req, &s); err != nil {
+	s, err := n.requestSnapshot(ctx, from, map[follow.Kind]store.Version{follow.Configuration: {}})
+	if err != nil {
 		return err
 	}
 	if s.Configuration == nil || s.Configuration.Value == nil {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -213,8 +213,10 @@
 		heartbeatConn net.PacketConn
 		peers         rpc.Node
 		// feedServer and feedClients exchange the store's changes with other entries.
-		feedServer  relayfeed.Server
-		feedClients []*rpc.Node
+		feedServer relayfeed.Server
+		// configPacker packs the configuration for snapshots.
+		configPacker configPacker
+		feedClients  []*rpc.Node
 		// questions exchanges short questions with the other entries.
 		questions datagram.Exchange
 		// confirmation holds the proof that config is the newest, which freshness renews.
--- a/internal/node/snapshot.go
+++ b/internal/node/snapshot.go
@@ -7,12 +7,14 @@
 	"net"
 	"net/netip"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
 
 	"github.com/shallotpier/shallotpier/internal/follow"
 	"github.com/shallotpier/shallotpier/internal/heartbeat"
+	"github.com/shallotpier/shallotpier/internal/packing"
 	"github.com/shallotpier/shallotpier/internal/peer"
 	"github.com/shallotpier/shallotpier/internal/peer/rpc"
 	"github.com/shallotpier/shallotpier/internal/roster"
@@ -23,8 +25,8 @@
 const (
 	// snapshotMethod is the RPC method that returns a snapshot.
 	snapshotMethod = "entry.snapshot"
-	// snapshotTimeout bounds one call: several round trips between regions, and the
-	// time to send some hundred kilobytes over a slow link.
+	// snapshotTimeout limits one call to the beginning of a large answer: several round
+	// trips between regions, and the time to encode it.
 	snapshotTimeout = time.Second
 	// bootstrapInterval is how often an entry checks whether it needs a snapshot, and
 	// bootstrapRetryDelay is the delay after a failed call.
@@ -37,11 +39,15 @@
 	// entry may have newer data, with the newest change known to the asking entry.
 	snapshotRequest struct {
 		Known map[follow.Kind]store.Version `json:"known"`
+		// Packed is whether the configuration may be packed.
+		Packed bool `json:"packed,omitempty"`
 	}
 
 	// snapshot is an entry's data of the requested kinds, where it is newer.
 	snapshot struct {
-		Configuration  *versioned[*Config]         `json:"configuration,omitempty"`
+		Configuration *versioned[*Config] `json:"configuration,omitempty"`
+		// Packed holds the configuration's JSON instead if it is large.
+		Packed         *versioned[[]byte]          `json:"packed,omitempty"`
 		Servers        *versioned[[]roster.Server] `json:"servers,omitempty"`
 		EvacuatedZones *versioned[[]id.Zone]       `json:"evacuatedZones,omitempty"`
 		// Entries are the heartbeat addresses of all entries known to the sender.
@@ -52,6 +58,14 @@
 	// cost memory and might fall silent unnoticed.
 	singleCalls struct{ node *rpc.Node }
 
+	// configPacker packs configurations. It keeps the latest one, since several entries ask
+	// for it at the same time. It is safe for concurrent use.
+	configPacker struct {
+		mu     sync.Mutex
+		config *Config
+		packed []byte // nil if the configuration is small
+	}
+
 	// versioned is the data of one kind as of a change of the store.
 	versioned[T any] struct {
 		Version store.Version `json:"version"`
@@ -87,16 +101,25 @@
 
 // fetchSnapshot requests the missing kinds from another entry and applies the answer.
 func (n *Node) fetchSnapshot(ctx context.Context, from heartbeat.Node, missing map[follow.Kind]store.Version) error {
-	ctx, cancel := context.WithTimeout(ctx, snapshotTimeout)
-	defer cancel()
-	var s snapshot
-	if err := (singleCalls{&n.peers}).Call(ctx, from.Instance, snapshotMethod, snapshotRequest{Known: missing}, &s); err != nil {
+	s, err := n.requestSnapshot(ctx, from.Instance, missing)
+	if err != nil {
 		return err
 	}
-	n.applySnapshot(time.Now(), from.Instance, &s)
+	n.applySnapshot(time.Now(), from.Instance, s)
 	return nil
 }
 
+// requestSnapshot asks another entry for the kinds of which it has newer data.
+func (n *Node) requestSnapshot(ctx context.Context, from id.Instance, known map[follow.Kind]store.Version) (*snapshot, error) {
+	ctx, cancel := context.WithTimeout(ctx, snapshotTimeout)
+	defer cancel()
+	s := new(snapshot)
+	if err := (singleCalls{&n.peers}).Call(ctx, from, snapshotMethod, snapshotRequest{Known: known, Packed: true}, s); err != nil {
+		return nil, err
+	}
+	return s, s.unpack()
+}
+
 // bestSource returns the entry that has newer data of the most missing kinds. Ties
 // are resolved in favour of an entry that is not shutting down, then of one in the
 // same region.
@@ -171,6 +194,11 @@
 			s.Configuration = &versioned[*Config]{v, c}
 		}
 	})
+	if req.Packed && s.Configuration != nil {
+		if packed := n.configPacker.pack(s.Configuration.Value, &n.feedServer.Packer); packed != nil {
+			s.Packed, s.Configuration = &versioned[[]byte]{s.Configuration.Version, packed}, nil
+		}
+	}
 	n.ifNewer(&req, follow.Servers, func(v store.Version) {
 		s.Servers = &versioned[[]roster.Server]{v, n.Roster.Servers(time.Now())}
 	})
@@ -180,6 +208,36 @@
 	return s, nil
 }
 
+// pack returns the packed JSON of a configuration, nil if it is small or can't be packed.
+func (p *configPacker) pack(c *Config, by *packing.Packer) []byte {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.config == c {
+		return p.packed
+	}
+	p.config, p.packed = c, nil
+	if raw, err := json.Marshal(c); err == nil && len(raw) >= packing.MinSize {
+		if packed, err := by.Pack(raw); err == nil {
+			p.packed = packed
+		}
+	}
+	return p.packed
+}
+
+// unpack replaces a packed configuration by the configuration.
+func (s *snapshot) unpack() error {
+	if s.Packed == nil {
+		return nil
+	}
+	raw, err := packing.Unpack(s.Packed.Value)
+	if err != nil {
+		return eris.Wrap(err, "unpack the configuration")
+	}
+	s.Configuration = &versioned[*Config]{Version: s.Packed.Version}
+	s.Packed = nil
+	return eris.Wrap(json.Unmarshal(raw, &s.Configuration.Value), "decode the configuration")
+}
+
 // ifNewer calls read with the version of a kind if the kind is requested and this
 // entry has a newer version of it.
 func (n *Node) ifNewer(req *snapshotRequest, kind follow.Kind, read func(store.Version)) {
--- a/internal/node/snapshot_test.go
+++ b/internal/node/snapshot_test.go
@@ -1,8 +1,12 @@
 package node_test
 
 import (
+	"bytes"
 	"context"
+	"encoding/json"
+	"fmt"
 	"log/slog"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -11,6 +15,7 @@
 	"github.com/shallotpier/shallotpier/internal/follow"
 	"github.com/shallotpier/shallotpier/internal/node"
 	"github.com/shallotpier/shallotpier/internal/roster"
+	"github.com/shallotpier/shallotpier/internal/route"
 	"github.com/shallotpier/shallotpier/internal/store"
 	"github.com/shallotpier/shallotpier/pkg/id"
 )
@@ -99,3 +104,64 @@
 	is.NoErr(<-ended)
 	is.NoErr(<-ended)
 }
+
+// Guards against an entry that sends its whole configuration uncompressed to all entries that
+// start while the store is unavailable, and against builds that don't understand each other.
+func TestSnapshotsOfLargeConfigurationsArePacked(t *testing.T) {
+	const routes = 4200
+	large := configOf(7, "/x/")
+	var all []*route.Route
+	for i := range routes {
+		r := *large.Routes.Match("a.example", "/x/")
+		r.Name, r.Prefix = fmt.Sprintf("r-%x", rand.Uint32()), fmt.Sprintf("/%d/%x/", i, rand.Uint32())
+		all = append(all, &r)
+	}
+	large.Routes = route.NewTable(all)
+	for name, tt := range map[string]struct {
+		config  *node.Config
+		request string
+		packed  bool
+		held    bool // the configuration is in the answer
+	}{
+		"large":                     {large, `{"known":{"configuration":0},"packed":true}`, true, true},
+		"large, of an older build":  {large, `{"known":{"configuration":0}}`, false, true},
+		"small":                     {configOf(7, "/x/"), `{"known":{"configuration":0},"packed":true}`, false, true},
+		"small, of an older build":  {configOf(7, "/x/"), `{"known":{"configuration":0}}`, false, true},
+		"not asked for":             {large, `{"known":{},"packed":true}`, false, false},
+		"large, known to the other": {large, `{"known":{"configuration":4},"packed":true}`, false, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			from := newNode(t, func(o *node.Options) { o.Store = unavailableGroup() })
+			from.Store()[follow.Configuration].Bootstrap(store.Version{Revision: 4}, func() { from.Configure(tt.config) })
+			answer, err := from.AnswerSnapshot([]byte(tt.request))
+			is.NoErr(err)
+			is.Equal(bytes.Contains(answer, []byte(`"packed"`)), tt.packed)
+			raw, err := json.Marshal(tt.config)
+			is.NoErr(err)
+			t.Logf("%d bytes for %d", len(answer), len(raw))
+			is.True(!tt.packed || len(answer) < len(raw)/4)
+			held := tt.packed || bytes.Contains(answer, []byte(`"configuration"`))
+			is.Equal(held, tt.held)
+			if !held {
+				return
+			}
+			to := newNode(t, func(o *node.Options) { o.Store = unavailableGroup() })
+			is.NoErr(to.TakeSnapshot(answer))
+			got, err := from.AnswerSnapshot([]byte(`{"known":{"configuration":0}}`))
+			is.NoErr(err)
+			want, err := to.AnswerSnapshot([]byte(`{"known":{"configuration":0}}`))
+			is.NoErr(err)
+			is.Equal(configurationIn(t, got), configurationIn(t, want))
+		})
+	}
+}
+
+func configurationIn(t *testing.T, answer []byte) string {
+	t.Helper()
+	var s struct{ Configuration json.RawMessage }
+	if err := json.Unmarshal(answer, &s); err != nil || len(s.Configuration) == 0 {
+		t.Fatalf("no configuration in the answer: %v", err)
+	}
+	return string(s.Configuration)
+}
