--- a/internal/node/export_test.go
+++ b/internal/node/export_test.go
@@ -7,9 +7,12 @@
 	"net/http"
 	"time"
 
+	"github.com/shallotpier/shallotpier/internal/follow"
 	"github.com/shallotpier/shallotpier/internal/forward"
 	"github.com/shallotpier/shallotpier/internal/heartbeat"
 	"github.com/shallotpier/shallotpier/internal/peer"
+	"github.com/shallotpier/shallotpier/internal/store"
+	"github.com/shallotpier/shallotpier/pkg/id"
 )
 
 // RetryLimits returns this entry's share of the retry limits.
@@ -58,3 +61,9 @@
 	n.applySnapshot(time.Now(), "other", &s)
 	return nil
 }
+
+// BestSource returns the entry that is asked for the missing kinds, empty if there is none.
+func (n *Node) BestSource(others []heartbeat.Node, missing map[follow.Kind]store.Version) id.Instance {
+	source, _ := n.bestSource(others, missing)
+	return source.Instance
+}
--- a/internal/node/snapshot.go
+++ b/internal/node/snapshot.go
@@ -1,9 +1,9 @@
 package node
 
 import (
-	"cmp"
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"net"
 	"net/netip"
 	"slices"
@@ -28,6 +28,9 @@
 	// snapshotTimeout limits one call to the beginning of a large answer: several round
 	// trips between regions, and the time to encode it.
 	snapshotTimeout = time.Second
+	// slowLinkShare is the rate of an entry's link from which it is asked for a snapshot, as a
+	// share of the fastest one's.
+	slowLinkShare = 0.5
 	// bootstrapInterval is how often an entry checks whether it needs a snapshot, and
 	// bootstrapRetryDelay is the delay after a failed call.
 	bootstrapInterval   = 200 * time.Millisecond
@@ -120,9 +123,10 @@
 	return s, s.unpack()
 }
 
-// bestSource returns the entry that has newer data of the most missing kinds. Ties
-// are resolved in favour of an entry that is not shutting down, then of one in the
-// same region.
+// bestSource returns an entry that has newer data of the most missing kinds. Among these, one that
+// is not shutting down is preferred, then one whose link isn't much slower than another one's,
+// then one in the same region. Of equal ones it is any, so that entries that lack the same data
+// don't all ask the same one.
 func (n *Node) bestSource(others []heartbeat.Node, missing map[follow.Kind]store.Version) (heartbeat.Node, bool) {
 	newer := func(other *heartbeat.Node) int {
 		kinds := 0
@@ -133,28 +137,34 @@
 		}
 		return kinds
 	}
-	others = slices.DeleteFunc(others, func(other heartbeat.Node) bool { return newer(&other) == 0 })
-	if len(others) == 0 {
+	most := 0
+	for i := range others {
+		most = max(most, newer(&others[i]))
+	}
+	if most == 0 {
 		return heartbeat.Node{}, false
 	}
-	return slices.MaxFunc(others, func(a, b heartbeat.Node) int {
-		return cmp.Or(
-			cmp.Compare(newer(&a), newer(&b)), compareBool(a.Ready, b.Ready),
-			compareBool(a.Region == n.options.Self.Region, b.Region == n.options.Self.Region),
-		)
-	}), true
+	others = slices.DeleteFunc(others, func(other heartbeat.Node) bool { return newer(&other) < most })
+	if slices.ContainsFunc(others, func(other heartbeat.Node) bool { return other.Ready }) {
+		others = slices.DeleteFunc(others, func(other heartbeat.Node) bool { return !other.Ready })
+	}
+	others = withoutSlowLinks(others)
+	local := func(other heartbeat.Node) bool { return other.Region == n.options.Self.Region }
+	if slices.ContainsFunc(others, local) {
+		others = slices.DeleteFunc(others, func(other heartbeat.Node) bool { return !local(other) })
+	}
+	return others[rand.IntN(len(others))], true
 }
 
-// compareBool orders false before true.
-func compareBool(a, b bool) int {
-	switch {
-	case a == b:
-		return 0
-	case b:
-		return -1
-	default:
-		return 1
+// withoutSlowLinks removes the entries whose link is much slower than another one's.
+func withoutSlowLinks(others []heartbeat.Node) []heartbeat.Node {
+	fastest := 0.0
+	for i := range others {
+		fastest = max(fastest, others[i].LinkMbps)
 	}
+	return slices.DeleteFunc(others, func(other heartbeat.Node) bool {
+		return other.LinkMbps > 0 && other.LinkMbps < fastest*slowLinkShare
+	})
 }
 
 // applySnapshot applies the parts of another entry's snapshot that are newer than the
--- a/internal/node/snapshot_test.go
+++ b/internal/node/snapshot_test.go
@@ -6,13 +6,16 @@
 	"encoding/json"
 	"fmt"
 	"log/slog"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
 	"github.com/shallotpier/shallotpier/internal/follow"
+	"github.com/shallotpier/shallotpier/internal/heartbeat"
 	"github.com/shallotpier/shallotpier/internal/node"
 	"github.com/shallotpier/shallotpier/internal/roster"
 	"github.com/shallotpier/shallotpier/internal/route"
@@ -165,3 +168,39 @@
 	}
 	return string(s.Configuration)
 }
+
+// Guards against one entry, perhaps with a slow link, that all others ask for a snapshot at the
+// same time.
+func TestSnapshotsAreSpread(t *testing.T) {
+	entry := func(name id.Instance, region id.Region, link float64, ready bool, revision store.Revision) heartbeat.Node {
+		return heartbeat.Node{
+			Instance: name, Region: region, LinkMbps: link, Ready: ready,
+			Changes: map[follow.Kind]store.Version{follow.Configuration: {Revision: revision}},
+		}
+	}
+	for name, tt := range map[string]struct {
+		others []heartbeat.Node
+		want   []id.Instance
+	}{
+		"nobody has it":   {[]heartbeat.Node{entry("e-1", "a", 10, true, 4)}, []id.Instance{""}},
+		"equal":           {[]heartbeat.Node{entry("e-1", "a", 10, true, 5), entry("e-2", "a", 10, true, 6)}, []id.Instance{"e-1", "e-2"}},
+		"slow links":      {[]heartbeat.Node{entry("e-1", "a", 10, true, 5), entry("e-2", "a", 200, true, 5), entry("e-3", "a", 150, true, 5)}, []id.Instance{"e-2", "e-3"}},
+		"link unknown":    {[]heartbeat.Node{entry("e-1", "a", 0, true, 5), entry("e-2", "a", 200, true, 5)}, []id.Instance{"e-1", "e-2"}},
+		"slow and near":   {[]heartbeat.Node{entry("e-1", "a", 10, true, 5), entry("e-2", "b", 200, true, 5)}, []id.Instance{"e-2"}},
+		"near":            {[]heartbeat.Node{entry("e-1", "b", 200, true, 5), entry("e-2", "a", 200, true, 5)}, []id.Instance{"e-2"}},
+		"ready":           {[]heartbeat.Node{entry("e-1", "a", 200, false, 5), entry("e-2", "a", 10, true, 5)}, []id.Instance{"e-2"}},
+		"only a slow one": {[]heartbeat.Node{entry("e-1", "b", 10, false, 5), entry("e-2", "a", 200, true, 4)}, []id.Instance{"e-1"}},
+		"nobody is alive": {nil, []id.Instance{""}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			n := newNode(t)
+			missing := map[follow.Kind]store.Version{follow.Configuration: {Revision: 4}}
+			asked := map[id.Instance]bool{}
+			for range 200 {
+				asked[n.BestSource(slices.Clone(tt.others), missing)] = true
+			}
+			is.Equal(slices.Sorted(maps.Keys(asked)), tt.want)
+		})
+	}
+}
