follow: no state of another entry is needed while the store's is arriving

Entries had an old configuration for up to 9 s after a short outage of the store.

Cause: an entry whose calls failed, and that knows of a later change, fetches the state of another entry until a call to the store has succeeded. When the store is back, that call takes as long as the transfer, and the entries of a zone fetch all the same. All choose the first entry by name that has announced the change, and the state is sent uncompressed.

Change: NeedsPeerState is false while an answer is arriving.

Evidence: TestNoPeerStateWhileAnswerArrives failed and passes.

--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -228,8 +228,12 @@
 
 // NeedsPeerState reports whether the store is unavailable and this entry lacks state
 // that a peer may have: it has none at all, or another entry has applied a later
-// change.
+// change. An answer of the store that is arriving will have it, and would take longer
+// beside that of a peer.
 func (f *Follower) NeedsPeerState() bool {
+	if f.receiving() {
+		return false
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.unavailable && (f.latest.IsZero() || f.newest().Before(f.invalidation))
--- a/internal/follow/order_test.go
+++ b/internal/follow/order_test.go
@@ -84,3 +84,38 @@
 		}
 	}
 }
+
+// Guards against fetching the state of another entry while that of the store is arriving: after an
+// outage all entries of a zone would fetch a large state from one entry, whose link it fills.
+func TestNoPeerStateWhileAnswerArrives(t *testing.T) {
+	simclock.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		s := feed.New(store.Version{Revision: 500})
+		// An object takes a second.
+		c := &feed.Client{Store: s, Timeout: callTimeout, Link: &link.Link{Rate: 1 << 20}, Size: func(*store.Object) int { return 1 << 20 }}
+		f := &follow.Follower{
+			Feed: c, Kind: follow.Configuration, Resume: true, Sink: &table{}, Timeout: callTimeout, ShortWait: shortWait, LongWait: longWait, Batch: batch,
+			StallTimeout: stallTimeout, ShortPoll: func() bool { return false }, Log: slog.New(slog.DiscardHandler),
+		}
+		s.Put("main", "1")
+		go f.Run(ctx)
+		time.Sleep(2 * time.Second)
+		s.SetUnavailable(true)
+		time.Sleep(time.Second)
+		s.Put("main", "2")
+		f.Invalidate(s.Version())
+		is.True(f.NeedsPeerState())
+		s.SetUnavailable(false)
+		f.Invalidate(s.Version())
+		time.Sleep(900 * time.Millisecond)
+		is.True(f.Unavailable())
+		is.True(!f.NeedsPeerState())
+		c.Reset()
+		s.SetUnavailable(true)
+		time.Sleep(time.Second)
+		is.True(f.NeedsPeerState())
+		cancel()
+		time.Sleep(longWait)
+	})
+}
