httpstore: calls are limited by their progress

Cause: a call had 2 s for its whole answer, a watch its wait and 2 s, a write 2 s, however large the publication; after each failure it began anew. The read after an idle watch had 1 s.

Change: as in package platform, the time-out holds until the answer begins and then without a further part, 20 s in all (internal/transfer); for writes it holds for each 256 KB of the value. A read after an idle watch has no limit besides; that at the start keeps it.

--- a/internal/config/keeper.go
+++ b/internal/config/keeper.go
@@ -169,7 +169,12 @@
 	wg.Go(func() { k.followPeers(ctx) })
 	var first store.Version
 	var asked sync.WaitGroup
-	asked.Go(func() { first = k.readStore(ctx) })
+	asked.Go(func() {
+		// Entries start without the store after a short time.
+		ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+		defer cancel()
+		first = k.readStore(ctx)
+	})
 	asked.Go(func() { k.askPeers(ctx) })
 	asked.Wait()
 	k.started.Store(true)
@@ -240,8 +245,6 @@
 // readStore reads the current publication once and returns the version of its
 // object, zero if the read failed.
 func (k *Keeper) readStore(ctx context.Context) store.Version {
-	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
-	defer cancel()
 	o, err := k.Store.Get(ctx, publish.CurrentKey)
 	if err != nil {
 		return store.Version{}
--- a/internal/store/httpstore/client.go
+++ b/internal/store/httpstore/client.go
@@ -17,12 +17,17 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/shallotpier/shallotpier/internal/store"
+	"github.com/shallotpier/shallotpier/internal/transfer"
 )
 
 const (
 	defaultTimeout = 2 * time.Second
 	defaultWait    = 30 * time.Second
 	maxListBytes   = 64 << 20
+	// maxTransfer limits the time from an answer's first byte to its last.
+	maxTransfer = 20 * time.Second
+	// writeChunk is the number of bytes of a value that have Timeout to be written.
+	writeChunk = 256 << 10
 )
 
 type (
@@ -33,8 +38,9 @@
 		Base string
 		// HTTP makes the calls; nil means http.DefaultClient.
 		HTTP *http.Client
-		// Timeout limits the duration of a call, and of a watch beyond Wait; 0
-		// means 2 s.
+		// Timeout limits the time to the beginning of an answer, for a watch beyond Wait and
+		// for a write for each 256 KB of the value, and then the time without a further part
+		// of it; 0 means 2 s.
 		Timeout time.Duration
 		// Wait is how long the store holds a watch without a change; 0 means
 		// 30 s.
@@ -52,9 +58,7 @@
 
 // Get returns the object under key, or ErrNotFound.
 func (c *Client) Get(ctx context.Context, key string) (store.Object, error) {
-	ctx, cancel := context.WithTimeout(ctx, c.timeout())
-	defer cancel()
-	a, _, err := c.call(ctx, http.MethodGet, objectPath(key), nil, nil, store.MaxValue)
+	a, _, err := c.call(ctx, c.timeout(), http.MethodGet, objectPath(key), nil, nil, store.MaxValue)
 	if err != nil {
 		return store.Object{}, unavailable(err)
 	}
@@ -82,10 +86,8 @@
 
 // List returns all objects whose key starts with prefix, sorted by key.
 func (c *Client) List(ctx context.Context, prefix string) ([]store.Object, error) {
-	ctx, cancel := context.WithTimeout(ctx, c.timeout())
-	defer cancel()
 	path := "/objects?prefix=" + url.QueryEscape(prefix)
-	a, _, err := c.call(ctx, http.MethodGet, path, nil, nil, maxListBytes)
+	a, _, err := c.call(ctx, c.timeout(), http.MethodGet, path, nil, nil, maxListBytes)
 	switch {
 	case err != nil:
 		return nil, unavailable(err)
@@ -106,10 +108,8 @@
 	if wait == 0 {
 		wait = defaultWait
 	}
-	ctx, cancel := context.WithTimeout(ctx, wait+c.timeout())
-	defer cancel()
 	path := fmt.Sprintf("%s?watch=%s&wait=%s", objectPath(key), seen, strconv.FormatFloat(wait.Seconds(), 'f', -1, 64))
-	a, _, err := c.call(ctx, http.MethodGet, path, nil, nil, store.MaxValue)
+	a, _, err := c.call(ctx, wait+c.timeout(), http.MethodGet, path, nil, nil, store.MaxValue)
 	if err != nil {
 		return store.Object{}, unavailable(err)
 	}
@@ -117,8 +117,6 @@
 }
 
 func (c *Client) write(ctx context.Context, method, key string, value []byte, cond store.Condition) (answer, error) {
-	ctx, cancel := context.WithTimeout(ctx, c.timeout())
-	defer cancel()
 	header := http.Header{}
 	switch v, set := cond.Required(); {
 	case set && v.IsZero():
@@ -126,7 +124,8 @@
 	case set:
 		header.Set("If-Match", strconv.Quote(v.String()))
 	}
-	a, connected, err := c.call(ctx, method, objectPath(key), header, value, store.MaxValue)
+	first := c.timeout() * time.Duration(1+len(value)/writeChunk)
+	a, connected, err := c.call(ctx, first, method, objectPath(key), header, value, store.MaxValue)
 	switch {
 	case err != nil && !connected:
 		return a, unavailable(err)
@@ -149,10 +148,12 @@
 	}
 }
 
-// call sends a request and also reports, even on failure, whether a connection
-// was available to send it.
-func (c *Client) call(ctx context.Context, method, path string, header http.Header, value []byte, limit int64) (answer, bool, error) {
+// call sends a request, whose answer must begin within first, and also reports, even on
+// failure, whether a connection was available to send it.
+func (c *Client) call(ctx context.Context, first time.Duration, method, path string, header http.Header, value []byte, limit int64) (answer, bool, error) {
 	var connected atomic.Bool
+	ctx, t := transfer.Begin(ctx, transfer.Limits{First: first, Stall: c.timeout(), Total: maxTransfer})
+	defer t.End()
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
 	})
@@ -169,12 +170,12 @@
 	}
 	resp, err := client.Do(req)
 	if err != nil {
-		return answer{}, connected.Load(), err
+		return answer{}, connected.Load(), t.Explain(err)
 	}
 	defer resp.Body.Close()
-	body, err := io.ReadAll(http.MaxBytesReader(nil, resp.Body, limit))
+	body, err := io.ReadAll(t.Reader(http.MaxBytesReader(nil, resp.Body, limit)))
 	if err != nil {
-		return answer{}, true, err
+		return answer{}, true, t.Explain(err)
 	}
 	return answer{status: resp.StatusCode, tag: resp.Header.Get("ETag"), body: body}, true, nil
 }
