route: a match takes the same time with thousands of routes

Cause: the routes of a host were compared one after the other, those of a path without a route all of them.

Change: the prefixes of a path that end with a slash are looked up, the longest first, from the length of the longest prefix on. Prefixes that don't end with a slash, which the platform doesn't write, are compared as before.

TestMatchFollowsItsDefinition compares 20,000 random tables with the definition.

--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -69,10 +69,22 @@
 
 	// Table matches requests to routes.
 	Table struct {
-		hosts map[string][]match
+		hosts map[string]*hostRoutes
 	}
 
-	// match is a route with its prefix in the form in which paths are compared.
+	// hostRoutes are the routes of a host. Prefixes are in the form in which paths are
+	// compared.
+	hostRoutes struct {
+		all []*Route
+		// prefixes holds the routes whose prefix ends with a slash, as all should, and longest
+		// is the length of the longest of these prefixes.
+		prefixes map[string]*Route
+		longest  int
+		// others holds the other routes, those with the longest prefix first.
+		others []match
+	}
+
+	// match is a route with its prefix.
 	match struct {
 		prefix string
 		route  *Route
@@ -81,24 +93,54 @@
 
 // NewTable returns a table of the routes.
 func NewTable(routes []*Route) *Table {
-	t := &Table{hosts: make(map[string][]match)}
+	t := &Table{hosts: make(map[string]*hostRoutes)}
 	for _, r := range routes {
 		host := strings.ToLower(r.Host)
-		t.hosts[host] = append(t.hosts[host], match{comparablePath(r.Prefix), r})
+		h := t.hosts[host]
+		if h == nil {
+			h = &hostRoutes{prefixes: make(map[string]*Route)}
+			t.hosts[host] = h
+		}
+		h.add(r)
 	}
-	for _, list := range t.hosts {
-		slices.SortFunc(list, func(a, b match) int { return len(b.prefix) - len(a.prefix) })
+	for _, h := range t.hosts {
+		slices.SortFunc(h.others, func(a, b match) int { return len(b.prefix) - len(a.prefix) })
 	}
 	return t
 }
 
+func (h *hostRoutes) add(r *Route) {
+	h.all = append(h.all, r)
+	prefix := comparablePath(r.Prefix)
+	if !strings.HasSuffix(prefix, "/") {
+		h.others = append(h.others, match{prefix, r})
+		return
+	}
+	h.prefixes[prefix] = r
+	h.longest = max(h.longest, len(prefix))
+}
+
+// match returns the route with the longest prefix of a path, nil if there is none. The time it
+// takes depends on the length of the prefixes, not on their number.
+func (h *hostRoutes) match(path string) *Route {
+	end, found := 0, (*Route)(nil)
+	for end = min(len(path), h.longest); end > 0 && found == nil; {
+		end = strings.LastIndexByte(path[:end], '/')
+		found = h.prefixes[path[:end+1]]
+	}
+	for _, m := range h.others {
+		if (found == nil || len(m.prefix) > end+1) && strings.HasPrefix(path, m.prefix) {
+			return m.route
+		}
+	}
+	return found
+}
+
 // MarshalJSON encodes the table as a list of its routes.
 func (t *Table) MarshalJSON() ([]byte, error) {
 	all := []*Route{}
-	for _, list := range t.hosts {
-		for _, m := range list {
-			all = append(all, m.route)
-		}
+	for _, h := range t.hosts {
+		all = append(all, h.all...)
 	}
 	slices.SortFunc(all, func(a, b *Route) int { return strings.Compare(a.Name, b.Name) })
 	return json.Marshal(all)
@@ -139,20 +181,16 @@
 // port. The path is that of the request target, as it was sent ([net/url.URL.EscapedPath]): an
 // encoded slash is a part of a segment and doesn't end it.
 func (t *Table) Match(host, path string) *Route {
-	list, ok := t.hosts[host]
+	h, ok := t.hosts[host]
 	if !ok {
-		if h, _, err := net.SplitHostPort(host); err == nil {
-			host = h
+		if name, _, err := net.SplitHostPort(host); err == nil {
+			host = name
 		}
-		list = t.hosts[strings.ToLower(host)]
-	}
-	path = comparablePath(path)
-	for _, m := range list {
-		if strings.HasPrefix(path, m.prefix) {
-			return m.route
+		if h, ok = t.hosts[strings.ToLower(host)]; !ok {
+			return nil
 		}
 	}
-	return nil
+	return h.match(comparablePath(path))
 }
 
 // comparablePath returns a path with its percent-encoded bytes decoded, except for slashes and
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -1,6 +1,8 @@
 package route_test
 
 import (
+	"math/rand/v2"
+	"strings"
 	"testing"
 
 	"github.com/matryer/is"
@@ -54,6 +56,46 @@
 	}
 }
 
+// Guards against a match that differs from the definition: the longest prefix of the path among
+// the routes of the host, whatever the prefixes' form.
+func TestMatchFollowsItsDefinition(t *testing.T) {
+	is := is.New(t)
+	rng := rand.New(rand.NewPCG(59, 1))
+	text := func(parts int) string {
+		var b strings.Builder
+		for range rng.IntN(parts + 1) {
+			b.WriteString([]string{"/", "/", "a", "b", "ab", "%2F", "%61"}[rng.IntN(7)])
+		}
+		return b.String()
+	}
+	decode := strings.NewReplacer("%61", "a").Replace
+	for range 20_000 {
+		var routes []*route.Route
+		known := map[string]bool{}
+		for range rng.IntN(8) {
+			prefix := text(5)
+			if prefix == "" || known[decode(prefix)] {
+				continue
+			}
+			known[decode(prefix)] = true
+			routes = append(routes, &route.Route{Name: prefix, Host: "a.example", Prefix: prefix})
+		}
+		path := text(8)
+		var want *route.Route
+		for _, r := range routes {
+			longer := want == nil || len(decode(r.Prefix)) > len(decode(want.Prefix))
+			if strings.HasPrefix(decode(path), decode(r.Prefix)) && longer {
+				want = r
+			}
+		}
+		got := route.NewTable(routes).Match("a.example", path)
+		if got != want {
+			t.Logf("path %q, got %v, want %v", path, got, want)
+		}
+		is.True(got == want)
+	}
+}
+
 func TestPickFollowsWeights(t *testing.T) {
 	is := is.New(t)
 	r := route.Route{Parts: []route.Part{{Service: "a", Weight: 90}, {Service: "none", Weight: 0}, {Service: "b", Weight: 10}}}
