relayfeed: the benchmark of large answers builds again

No test of the package could be built.

Evidence: go vet ./internal/relayfeed failed (not enough arguments in call) and passes.

--- a/internal/relayfeed/pack_bench_test.go
+++ b/internal/relayfeed/pack_bench_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"testing"
 
+	"github.com/shallotpier/shallotpier/internal/packing"
 	"github.com/shallotpier/shallotpier/internal/store"
 )
 
@@ -13,7 +14,7 @@
 	changes := []change{{Object: store.Object{Key: "main", Version: version(12), Value: configuration(4200)}}}
 	forms := map[string]func() *answer{
 		"plain":  func() *answer { return &answer{Changes: changes} },
-		"packed": func() *answer { a := &answer{Changes: changes}; new(packer).apply(a); return a },
+		"packed": func() *answer { a := &answer{Changes: changes}; new(packer).apply(a, new(packing.Packer)); return a },
 	}
 	for name, form := range forms {
 		b.Run("encode/"+name, func(b *testing.B) {
