relayfeed: packed answers are kept by their values too

Cause: packed answers were kept by the keys and versions of their changes. A store that was restored from an older copy and sends no era gives a version out again, for another value; the entries that follow through the leader then got the earlier value.

Change: the hash covers the values.

Evidence: TestPackedAnswersHoldTheirOwnValues failed (the first of two values of a version, twice) and passes; the package's tests pass (92.9 s, load 33 on 8 processors).

--- a/internal/relayfeed/pack.go
+++ b/internal/relayfeed/pack.go
@@ -24,7 +24,7 @@
 
 	// packed is a packed answer.
 	packed struct {
-		digest uint64 // of the changes' keys and versions
+		digest uint64 // of the changes
 		data   []byte
 	}
 )
@@ -91,20 +91,23 @@
 	return out
 }
 
-// digestOf returns a hash of the keys and versions of changes.
+// digestOf returns a hash of changes. Versions don't identify the values: a restored store that
+// sends no era gives them out again.
 func digestOf(changes []change) uint64 {
 	var d xxhash.Digest
 	d.Reset()
 	for i := range changes {
 		c := &changes[i]
-		var fields [17]byte
+		var fields [25]byte
 		binary.BigEndian.PutUint64(fields[:], uint64(c.Version.Era))
 		binary.BigEndian.PutUint64(fields[8:], uint64(c.Version.Revision))
+		binary.BigEndian.PutUint64(fields[16:], uint64(len(c.Value)))
 		if c.Removed {
-			fields[16] = 1
+			fields[24] = 1
 		}
 		_, _ = d.WriteString(c.Key)
 		_, _ = d.Write(fields[:])
+		_, _ = d.Write(c.Value)
 	}
 	return d.Sum64()
 }
--- a/internal/relayfeed/pack_test.go
+++ b/internal/relayfeed/pack_test.go
@@ -129,3 +129,18 @@
 		})
 	}
 }
+
+// Guards against an answer that holds an earlier value: a store that was restored from an older
+// copy may give a version out again, and one that sends no era doesn't tell so.
+func TestPackedAnswersHoldTheirOwnValues(t *testing.T) {
+	is := is.New(t)
+	var p packer
+	for range 2 {
+		value := configuration(1000)
+		a := &answer{Changes: []change{{Object: store.Object{Key: "main", Version: version(12), Value: value}}}}
+		p.apply(a, new(packing.Packer))
+		is.True(len(a.Packed) > 0)
+		is.NoErr(a.unpack())
+		is.Equal(string(a.Changes[0].Value), string(value))
+	}
+}
