follow: a watch that has continued leaves no gap

Cause: a resumed watch that fails twice counts as an outage, after which changes may have been missed. That stayed so when the watch had continued from its version, and the next list for another reason announced the store's revision if it lacked an object, or if another entry's state had been taken over in the outage.

Change: an answer to a watch ends the gap, since it continues from the version before.

Evidence: TestResumedWatchLeavesNoGap failed (version 130 announced instead of 120) and passes; the package's tests pass.

--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -421,7 +421,7 @@
 			f.endWatch(rev, err)
 			return
 		}
-		rev, failed = next, false
+		rev, failed, f.gap = next, false, false // the changes since the version are known
 		f.applyChanges(changes, next, started)
 		if len(changes) > 0 && !f.origin().Relayed() {
 			sleep(ctx, f.Batch)
--- a/internal/follow/gap_test.go
+++ b/internal/follow/gap_test.go
@@ -202,3 +202,32 @@
 		})
 	}
 }
+
+// Guards against a list that is announced as a change after an outage, though the watch had
+// continued from its version since, so that no change was missed.
+func TestResumedWatchLeavesNoGap(t *testing.T) {
+	simclock.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		feed := newSlowFeed(100, map[string]store.Revision{"main": 50, "old": 40})
+		f, announced := feed.follower(follow.Configuration)
+		f.Resume = true
+		go f.Run(ctx)
+		time.Sleep(time.Second)
+		for range 3 {
+			feed.fail <- errors.New("connection reset")
+		}
+		time.Sleep(time.Second)
+		is.Equal(feed.lists, 1)
+		is.True(!f.Unavailable())
+		// The watch is behind another entry's, and the objects are listed.
+		feed.set(130, map[string]store.Revision{"main": 120})
+		f.Invalidate(revision(120))
+		time.Sleep(time.Second)
+		is.Equal(feed.lists, 2)
+		is.Equal(f.Latest(), revision(120))
+		is.Equal(*announced, 0)
+		cancel()
+		synctest.Wait()
+	})
+}
