follow: a leader that stops sending a change is left

Cause: whether to leave a leader that is late with a change was decided once, a batch after another entry had it. If an answer was arriving at that moment the leader was kept. When it failed then, its watch was only given up for a list, which asks the same leader first, for 0.7 s.

Change: the check is repeated every 100 ms while an answer is arriving.

Evidence: TestLeaderThatStopsSendingIsLeft failed (not left) and passes; the tests of follow and relayfeed pass (1.3 s, 92.9 s).

--- a/internal/follow/relay.go
+++ b/internal/follow/relay.go
@@ -7,6 +7,9 @@
 	"github.com/shallotpier/shallotpier/pkg/id"
 )
 
+// arrivalCheck is the interval of checks whether an answer is still arriving.
+const arrivalCheck = 100 * time.Millisecond
+
 type (
 	// RelayFeed is a Feed that may get its answers from another entry instead of the
 	// store. Follower asks for the origin of each answer before the next call.
@@ -83,15 +86,23 @@
 func (f *Follower) awaitChange(version store.Version) {
 	if r, ok := f.Feed.(RelayFeed); ok {
 		// The entry that is asked may be in the delay between two of its own watches.
-		time.AfterFunc(f.Batch, func() {
-			if f.isBehind(version) && !f.receiving() {
-				r.Redirect()
-			}
-		})
+		time.AfterFunc(f.Batch, func() { f.redirectIfLate(r, version) })
 	}
 	time.AfterFunc(f.StallTimeout, func() { f.checkStalled(version) })
 }
 
+// redirectIfLate redirects the call in progress if it hasn't delivered a change, once no answer is
+// arriving.
+func (f *Follower) redirectIfLate(r RelayFeed, version store.Version) {
+	switch {
+	case !f.isBehind(version):
+	case f.receiving():
+		time.AfterFunc(arrivalCheck, func() { f.redirectIfLate(r, version) })
+	default:
+		r.Redirect()
+	}
+}
+
 func (f *Follower) isBehind(version store.Version) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/follow/relay_test.go
+++ b/internal/follow/relay_test.go
@@ -219,3 +219,39 @@
 		synctest.Wait()
 	})
 }
+
+// arriving is a relayed feed that reports for a time that an answer is arriving.
+type arriving struct {
+	relayed
+
+	until time.Time
+}
+
+func (a *arriving) Receiving() bool { return time.Now().Before(a.until) }
+
+// Guards against an entry that keeps waiting for a leader that fails while it sends a change: the
+// answer was arriving when the wait for the change ended.
+func TestLeaderThatStopsSendingIsLeft(t *testing.T) {
+	simclock.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		a := &arriving{}
+		a.lists = []listed{{follow.Origin{Entry: "leader"}, revision(20), nil}}
+		f := &follow.Follower{
+			Feed: a, Kind: follow.Configuration, Sink: &sink{}, Timeout: 700 * time.Millisecond, ShortWait: 1800 * time.Millisecond, LongWait: 12 * time.Second,
+			Batch: 450 * time.Millisecond, StallTimeout: 600 * time.Millisecond, ShortPoll: func() bool { return false }, Log: slog.New(slog.DiscardHandler),
+		}
+		go f.Run(ctx)
+		time.Sleep(time.Second)
+		a.began = time.Now()
+		a.until = a.began.Add(800 * time.Millisecond)
+		f.Invalidate(revision(21))
+		time.Sleep(799 * time.Millisecond)
+		is.Equal(len(a.redirects), 0)
+		time.Sleep(201 * time.Millisecond)
+		is.Equal(len(a.redirects), 1)
+		cancel()
+		synctest.Wait()
+		time.Sleep(time.Minute) // ends the checks
+	})
+}
