platform, follow: changes that exceed the limit of an answer are listed

Cause: a failed watch of the configuration continues from its version. An answer is limited to 8 MB, and nine changes of a configuration of 1 MB exceed that, as after an outage or in quick succession. Each attempt then failed in the same way, and loaded the link, though a list would have been 1 MB. Before watches were resumed, a list followed.

Change: an answer that is too large, or can't be decoded, is store.ErrUnusable, and the objects are listed after it.

--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -430,9 +430,10 @@
 	}
 }
 
-// resumes reports whether a watch that has ended with an error continues from its version.
+// resumes reports whether a watch that has ended with an error continues from its version. An
+// answer that can't be used would be the same again.
 func (f *Follower) resumes(err error) bool {
-	return f.Resume && !isAnswer(err) && !errors.Is(err, errStalled) && !errors.Is(err, errRestored)
+	return f.Resume && !isAnswer(err) && !errors.Is(err, store.ErrUnusable) && !errors.Is(err, errStalled) && !errors.Is(err, errRestored)
 }
 
 // endWatch records why the objects are listed after a watch.
--- a/internal/store/feed.go
+++ b/internal/store/feed.go
@@ -48,4 +48,7 @@
 	// ErrRestored means that the store has been restored from an older copy, which
 	// doesn't have the version from which changes were requested.
 	ErrRestored = eris.New("store has been restored from an older copy")
+	// ErrUnusable means that an answer arrived, but exceeds the limit of its size or can't be
+	// decoded. The same call is likely to fail again.
+	ErrUnusable = eris.New("answer can't be used")
 )
