--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -425,7 +425,7 @@
 			f.endWatch(rev, err)
 			return
 		}
-		rev, failed = next, false
+		rev, failed, f.gap = next, false, false // the changes since the version are known
 		f.applyChanges(changes, next, started)
 		if len(changes) > 0 && !f.origin().Relayed() {
 			sleep(ctx, f.Batch)
@@ -434,9 +434,10 @@
 	}
 }
 
-// resumes reports whether a watch that has ended with an error continues from its version.
+// resumes reports whether a watch that has ended with an error continues from its version. An
+// answer that can't be used would be the same again.
 func (f *Follower) resumes(err error) bool {
-	return f.Resume && !isAnswer(err) && !errors.Is(err, errStalled) && !errors.Is(err, errRestored)
+	return f.Resume && !isAnswer(err) && !errors.Is(err, store.ErrUnusable) && !errors.Is(err, errStalled) && !errors.Is(err, errRestored)
 }
 
 // endWatch records why the objects are listed after a watch.
