transfer: bytes that arrive while the process is held up count

Entries on 0.16 of a core give up answers that have arrived: when the process runs again, the timer and the bytes are there at the same time, and the timer mostly wins. Its errors said "none for 0s".

Change: a timer that fires 50 ms or more late is set again for 50 ms, in which the bytes are read. One that fires on time ends the call as before.

--- a/internal/transfer/transfer.go
+++ b/internal/transfer/transfer.go
@@ -16,6 +16,9 @@
 	// maxRead limits a read in bytes. Some readers, such as those of chunked bodies, return
 	// only once they have filled the buffer.
 	maxRead = 4 << 10
+	// heldUp is the delay of the timer from which the process counts as held up: bytes that
+	// have arrived meanwhile haven't been read, and get as long to be read.
+	heldUp = 50 * time.Millisecond
 )
 
 type (
@@ -37,6 +40,7 @@
 
 		mu     sync.Mutex
 		timer  *time.Timer
+		due    time.Time // of timer
 		began  time.Time
 		first  time.Time // time of the first byte, zero before it
 		latest time.Time // time of the latest byte
@@ -59,6 +63,7 @@
 	t := &Transfer{limits: limits, cancel: cancel, began: time.Now()}
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.due = t.began.Add(limits.First)
 	t.timer = time.AfterFunc(limits.First, t.expire)
 	return ctx, t
 }
@@ -130,13 +135,24 @@
 	}
 	t.latest, t.bytes = now, t.bytes+int64(n)
 	if !t.ended {
-		t.timer.Reset(min(t.limits.Stall, t.limits.Total-now.Sub(t.first)))
+		t.reset(now, max(min(t.limits.Stall, t.limits.Total-now.Sub(t.first)), 0))
 	}
 }
 
-// expire ends the context.
+// reset sets the timer. The caller must hold mu.
+func (t *Transfer) reset(now time.Time, d time.Duration) {
+	t.due = now.Add(d)
+	t.timer.Reset(d)
+}
+
+// expire ends the context, unless the process was held up.
 func (t *Transfer) expire() {
 	t.mu.Lock()
+	if now := time.Now(); !t.ended && now.Sub(t.due) >= heldUp {
+		t.reset(now, heldUp)
+		t.mu.Unlock()
+		return
+	}
 	t.expired = !t.ended
 	t.mu.Unlock()
 	t.cancel(context.DeadlineExceeded)
