follow: no state of another entry is needed at the beginning of a call

Cause: an entry that hears of a change calls the store at once, and by the same news needs the state of another entry, until the store's answer begins to arrive.

Change: NeedsPeerState is false for the first 150 ms of a call.

--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -49,6 +49,9 @@
 	// shortPollCheck is the interval of checks during a watch with the long wait whether this
 	// entry has become a short-poll entry.
 	shortPollCheck = 500 * time.Millisecond
+	// answerTime is the time in which the store's answer usually begins to arrive. As entries that
+	// hear of a change call the store at once, they have no need of a peer's state before.
+	answerTime = 150 * time.Millisecond
 )
 
 // Kinds of objects that an entry follows.
@@ -166,6 +169,8 @@
 		// due is when the answer to the first call since the store's last answer was due, zero if
 		// no call has been made since.
 		due time.Time
+		// calledAt is the beginning of the call in progress, zero if there is none.
+		calledAt time.Time
 	}
 )
 
@@ -228,14 +233,17 @@
 
 // NeedsPeerState reports whether the store is unavailable and this entry lacks state
 // that a peer may have: it has none at all, or another entry has applied a later
-// change. An answer of the store that is arriving will have it, and would take longer
-// beside that of a peer.
+// change. An answer of the store that is arriving, or that a call which has just begun
+// may get, will have it, and would take longer beside that of a peer.
 func (f *Follower) NeedsPeerState() bool {
 	if f.receiving() {
 		return false
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if !f.calledAt.IsZero() && time.Since(f.calledAt) < answerTime {
+		return false
+	}
 	return f.unavailable && (f.latest.IsZero() || f.newest().Before(f.invalidation))
 }
 
@@ -307,9 +315,11 @@
 // expectAnswer records when the answer to a call with the given wait is due. An answer that was due
 // before and didn't come stays due.
 func (f *Follower) expectAnswer(wait time.Duration) {
-	due := time.Now().Add(wait)
+	now := time.Now()
+	due := now.Add(wait)
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.calledAt = now
 	if f.due.IsZero() || due.Before(f.due) {
 		f.due = due
 	}
@@ -317,11 +327,12 @@
 
 // endCall records the end of a call, which was an answer unless the call failed.
 func (f *Follower) endCall(err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.calledAt = time.Time{}
 	if err != nil && !isAnswer(err) {
 		return
 	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
 	f.due = time.Time{}
 }
 
--- a/internal/follow/order_test.go
+++ b/internal/follow/order_test.go
@@ -105,9 +105,14 @@
 		time.Sleep(time.Second)
 		s.Put("main", "2")
 		f.Invalidate(s.Version())
+		time.Sleep(100 * time.Millisecond)
 		is.True(f.NeedsPeerState())
 		s.SetUnavailable(false)
-		f.Invalidate(s.Version())
+		s.Put("main", "3")
+		f.Invalidate(s.Version()) // ends the delay after a failed call
+		time.Sleep(5 * time.Millisecond)
+		is.True(f.Unavailable())
+		is.True(!f.NeedsPeerState()) // the call has just begun
 		time.Sleep(900 * time.Millisecond)
 		is.True(f.Unavailable())
 		is.True(!f.NeedsPeerState())
