relayfeed: calls to leaders while an answer arrives

Cause: a leader whose heartbeats weren't heard for 1.6 s was left in the middle of its answer. On the other hand, a call that waits beyond its deadline for the end of an answer, up to 20 s, didn't notice the end of its context, since that had already ended by the deadline: neither the stop of the follower, nor a restore of the store, nor a redirection ended it.

Change: the answer counts as a sign of life, and the feed returns when its own context ends.

--- a/internal/relayfeed/feed.go
+++ b/internal/relayfeed/feed.go
@@ -189,22 +189,38 @@
 	defer cancel(nil)
 	f.setCall(leader, cancel)
 	defer f.setCall("", nil)
-	ctx, stop := context.WithTimeout(ctx, r.Wait+f.Timeout)
-	defer stop()
 	go f.check(ctx, leader, cancel)
-	var a answer
 	r.Packed = true
-	err := f.Peers.Call(ctx, leader, Method, r, &a)
-	if cause := context.Cause(ctx); err != nil && cause != nil {
-		err = cause
-	}
+	a, err := f.call(ctx, leader, r)
 	if err == nil {
 		err = a.unpack()
 	}
 	if err == nil && a.Status != answered {
 		err = &statusError{a.Status}
 	}
-	return &a, err
+	return a, err
+}
+
+// call makes a call that ends with ctx, also when it waits beyond its deadline for an answer that
+// is arriving.
+func (f *Feed) call(ctx context.Context, leader id.Instance, r *request) (*answer, error) {
+	limited, stop := context.WithTimeout(ctx, r.Wait+f.Timeout)
+	defer stop()
+	a, done := new(answer), make(chan error, 1)
+	go func() { done <- f.Peers.Call(limited, leader, Method, r, a) }()
+	var err error
+	select {
+	case err = <-done:
+	case <-ctx.Done():
+		if errors.Is(limited.Err(), context.DeadlineExceeded) {
+			return nil, context.Cause(ctx)
+		}
+		err = <-done
+	}
+	if cause := context.Cause(limited); err != nil && cause != nil {
+		err = cause
+	}
+	return a, err
 }
 
 // setCall records the call in progress, to no leader if there is none.
@@ -214,7 +230,8 @@
 	f.asked, f.cancel = leader, cancel
 }
 
-// check cancels a call when the leader is not to be asked any more.
+// check cancels a call when the leader is not to be asked any more, unless its answer is arriving:
+// heartbeats may be lost on a link that the answer fills.
 func (f *Feed) check(ctx context.Context, leader id.Instance, cancel context.CancelCauseFunc) {
 	tick := time.NewTicker(checkInterval)
 	defer tick.Stop()
@@ -227,7 +244,7 @@
 			f.observe(now)
 			usable := f.selector.usable(now, leader)
 			f.mu.Unlock()
-			if !usable {
+			if !usable && !f.Receiving() {
 				cancel(errNoLeader)
 				return
 			}
