--- a/internal/relayfeed/deployment_test.go
+++ b/internal/relayfeed/deployment_test.go
@@ -47,6 +47,8 @@
 	maxTransfer   = 20 * time.Second
 	packedShare   = 0.25      // of the size of a packed answer
 	unpackedShare = 4.0 / 3.0 // base64
+	// maxQueue is the longest queue of a link that takes datagrams.
+	maxQueue = 200 * time.Millisecond
 )
 
 var errDown = errors.New("connection reset")
@@ -265,8 +267,14 @@
 	if c.paused.Load() || !c.runs() || other == nil || c.d.isCut(c.member, other) {
 		return len(p), nil
 	}
+	if c.link.Queue() > maxQueue {
+		return len(p), nil
+	}
 	data := append([]byte(nil), p...)
 	time.AfterFunc(latency+c.link.Reserve(len(p)), func() {
+		if other.link.Queue() > maxQueue {
+			return
+		}
 		link.Pass(len(p), other.link)
 		select {
 		case other.inbox <- data:
@@ -299,6 +307,7 @@
 func (f countedFeed) All(ctx context.Context) ([]store.Object, store.Version, error) {
 	f.reads.Add(1)
 	f.lists.Add(1)
+	defer f.logCall("list", time.Now(), f.Bytes())
 	time.Sleep(latency)
 	all, v, err := f.Client.All(ctx)
 	f.resumed(context.WithoutCancel(ctx))
@@ -307,12 +316,20 @@
 
 func (f countedFeed) Changes(ctx context.Context, after store.Version, wait time.Duration) ([]store.Change, store.Version, error) {
 	f.reads.Add(1)
+	defer f.logCall(fmt.Sprint("watch from ", after), time.Now(), f.Bytes())
 	time.Sleep(latency)
 	changes, v, err := f.Client.Changes(ctx, after, wait)
 	f.resumed(context.WithoutCancel(ctx))
 	return changes, v, err
 }
 
+// logCall logs a call to the store at its end, if its answer had a body.
+func (f countedFeed) logCall(call string, began time.Time, bytes int64) {
+	if now := f.Bytes(); now > bytes {
+		f.log.Info("call to the store ended", "call", call, "took", time.Since(began), "bytes", now-bytes)
+	}
+}
+
 // Call implements peer.Caller.
 func (p peers) Call(ctx context.Context, to id.Instance, method string, params, result any) error {
 	other := p.d.byName[to]
@@ -365,6 +382,9 @@
 		return errors.Join(err, context.Cause(ctx))
 	}
 	size := p.d.answerSize(question, data)
+	if size >= largeMessage {
+		from.log.Info("large answer sent", "instance", p.self.Instance, "bytes", size)
+	}
 	for left := size; left > 0; left -= link.Chunk {
 		for p.d.isCut(p.member, from.member) || p.paused.Load() || from.paused.Load() {
 			time.Sleep(pollInterval)
--- a/internal/simclock/norace.go
+++ b/internal/simclock/norace.go
@@ -2,4 +2,5 @@
 
 package simclock
 
-const raceEnabled = false
+// Race reports whether the race detector is enabled.
+const Race = false
--- a/internal/simclock/simclock.go
+++ b/internal/simclock/simclock.go
@@ -26,7 +26,7 @@
 // since it changes the number of threads of the process.
 func Test(t *testing.T, f func(*testing.T)) {
 	t.Helper()
-	if raceEnabled {
+	if Race {
 		defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
 	}
 	synctest.Test(t, f)
--- a/internal/standin/link/link.go
+++ b/internal/standin/link/link.go
@@ -35,6 +35,16 @@
 	return l.free.Sub(now)
 }
 
+// Queue returns the time until all bytes that were reserved have passed.
+func (l *Link) Queue() time.Duration {
+	if l == nil {
+		return 0
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return max(time.Until(l.free), 0)
+}
+
 // Pass waits until bytes have passed one link after the other.
 func Pass(bytes int, links ...*Link) {
 	for _, l := range links {
