follow: tests without data races

go test -race ./internal/follow failed: TestFailedWatchIsResumed and TestAnswerThatArrivesIsNotGivenUp read the calls of slowFeed, TestLaterStateIsKept the values of its sink, without a lock.

Change: slowFeed.calls and valueLog.inOrder lock; the assertions are the same.

Evidence: go test -race -count=6 ./internal/follow passes.

--- a/internal/follow/gap_test.go
+++ b/internal/follow/gap_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -30,6 +31,12 @@
 		lists     int
 		watched   []store.Version
 	}
+
+	// slowCalls are the lists, and the versions of the watches, of a slowFeed.
+	slowCalls struct {
+		lists   int
+		watched []store.Version
+	}
 )
 
 func newSlowFeed(version store.Revision, objects map[string]store.Revision) *slowFeed {
@@ -83,6 +90,13 @@
 	return changes, f.version, nil
 }
 
+// calls returns the calls so far.
+func (f *slowFeed) calls() slowCalls {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slowCalls{f.lists, slices.Clone(f.watched)}
+}
+
 // Receiving implements store.Receiver.
 func (f *slowFeed) Receiving() bool {
 	f.mu.Lock()
@@ -128,7 +142,8 @@
 				feed.set(130, tt.objects)
 				feed.fail <- errors.New("connection reset")
 				time.Sleep(time.Second)
-				is.Equal(feed.lists, 2)
+				synctest.Wait()
+				is.Equal(feed.calls().lists, 2)
 				is.Equal(f.Latest(), revision(tt.latest))
 				is.Equal(*announced, tt.announced)
 				cancel()
@@ -152,10 +167,12 @@
 		feed.set(130, map[string]store.Revision{"main": 120})
 		f.Invalidate(revision(120))
 		time.Sleep(3 * time.Second)
-		is.Equal(len(feed.watched), 1)
+		synctest.Wait()
+		is.Equal(len(feed.calls().watched), 1)
 		time.Sleep(2 * time.Second)
 		is.Equal(f.Latest(), revision(120))
-		is.Equal(feed.lists, 1)
+		synctest.Wait()
+		is.Equal(feed.calls().lists, 1)
 		cancel()
 		synctest.Wait()
 	})
@@ -189,11 +206,12 @@
 					feed.fail <- err
 				}
 				time.Sleep(time.Second)
-				is.Equal(feed.lists, tt.lists)
+				synctest.Wait()
+				is.Equal(feed.calls().lists, tt.lists)
 				is.Equal(f.Latest(), revision(120))
 				is.True(!f.Unavailable())
 				if tt.lists == 1 {
-					is.Equal(feed.watched[:2], []store.Version{revision(100), revision(100)})
+					is.Equal(feed.calls().watched[:2], []store.Version{revision(100), revision(100)})
 					is.Equal(*announced, 0)
 				}
 				cancel()
--- a/internal/follow/order_test.go
+++ b/internal/follow/order_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"log/slog"
 	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -21,19 +22,33 @@
 type valueLog struct {
 	table
 
+	mu     sync.Mutex
 	values []string
 }
 
 func (l *valueLog) Replace(now time.Time, all []store.Object) {
 	l.table.Replace(now, all)
-	l.values = append(l.values, l.has()["main"])
+	l.note()
 }
 
 func (l *valueLog) Change(now time.Time, o store.Object) {
 	l.table.Change(now, o)
+	l.note()
+}
+
+func (l *valueLog) note() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	l.values = append(l.values, l.has()["main"])
 }
 
+// inOrder reports whether no value was followed by an older one.
+func (l *valueLog) inOrder() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.IsSorted(l.values)
+}
+
 // Guards against an answer of the store that began to arrive before a later state was applied, and
 // replaces it by an older one: large answers take seconds on slow links.
 func TestLaterStateIsKept(t *testing.T) {
@@ -71,7 +86,7 @@
 						is.NoErr(f.ApplyRead(s.Object("main"), func() {}))
 					}
 					time.Sleep(longWait)
-					is.True(slices.IsSorted(sink.values)) // goes back
+					is.True(sink.inOrder())
 					is.Equal(sink.has(), map[string]string{"main": "4", "other": "1"})
 					s.Put("main", "5")
 					s.Remove("other")
