relayfeed: in the load, entries whose connections are reset are not in touch

Cause: the users' rules leave out a machine for some time after a reset of its connections; TestLoad counted it.

Change: a reset counts as a disturbance.

--- a/internal/relayfeed/load_test.go
+++ b/internal/relayfeed/load_test.go
@@ -274,6 +274,8 @@
 		for _, s := range some {
 			s.process.Load().client.Reset()
 		}
+		// An entry is not in touch after a reset of its connections.
+		l.hold(some...)()
 	case 9:
 		l.logf("history compacted")
 		l.store.Compact()
