follow: changes in quick succession are listed, not watched

Cause: the answer to a watch holds every version of an object since the one before. While one arrives on a slow link the next ones pile up, and the next answer is larger. Watches that are receiving aren't given up, so that an entry falls behind further with each answer.

Change: after an answer of the store that held changes, an entry that knows of a later one lists the objects of a kind whose watches are resumed: a list holds the latest version only. Each list in a row has applied something, so that an announced version that the store doesn't have causes no lists without end.

--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -193,9 +193,11 @@
 			f.handleFailure(ctx, err)
 			continue
 		}
-		if f.applyList(all, rev, started) {
-			f.watch(ctx, rev)
+		before := f.Latest()
+		if !f.applyList(all, rev, started) || before.Before(f.Latest()) && f.prefersList() {
+			continue
 		}
+		f.watch(ctx, rev)
 	}
 }
 
@@ -426,10 +428,29 @@
 		if len(changes) > 0 && !f.origin().Relayed() {
 			sleep(ctx, f.Batch)
 			slept = f.Batch
+			if f.prefersList() {
+				return
+			}
 		}
 	}
 }
 
+// prefersList reports whether a list is the better call after an answer of the store that held
+// changes: another entry has a later one, and the answer to a watch would hold all versions of a
+// large object since, a list only the latest.
+func (f *Follower) prefersList() bool {
+	if !f.Resume || f.origin().Relayed() {
+		return false
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.covered.Before(f.invalidation) {
+		return false
+	}
+	f.cause = listBehind
+	return true
+}
+
 // resumes reports whether a watch that has ended with an error continues from its version. An
 // answer that can't be used would be the same again.
 func (f *Follower) resumes(err error) bool {
