follow: data races in tests of the follower

Cause: TestListAfterFailureAnnouncesOnlyChanges, TestAnswerThatArrivesIsNotGivenUp, TestFailedWatchIsResumed and TestLaterStateIsKept read what the follower's goroutine writes without synchronisation; so did TestLeaderThatStopsSendingIsLeft. Time of synctest doesn't order them.

--- a/internal/follow/gap_test.go
+++ b/internal/follow/gap_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -90,6 +91,20 @@
 	return f.receiving
 }
 
+// listed returns the number of lists.
+func (f *slowFeed) listed() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.lists
+}
+
+// watchedFrom returns the versions from which changes were requested.
+func (f *slowFeed) watchedFrom() []store.Version {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.watched)
+}
+
 // follower returns a follower of the feed, and the number of calls of OnCatchUp.
 func (f *slowFeed) follower(kind follow.Kind) (*follow.Follower, *int) {
 	announced := new(int)
@@ -124,11 +139,13 @@
 				f, announced := feed.follower(follow.Servers)
 				go f.Run(ctx)
 				time.Sleep(time.Second)
+				synctest.Wait()
 				is.Equal(f.Latest(), revision(50))
 				feed.set(130, tt.objects)
 				feed.fail <- errors.New("connection reset")
 				time.Sleep(time.Second)
-				is.Equal(feed.lists, 2)
+				synctest.Wait()
+				is.Equal(feed.listed(), 2)
 				is.Equal(f.Latest(), revision(tt.latest))
 				is.Equal(*announced, tt.announced)
 				cancel()
@@ -149,13 +166,16 @@
 		f, _ := feed.follower(follow.Configuration)
 		go f.Run(ctx)
 		time.Sleep(time.Second)
+		synctest.Wait()
 		feed.set(130, map[string]store.Revision{"main": 120})
 		f.Invalidate(revision(120))
 		time.Sleep(3 * time.Second)
-		is.Equal(len(feed.watched), 1)
+		synctest.Wait()
+		is.Equal(len(feed.watchedFrom()), 1)
 		time.Sleep(2 * time.Second)
+		synctest.Wait()
 		is.Equal(f.Latest(), revision(120))
-		is.Equal(feed.lists, 1)
+		is.Equal(feed.listed(), 1)
 		cancel()
 		synctest.Wait()
 	})
@@ -184,16 +204,18 @@
 				f.Resume = true
 				go f.Run(ctx)
 				time.Sleep(time.Second)
+				synctest.Wait()
 				feed.set(130, map[string]store.Revision{"main": 120})
 				for _, err := range tt.failures {
 					feed.fail <- err
 				}
 				time.Sleep(time.Second)
-				is.Equal(feed.lists, tt.lists)
+				synctest.Wait()
+				is.Equal(feed.listed(), tt.lists)
 				is.Equal(f.Latest(), revision(120))
 				is.True(!f.Unavailable())
 				if tt.lists == 1 {
-					is.Equal(feed.watched[:2], []store.Version{revision(100), revision(100)})
+					is.Equal(feed.watchedFrom()[:2], []store.Version{revision(100), revision(100)})
 					is.Equal(*announced, 0)
 				}
 				cancel()
@@ -214,17 +236,20 @@
 		f.Resume = true
 		go f.Run(ctx)
 		time.Sleep(time.Second)
+		synctest.Wait()
 		for range 3 {
 			feed.fail <- errors.New("connection reset")
 		}
 		time.Sleep(time.Second)
-		is.Equal(feed.lists, 1)
+		synctest.Wait()
+		is.Equal(feed.listed(), 1)
 		is.True(!f.Unavailable())
 		// The watch is behind another entry's, and the objects are listed.
 		feed.set(130, map[string]store.Revision{"main": 120})
 		f.Invalidate(revision(120))
 		time.Sleep(time.Second)
-		is.Equal(feed.lists, 2)
+		synctest.Wait()
+		is.Equal(feed.listed(), 2)
 		is.Equal(f.Latest(), revision(120))
 		is.Equal(*announced, 0)
 		cancel()
--- a/internal/follow/order_test.go
+++ b/internal/follow/order_test.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"slices"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -71,6 +72,7 @@
 						is.NoErr(f.ApplyRead(s.Object("main"), func() {}))
 					}
 					time.Sleep(longWait)
+					synctest.Wait()
 					is.True(slices.IsSorted(sink.values)) // goes back
 					is.Equal(sink.has(), map[string]string{"main": "4", "other": "1"})
 					s.Put("main", "5")
--- a/internal/follow/relay_test.go
+++ b/internal/follow/relay_test.go
@@ -229,6 +229,12 @@
 
 func (a *arriving) Receiving() bool { return time.Now().Before(a.until) }
 
+func (a *arriving) redirected() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return len(a.redirects)
+}
+
 // Guards against an entry that keeps waiting for a leader that fails while it sends a change: the
 // answer was arriving when the wait for the change ended.
 func TestLeaderThatStopsSendingIsLeft(t *testing.T) {
@@ -247,9 +253,11 @@
 		a.until = a.began.Add(800 * time.Millisecond)
 		f.Invalidate(revision(21))
 		time.Sleep(799 * time.Millisecond)
-		is.Equal(len(a.redirects), 0)
+		synctest.Wait()
+		is.Equal(a.redirected(), 0)
 		time.Sleep(201 * time.Millisecond)
-		is.Equal(len(a.redirects), 1)
+		synctest.Wait()
+		is.Equal(a.redirected(), 1)
 		cancel()
 		synctest.Wait()
 		time.Sleep(time.Minute) // ends the checks
