--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -198,9 +198,11 @@
 			f.handleFailure(ctx, err)
 			continue
 		}
-		if f.applyList(all, rev, started) {
-			f.watch(ctx, rev)
+		before := f.Latest()
+		if !f.applyList(all, rev, started) || before.Before(f.Latest()) && f.prefersList() {
+			continue
 		}
+		f.watch(ctx, rev)
 	}
 }
 
@@ -429,6 +431,9 @@
 			f.Log.Info("watch ended", "kind", f.Kind, "version", rev, "err", err)
 			if failed {
 				f.handleFailure(ctx, err)
+				if f.prefersList() {
+					return
+				}
 			}
 			failed = true
 			continue
@@ -441,10 +446,29 @@
 		if len(changes) > 0 && !f.origin().Relayed() {
 			sleep(ctx, f.Batch)
 			slept = f.Batch
+			if f.prefersList() {
+				return
+			}
 		}
 	}
 }
 
+// prefersList reports whether a list is the better call after an answer of the store that held
+// changes, or after an outage: another entry has a later change, and the answer to a watch would
+// hold all versions of a large object since, a list only the latest.
+func (f *Follower) prefersList() bool {
+	if !f.Resume || f.origin().Relayed() {
+		return false
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.covered.Before(f.invalidation) {
+		return false
+	}
+	f.cause = listBehind
+	return true
+}
+
 // resumes reports whether a watch that has ended with an error continues from its version. An
 // answer that can't be used would be the same again.
 func (f *Follower) resumes(err error) bool {
--- a/internal/follow/gap_test.go
+++ b/internal/follow/gap_test.go
@@ -31,12 +31,6 @@
 		lists     int
 		watched   []store.Version
 	}
-
-	// slowCalls are the lists, and the versions of the watches, of a slowFeed.
-	slowCalls struct {
-		lists   int
-		watched []store.Version
-	}
 )
 
 func newSlowFeed(version store.Revision, objects map[string]store.Revision) *slowFeed {
@@ -90,18 +84,25 @@
 	return changes, f.version, nil
 }
 
-// calls returns the calls so far.
-func (f *slowFeed) calls() slowCalls {
+// Receiving implements store.Receiver.
+func (f *slowFeed) Receiving() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return slowCalls{f.lists, slices.Clone(f.watched)}
+	return f.receiving
 }
 
-// Receiving implements store.Receiver.
-func (f *slowFeed) Receiving() bool {
+// listed returns the number of lists.
+func (f *slowFeed) listed() int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.receiving
+	return f.lists
+}
+
+// watchedFrom returns the versions from which changes were requested.
+func (f *slowFeed) watchedFrom() []store.Version {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.watched)
 }
 
 // follower returns a follower of the feed, and the number of calls of OnCatchUp.
@@ -138,12 +139,13 @@
 				f, announced := feed.follower(follow.Servers)
 				go f.Run(ctx)
 				time.Sleep(time.Second)
+				synctest.Wait()
 				is.Equal(f.Latest(), revision(50))
 				feed.set(130, tt.objects)
 				feed.fail <- errors.New("connection reset")
 				time.Sleep(time.Second)
 				synctest.Wait()
-				is.Equal(feed.calls().lists, 2)
+				is.Equal(feed.listed(), 2)
 				is.Equal(f.Latest(), revision(tt.latest))
 				is.Equal(*announced, tt.announced)
 				cancel()
@@ -164,15 +166,16 @@
 		f, _ := feed.follower(follow.Configuration)
 		go f.Run(ctx)
 		time.Sleep(time.Second)
+		synctest.Wait()
 		feed.set(130, map[string]store.Revision{"main": 120})
 		f.Invalidate(revision(120))
 		time.Sleep(3 * time.Second)
 		synctest.Wait()
-		is.Equal(len(feed.calls().watched), 1)
+		is.Equal(len(feed.watchedFrom()), 1)
 		time.Sleep(2 * time.Second)
-		is.Equal(f.Latest(), revision(120))
 		synctest.Wait()
-		is.Equal(feed.calls().lists, 1)
+		is.Equal(f.Latest(), revision(120))
+		is.Equal(feed.listed(), 1)
 		cancel()
 		synctest.Wait()
 	})
@@ -201,17 +204,18 @@
 				f.Resume = true
 				go f.Run(ctx)
 				time.Sleep(time.Second)
+				synctest.Wait()
 				feed.set(130, map[string]store.Revision{"main": 120})
 				for _, err := range tt.failures {
 					feed.fail <- err
 				}
 				time.Sleep(time.Second)
 				synctest.Wait()
-				is.Equal(feed.calls().lists, tt.lists)
+				is.Equal(feed.listed(), tt.lists)
 				is.Equal(f.Latest(), revision(120))
 				is.True(!f.Unavailable())
 				if tt.lists == 1 {
-					is.Equal(feed.calls().watched[:2], []store.Version{revision(100), revision(100)})
+					is.Equal(feed.watchedFrom()[:2], []store.Version{revision(100), revision(100)})
 					is.Equal(*announced, 0)
 				}
 				cancel()
@@ -232,20 +236,54 @@
 		f.Resume = true
 		go f.Run(ctx)
 		time.Sleep(time.Second)
+		synctest.Wait()
 		for range 3 {
 			feed.fail <- errors.New("connection reset")
 		}
 		time.Sleep(time.Second)
-		is.Equal(feed.lists, 1)
+		synctest.Wait()
+		is.Equal(feed.listed(), 1)
 		is.True(!f.Unavailable())
 		// The watch is behind another entry's, and the objects are listed.
 		feed.set(130, map[string]store.Revision{"main": 120})
 		f.Invalidate(revision(120))
 		time.Sleep(time.Second)
-		is.Equal(feed.lists, 2)
+		synctest.Wait()
+		is.Equal(feed.listed(), 2)
 		is.Equal(f.Latest(), revision(120))
 		is.Equal(*announced, 0)
 		cancel()
 		synctest.Wait()
 	})
 }
+
+// Guards against an entry that transfers all versions of a large object that it has missed in an
+// outage, one by one.
+func TestChangesOfAnOutageAreListed(t *testing.T) {
+	simclock.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		feed := newSlowFeed(100, map[string]store.Revision{"main": 50})
+		f, announced := feed.follower(follow.Configuration)
+		f.Resume = true
+		go f.Run(ctx)
+		time.Sleep(time.Second)
+		synctest.Wait()
+		feed.mu.Lock()
+		feed.transfer = time.Second // so that watches without a wait end by their failures
+		feed.mu.Unlock()
+		for range 3 {
+			feed.fail <- errors.New("connection reset")
+		}
+		feed.set(130, map[string]store.Revision{"main": 120})
+		f.Invalidate(revision(120))
+		time.Sleep(time.Second)
+		synctest.Wait()
+		is.Equal(feed.listed(), 2)
+		is.Equal(f.Latest(), revision(120))
+		is.Equal(*announced, 1)
+		is.True(!f.Unavailable())
+		cancel()
+		synctest.Wait()
+	})
+}
--- a/internal/follow/order_test.go
+++ b/internal/follow/order_test.go
@@ -7,6 +7,7 @@
 	"slices"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -86,6 +87,7 @@
 						is.NoErr(f.ApplyRead(s.Object("main"), func() {}))
 					}
 					time.Sleep(longWait)
+					synctest.Wait()
 					is.True(sink.inOrder())
 					is.Equal(sink.has(), map[string]string{"main": "4", "other": "1"})
 					s.Put("main", "5")
