--- a/internal/follow/order.go
+++ b/internal/follow/order.go
@@ -26,8 +26,8 @@
 }
 
 // list returns the objects of a list with those that were read later, and false if the list is
-// older than another entry's state that was applied. The next list isn't, but if the store has
-// lost changes.
+// older than another entry's state that was applied. Only one list is left out for such a state: if
+// the next one is older too, the store has lost changes.
 func (o *order) list(all []store.Object, covered store.Version) ([]store.Object, bool) {
 	read, tooOld := o.read, covered.Before(o.floor)
 	*o = order{}
--- a/internal/relayfeed/pack.go
+++ b/internal/relayfeed/pack.go
@@ -11,9 +11,9 @@
 	"github.com/shallotpier/shallotpier/internal/packing"
 )
 
-// packedKept is the number of packed answers that are kept: entries that follow through
+// maxKeptAnswers limits the packed answers that are kept: entries that follow through
 // this one ask for the same changes at the same time.
-const packedKept = 4
+const maxKeptAnswers = 4
 
 type (
 	// packer keeps packed answers. It is safe for concurrent use.
@@ -59,7 +59,7 @@
 		return
 	}
 	p.kept = append(p.kept, packed{digest, data})
-	p.kept = p.kept[max(len(p.kept)-packedKept, 0):]
+	p.kept = p.kept[max(len(p.kept)-maxKeptAnswers, 0):]
 	a.Changes, a.Packed = nil, data
 }
 
