capacity: the count of store calls at a change holds those of the entries alone

The count now begins once the relay watches, holds the calls of the entries, and ends when the next watch has begun: one call at each number of children from 1 to 16.

--- a/internal/capacity/configuration.go
+++ b/internal/capacity/configuration.go
@@ -8,6 +8,7 @@
 	"runtime"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -116,9 +117,18 @@
 }
 
 // relayCost counts the calls and bytes of one configuration change that one entry
-// reads from the store and n others fetch from it after its heartbeat.
+// reads from the store and n others fetch from it after its heartbeat. Store calls
+// are those of the entries: the relay's watch after the one that returned the
+// change.
 func relayCost(n int) (relayCounts, error) {
 	s := new(platform.Store)
+	var entryCalls atomic.Int64
+	s.SetHook(func(c platform.Call) platform.Fault {
+		if c.From != "" {
+			entryCalls.Add(1)
+		}
+		return platform.Fault{}
+	})
 	network := new(peers.Network)
 	if err := putPublication(s, 1); err != nil {
 		return relayCounts{}, err
@@ -129,7 +139,7 @@
 	defer cancel()
 	keepers := make([]*config.Keeper, n+1)
 	for i := range keepers {
-		keepers[i] = newKeeper(s, network, i)
+		keepers[i] = newKeeper(&platform.Client{Store: s, Name: string(entryName(i))}, network, i)
 		running.Go(func() { _ = keepers[i].Run(ctx) })
 	}
 	if err := waitForVersion(ctx, keepers, 1); err != nil {
@@ -138,8 +148,11 @@
 	if err := waitReady(ctx, keepers); err != nil {
 		return relayCounts{}, err
 	}
-	storeBefore, callsBefore, bytesBefore := countCalls(s), 0, 0
-	callsBefore, bytesBefore = network.Sent()
+	if err := waitForWatches(ctx, s, 1); err != nil {
+		return relayCounts{}, err
+	}
+	storeBefore := entryCalls.Load()
+	callsBefore, bytesBefore := network.Sent()
 	if err := putPublication(s, 2); err != nil {
 		return relayCounts{}, err
 	}
@@ -152,11 +165,14 @@
 	if err := waitForVersion(ctx, keepers, 2); err != nil {
 		return relayCounts{}, err
 	}
+	if err := waitForWatches(ctx, s, 2); err != nil {
+		return relayCounts{}, err
+	}
 	calls, bytes := network.Sent()
-	return relayCounts{storeCalls: countCalls(s) - storeBefore - 1, calls: calls - callsBefore, bytes: bytes - bytesBefore}, nil
+	return relayCounts{storeCalls: int(entryCalls.Load() - storeBefore), calls: calls - callsBefore, bytes: bytes - bytesBefore}, nil
 }
 
-func newKeeper(s *platform.Store, network *peers.Network, i int) *config.Keeper {
+func newKeeper(s store.Store, network *peers.Network, i int) *config.Keeper {
 	node := network.Node(peer.Sender{Instance: entryName(i), Incarnation: 1})
 	k := &config.Keeper{Store: s, Caller: node, Relay: func() bool { return i == 0 }, Log: slog.New(slog.DiscardHandler)}
 	node.Register(config.FetchMethod, k.HandleFetch)
@@ -191,12 +207,18 @@
 	return nil
 }
 
-func countCalls(s *platform.Store) int {
-	sum := 0
-	for _, n := range s.Counts() {
-		sum += n
+// waitForWatches waits until n watches of the store have begun.
+func waitForWatches(ctx context.Context, s *platform.Store, n int) error {
+	ctx, cancel := context.WithTimeout(ctx, versionTimeout)
+	defer cancel()
+	for s.Counts()[platform.Watch] < n {
+		select {
+		case <-time.After(time.Millisecond):
+		case <-ctx.Done():
+			return eris.Errorf("fewer than %d watches within %s", n, versionTimeout)
+		}
 	}
-	return sum
+	return nil
 }
 
 func putPublication(s store.Store, v id.Version) error {
--- a/internal/capacity/guard_test.go
+++ b/internal/capacity/guard_test.go
@@ -116,7 +116,7 @@
 	c, err := relayCost(currentEntries - 1)
 	is.NoErr(err)
 	is.Equal(c.calls, currentEntries-1) // one fetch by each other entry
-	is.True(c.storeCalls <= 2)          // the relay's watch that returned the change, and its next watch
+	is.Equal(c.storeCalls, 1)           // the relay's next watch
 }
 
 func TestStoreCallsOfIdleEntries(t *testing.T) {
