--- a/internal/node/quota.go
+++ b/internal/node/quota.go
@@ -97,7 +97,7 @@
 	return out
 }
 
-// leave ends the granting of tokens, before the entry removes its registration.
+// leave ends the granting of tokens, before the entry gives up its registration.
 func (q *quotas) leave() {
 	q.mu.Lock()
 	defer q.mu.Unlock()
--- a/internal/quota/authority/authority.go
+++ b/internal/quota/authority/authority.go
@@ -36,7 +36,7 @@
 		Entries int
 		// FirstStart is set if all entries have just started for the first time.
 		FirstStart bool
-		// Left is set once the entry removes its registration.
+		// Left is set once the entry gives up its registration.
 		Left bool
 	}
 
